Set down the workspace, the core types and the derive sets

Cause: the shape of the code comes first: a package for each peer, id aliases, standard time types, a clock trait object, typed errors, derive sets by a macro of our own. Conclusion: every later package builds on these.

--- /dev/null
+++ b/crates/core/src/clock.rs
@@ -0,0 +1,114 @@
+//! Time, behind a trait object so that tests pause and advance it.
+
+use std::fmt::Debug;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+use async_channel::Sender;
+
+/// A sleep in progress.
+pub type Sleep = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// A source of time.
+pub trait Clock: Debug + Send + Sync {
+    /// The monotonic time, for lifetimes and timeouts. It doesn't count while a VM is suspended.
+    fn now(&self) -> Instant;
+
+    /// The calendar time, for people and for order across restarts.
+    fn wall(&self) -> SystemTime;
+
+    /// Completes once `duration` has passed.
+    fn sleep(&self, duration: Duration) -> Sleep;
+}
+
+/// The clock of the machine, with the runtime's timers.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+
+    fn sleep(&self, duration: Duration) -> Sleep {
+        Box::pin(async move {
+            smol::Timer::after(duration).await;
+        })
+    }
+}
+
+/// A clock that stands still until it's advanced.
+#[derive(Debug, Clone)]
+pub struct PausedClock(Arc<Mutex<Paused>>);
+
+#[derive(Debug)]
+struct Paused {
+    start: Instant,
+    elapsed: Duration,
+    sleepers: Vec<(Duration, Sender<()>)>,
+}
+
+impl PausedClock {
+    /// A clock paused at the present moment.
+    pub fn new() -> Self {
+        Self(Arc::new(Mutex::new(Paused {
+            start: Instant::now(),
+            elapsed: Duration::ZERO,
+            sleepers: Vec::new(),
+        })))
+    }
+
+    /// Moves time forward and wakes every sleep that's over by then.
+    pub fn advance(&self, duration: Duration) {
+        let mut paused = self.lock();
+        paused.elapsed += duration;
+        let elapsed = paused.elapsed;
+        paused.sleepers.retain(|(due, wake)| {
+            let pending = *due > elapsed;
+            if !pending {
+                wake.close();
+            }
+            pending
+        });
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Paused> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for PausedClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for PausedClock {
+    fn now(&self) -> Instant {
+        let paused = self.lock();
+        paused.start + paused.elapsed
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + self.lock().elapsed
+    }
+
+    fn sleep(&self, duration: Duration) -> Sleep {
+        let (wake, woken) = async_channel::bounded::<()>(1);
+        if duration.is_zero() {
+            wake.close();
+        } else {
+            let mut paused = self.lock();
+            let due = paused.elapsed + duration;
+            paused.sleepers.push((due, wake));
+        }
+        Box::pin(async move {
+            let _closed = woken.recv().await;
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,35 @@
+//! The vocabulary that every package of filbertwheel shares.
+//!
+//! Ids, time, calls and their answers, the configuration document, members of the fleet, and
+//! settings. Nothing here does I/O except reading a settings file.
+
+mod call;
+mod clock;
+mod config;
+mod control;
+mod ids;
+mod invariant;
+mod logging;
+mod member;
+mod proof;
+mod settings;
+mod text;
+
+pub use call::{
+    Answer, Call, Charge, Criticality, Doubt, Failure, Header, Method, Refusal, RefusalKind,
+    Verdict,
+};
+pub use clock::{Clock, PausedClock, Sleep, SystemClock};
+pub use config::{Change, ConfigError, Configuration, Edit, Key, Organisation, Rate, Route};
+pub use control::{Beat, Claim, Delta, Demand, Pulse, Share, Tokens};
+pub use filbertwheel_macros::{message, settings, token, value};
+pub use ids::{
+    CallId, CommandId, DomainId, Fence, Incarnation, KeyHash, OrganisationId, RegionId, RequestId,
+    ServiceId, Version, VmId,
+};
+pub use invariant::{InvariantReport, broken_invariants, report_invariant};
+pub use logging::{LogFormat, init_logging};
+pub use member::{Member, Status};
+pub use proof::{FleetSecret, Proof, ProofError, hash_key};
+pub use settings::{SettingsError, load_settings};
+pub use text::Text;
