--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions, without I/O and without encoding.
+//!
+//! Every decision takes the present time as an argument and works on typed values of
+//! `filbertwheel-core`, so that tests drive it with a clock of their own.
+
+mod bucket;
+mod gate;
+mod lease;
+mod ledger;
+mod purse;
+mod retry;
+mod roster;
+mod routing;
+
+pub use bucket::Bucket;
+pub use gate::{Entry, Gate, Offer, Release, Ticket};
+pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch};
+pub use ledger::{Ledger, LedgerError, SHARE_LIFETIME};
+pub use purse::{Purse, Short};
+pub use retry::{RETRIES_PER_CALL, RetryRatio};
+pub use roster::Roster;
+pub use routing::{Candidate, choose};
+
+/// A whole rate and burst, in the portions that shares are counted in.
+pub const WHOLE: u64 = 1_000_000_000;
--- /dev/null
+++ b/crates/policy/src/purse.rs
@@ -0,0 +1,176 @@
+//! A node's shares of the organisations' rates.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{Demand, OrganisationId, Rate, Share, value};
+
+use crate::{Bucket, WHOLE};
+
+/// Weight of the newest interval in the smoothed demand.
+const DEMAND_WEIGHT: f64 = 0.5;
+/// Demand in calls a second below which a holding is forgotten.
+const DEMAND_FLOOR: f64 = 0.01;
+
+/// The node's shares, and what was asked of them.
+#[derive(Debug, Default)]
+pub struct Purse {
+    holdings: BTreeMap<OrganisationId, Holding>,
+    measured: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Holding {
+    portion: u64,
+    expires: Instant,
+    bucket: Bucket,
+    asked: u64,
+    demand: f64,
+}
+
+/// The node's share has no token left.
+#[value]
+pub struct Short {
+    /// How long it takes until the share has one, if it ever does.
+    pub wait: Option<Duration>,
+}
+
+impl Purse {
+    /// Spends one token of an organisation.
+    pub fn charge(
+        &mut self,
+        organisation: &OrganisationId,
+        limit: Rate,
+        now: Instant,
+    ) -> Result<(), Short> {
+        let holding = self.holding(organisation, now);
+        holding.asked += 1;
+        holding.take(limit, now)
+    }
+
+    /// Spends up to `count` tokens for another node's claim. Returns how many were spent.
+    pub fn pay(
+        &mut self,
+        organisation: &OrganisationId,
+        limit: Rate,
+        count: u32,
+        now: Instant,
+    ) -> u32 {
+        let holding = self.holding(organisation, now);
+        (0..count)
+            .take_while(|_| holding.take(limit, now).is_ok())
+            .count() as u32
+    }
+
+    /// Returns a token of a call that didn't run.
+    pub fn put_back(&mut self, organisation: &OrganisationId, limit: Rate, now: Instant) {
+        let holding = self.holding(organisation, now);
+        if now < holding.expires {
+            holding.bucket.put_back(scaled(limit, holding.portion));
+        }
+    }
+
+    /// Takes over new shares, which replace all earlier ones. `limits` gives the whole limit.
+    pub fn adopt(
+        &mut self,
+        shares: &[Share],
+        limits: impl Fn(&OrganisationId) -> Option<Rate>,
+        expires: Instant,
+        now: Instant,
+    ) {
+        for (organisation, holding) in &mut self.holdings {
+            let share = shares
+                .iter()
+                .find(|share| share.organisation == *organisation);
+            let limit = limits(organisation).unwrap_or(Rate {
+                rate: 0.0,
+                burst: 0.0,
+            });
+            // What came in so far is counted at the old portion, then cut to the new burst.
+            holding
+                .bucket
+                .refill(scaled(limit, holding.portion_at(now)), now);
+            holding.portion = share.map_or(0, |share| share.portion);
+            holding.expires = expires;
+            holding.bucket.refill(scaled(limit, holding.portion), now);
+        }
+        for share in shares {
+            let holding = self.holding(&share.organisation, now);
+            holding.portion = share.portion;
+            holding.expires = expires;
+        }
+    }
+
+    /// What was asked since the last call, smoothed, and what's held.
+    pub fn demands(&mut self, now: Instant) -> Vec<Demand> {
+        let elapsed = self
+            .measured
+            .map(|at| now.saturating_duration_since(at).as_secs_f64());
+        let elapsed = elapsed.unwrap_or(1.0).max(0.001);
+        self.measured = Some(now);
+        for holding in self.holdings.values_mut() {
+            let rate = holding.asked as f64 / elapsed;
+            holding.asked = 0;
+            // A rise counts at once, a fall is smoothed.
+            let smoothed = holding.demand + (rate - holding.demand) * DEMAND_WEIGHT;
+            holding.demand = smoothed.max(rate);
+        }
+        self.holdings
+            .retain(|_, holding| holding.demand >= DEMAND_FLOOR || holding.portion_at(now) > 0);
+        self.holdings
+            .iter()
+            .map(|(organisation, holding)| holding.wish(organisation, now))
+            .collect()
+    }
+
+    /// Adds claims of other nodes to the demand.
+    pub fn ask(&mut self, organisation: &OrganisationId, count: u32, now: Instant) {
+        self.holding(organisation, now).asked += u64::from(count);
+    }
+
+    fn holding(&mut self, organisation: &OrganisationId, now: Instant) -> &mut Holding {
+        self.holdings
+            .entry(organisation.clone())
+            .or_insert_with(|| Holding {
+                portion: 0,
+                expires: now,
+                bucket: Bucket::empty(now),
+                asked: 0,
+                demand: 0.0,
+            })
+    }
+}
+
+impl Holding {
+    fn take(&mut self, limit: Rate, now: Instant) -> Result<(), Short> {
+        let portion = self.portion_at(now);
+        if portion == 0 {
+            // Nothing accrues without a live share.
+            self.bucket = Bucket::empty(now);
+            return Err(Short { wait: None });
+        }
+        self.bucket
+            .take(scaled(limit, portion), now)
+            .map_err(|wait| Short { wait: Some(wait) })
+    }
+
+    fn portion_at(&self, now: Instant) -> u64 {
+        if now < self.expires { self.portion } else { 0 }
+    }
+
+    fn wish(&self, organisation: &OrganisationId, now: Instant) -> Demand {
+        Demand {
+            organisation: organisation.clone(),
+            rate: self.demand,
+            held: self.portion_at(now),
+        }
+    }
+}
+
+fn scaled(limit: Rate, portion: u64) -> Rate {
+    let part = portion as f64 / WHOLE as f64;
+    Rate {
+        rate: limit.rate * part,
+        burst: limit.burst * part,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/roster.rs
@@ -0,0 +1,73 @@
+//! The members of the fleet, as one node knows them.
+
+use std::collections::BTreeMap;
+
+use filbertwheel_core::{Member, ServiceId, Status, VmId};
+
+/// Members, with the order in which they last changed.
+#[derive(Debug, Clone, Default)]
+pub struct Roster {
+    entries: BTreeMap<VmId, Entry>,
+    position: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    member: Member,
+    position: u64,
+}
+
+impl Roster {
+    /// Position of the latest change.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// All members.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.entries.values().map(|entry| &entry.member)
+    }
+
+    /// One member.
+    pub fn member(&self, vm: &VmId) -> Option<&Member> {
+        self.entries.get(vm).map(|entry| &entry.member)
+    }
+
+    /// Members of a service that take work.
+    pub fn serving<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Member> {
+        self.members()
+            .filter(|member| member.status == Status::Serving)
+            .filter(move |member| member.service.as_ref() == Some(service))
+    }
+
+    /// Members that changed after `position`.
+    pub fn since(&self, position: u64) -> Vec<Member> {
+        self.entries
+            .values()
+            .filter(|entry| entry.position > position)
+            .map(|entry| entry.member.clone())
+            .collect()
+    }
+
+    /// Takes over a record unless a newer one is known. Returns whether anything changed.
+    pub fn merge(&mut self, member: Member) -> bool {
+        let known = self.entries.get(&member.vm).map(|entry| &entry.member);
+        if known.is_some_and(|known| !replaces(&member, known)) {
+            return false;
+        }
+        self.position += 1;
+        let entry = Entry {
+            position: self.position,
+            member,
+        };
+        self.entries.insert(entry.member.vm.clone(), entry);
+        true
+    }
+}
+
+/// Within one run, a record that differs but doesn't go back in status replaces the known one.
+fn replaces(member: &Member, known: &Member) -> bool {
+    member.supersedes(known)
+        || (member.incarnation, member.status) == (known.incarnation, known.status)
+            && member != known
+}
