Add the HTTP and JSON-RPC plumbing

Cause: the codec accepts cut bodies, conflicting lengths and interim responses, and writes head and body apart. Change: whole messages only, one write each, TCP_NODELAY, a pool with one exchange a connection; signed JSON-RPC with jsonrpsee's messages and method table on our own runtime.

--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,259 @@
+//! The client's side of HTTP connections.
+
+use std::fmt::Debug;
+use std::io;
+use std::net::SocketAddr;
+use std::str::FromStr as _;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use async_h1::client::{Encoder, decode};
+use derive_more::{Display, Error};
+use filbertwheel_core::{Clock, token};
+use futures_lite::future::poll_once;
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
+use http_types::Url;
+use http_types::headers::CONTENT_LENGTH;
+use smol::net::TcpStream;
+
+use crate::message::{headers_from, is_framing, read_body, single_length};
+use crate::{Fault, Limits, Request, Response};
+
+/// Connections that are kept open to one address.
+const IDLE_CONNECTIONS: usize = 256;
+
+/// Why a request has no whole response.
+#[token]
+#[derive(Display, Error)]
+pub enum SendError {
+    /// No byte of it was sent.
+    #[display("the other end can't be reached")]
+    NotSent,
+    /// The request can't be written as HTTP.
+    #[display("the request can't be encoded")]
+    Unencodable,
+    /// The connection ended after the request was sent.
+    #[display("the connection was lost")]
+    Lost,
+    /// Time ran out after the request was sent.
+    #[display("the response is late")]
+    Late,
+    /// The response was cut or malformed.
+    #[display("the response was cut or malformed")]
+    Broken,
+}
+
+impl SendError {
+    /// Whether the other end can't have seen the request.
+    pub fn is_unsent(self) -> bool {
+        matches!(self, Self::NotSent | Self::Unencodable)
+    }
+}
+
+/// Connections to one address, each used for one exchange at a time.
+#[derive(Debug)]
+pub struct Pool {
+    address: SocketAddr,
+    limits: Limits,
+    clock: Arc<dyn Clock>,
+    idle: Mutex<Vec<Idle>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    stream: TcpStream,
+    since: Instant,
+}
+
+impl Pool {
+    /// A pool without connections; they're opened as they're needed.
+    pub fn open(address: SocketAddr, limits: Limits, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            address,
+            limits,
+            clock,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// The address that the connections lead to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and returns the whole response. The connection is used again only after
+    /// a whole response; dropping the future closes it.
+    pub async fn exchange(
+        &self,
+        request: Request,
+        deadline: Instant,
+    ) -> Result<Response, SendError> {
+        let (encoded, method) = self.encode(request).await?;
+        let stream = self.connection(deadline).await?;
+        let received = self.send_and_receive(&stream, &encoded, method);
+        let late = async {
+            self.sleep_until(deadline).await;
+            Err(SendError::Late)
+        };
+        let (response, keep) = received.or(late).await?;
+        if keep {
+            self.put_back(stream);
+        }
+        Ok(response)
+    }
+
+    /// Closes the idle connections.
+    pub fn close(self) {
+        drop(self);
+    }
+
+    /// Forgets the idle connections, because one of their kind has gone silent.
+    pub fn discard_idle(&self) {
+        self.lock().clear();
+    }
+
+    async fn encode(&self, request: Request) -> Result<(Vec<u8>, http_types::Method), SendError> {
+        let text = |text: &filbertwheel_core::Text| text.as_str().map(str::to_owned);
+        let method = text(&request.method).ok_or(SendError::Unencodable)?;
+        let method = http_types::Method::from_str(&method).map_err(|_| SendError::Unencodable)?;
+        let path = text(&request.path).ok_or(SendError::Unencodable)?;
+        let url = Url::parse(&format!("http://{}{path}", self.address))
+            .map_err(|_| SendError::Unencodable)?;
+        let mut encoded = http_types::Request::new(method, url);
+        encoded.set_body(http_types::Body::from_bytes(request.body.to_vec()));
+        encoded.remove_header("content-type");
+        for header in request
+            .headers
+            .iter()
+            .filter(|line| !is_framing(line.name.as_bytes()))
+        {
+            let name = header.name.as_str().ok_or(SendError::Unencodable)?;
+            let value = header.value.as_str().ok_or(SendError::Unencodable)?;
+            if value.bytes().any(|byte| byte == b'\r' || byte == b'\n') {
+                return Err(SendError::Unencodable);
+            }
+            encoded.append_header(name, value);
+        }
+        let mut bytes = Vec::with_capacity(512 + request.body.len());
+        let read = Encoder::new(encoded).read_to_end(&mut bytes).await;
+        read.map_err(|_| SendError::Unencodable)?;
+        Ok((bytes, method))
+    }
+
+    async fn connection(&self, deadline: Instant) -> Result<TcpStream, SendError> {
+        while let Some(stream) = self.take_idle() {
+            if is_quiet(&stream).await {
+                return Ok(stream);
+            }
+        }
+        let opened = async {
+            let stream = TcpStream::connect(self.address).await?;
+            stream.set_nodelay(true)?;
+            Ok(stream)
+        };
+        let late = async {
+            let now = self.clock.now();
+            let wait = self
+                .limits
+                .connect
+                .min(deadline.saturating_duration_since(now));
+            self.clock.sleep(wait).await;
+            Err(io::Error::from(io::ErrorKind::TimedOut))
+        };
+        opened.or(late).await.map_err(|_| SendError::NotSent)
+    }
+
+    async fn send_and_receive(
+        &self,
+        stream: &TcpStream,
+        encoded: &[u8],
+        method: http_types::Method,
+    ) -> Result<(Response, bool), SendError> {
+        let mut writer = stream.clone();
+        let write = writer.write_all(encoded).await;
+        // The other end may have answered and closed before it read the whole request.
+        let response = match (decode(stream.clone()).await, write) {
+            (Ok(response), _) => response,
+            (Err(error), Ok(())) if is_broken(&error) => return Err(SendError::Broken),
+            _ => return Err(SendError::Lost),
+        };
+        self.check(response, method)
+            .await
+            .map_err(|_| SendError::Broken)
+    }
+
+    async fn check(
+        &self,
+        mut response: http_types::Response,
+        method: http_types::Method,
+    ) -> Result<(Response, bool), Fault> {
+        let status = u16::from(response.status());
+        if status < 200 {
+            return Err(Fault::Malformed);
+        }
+        let length = single_length(response.header(CONTENT_LENGTH))?;
+        let bodiless = method == http_types::Method::Head || status == 204 || status == 304;
+        let chunked = response.header("transfer-encoding").is_some();
+        if !bodiless && length.is_none() && !chunked {
+            return Err(Fault::Ambiguous);
+        }
+        let body = if bodiless {
+            bytes::Bytes::new()
+        } else {
+            read_body(response.take_body(), length, self.limits.body).await?
+        };
+        let keep = response
+            .header("connection")
+            .is_none_or(|value| value.as_str() != "close");
+        let headers = headers_from(response.iter())
+            .into_iter()
+            .filter(|header| !is_framing(header.name.as_bytes()))
+            .collect();
+        Ok((
+            Response {
+                status,
+                headers,
+                body,
+            },
+            keep,
+        ))
+    }
+
+    async fn sleep_until(&self, deadline: Instant) {
+        self.clock
+            .sleep(deadline.saturating_duration_since(self.clock.now()))
+            .await;
+    }
+
+    fn take_idle(&self) -> Option<TcpStream> {
+        let now = self.clock.now();
+        let mut idle = self.lock();
+        // Half of the server's own bound, so that both ends never close at the same moment.
+        idle.retain(|entry| now.saturating_duration_since(entry.since) < self.limits.idle / 2);
+        idle.pop().map(|entry| entry.stream)
+    }
+
+    fn put_back(&self, stream: TcpStream) {
+        let since = self.clock.now();
+        let mut idle = self.lock();
+        if idle.len() < IDLE_CONNECTIONS {
+            idle.push(Idle { stream, since });
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Idle>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whether nothing has arrived on an idle connection, neither bytes nor its end.
+async fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    poll_once(stream.peek(&mut byte)).await.is_none()
+}
+
+/// Whether the other end answered, but not with valid HTTP.
+fn is_broken(error: &http_types::Error) -> bool {
+    let closed = ["connection closed", "empty response"].contains(&error.to_string().as_str());
+    !closed && error.downcast_ref::<io::Error>().is_none()
+}
--- /dev/null
+++ b/crates/http/src/parse.rs
@@ -0,0 +1,94 @@
+//! Parsing of the headers and paths that callers and backend servers share.
+
+use std::time::Duration;
+
+use filbertwheel_core::{Criticality, Header, Refusal, RefusalKind, RequestId, ServiceId, Text};
+
+use crate::{Request, names};
+
+/// Longest request id in bytes.
+const REQUEST_ID_LIMIT: usize = 128;
+
+/// What a request's path and headers say about it.
+#[filbertwheel_core::value]
+pub struct Particulars {
+    /// The service that's wanted.
+    pub service: ServiceId,
+    /// Path and query behind the service's name.
+    pub path: Text,
+    /// The sender's id for the request.
+    pub request: Option<RequestId>,
+    /// The criticality that's asked for.
+    pub criticality: Option<Criticality>,
+    /// How long the sender waits.
+    pub patience: Option<Duration>,
+}
+
+impl Particulars {
+    /// Reads them from a request.
+    pub fn read(request: &Request) -> Result<Self, Refusal> {
+        let (service, path) = split_path(&request.path).ok_or(RefusalKind::NoRoute)?;
+        let id = request.header(names::REQUEST).cloned();
+        if id
+            .as_ref()
+            .is_some_and(|id| id.as_bytes().len() > REQUEST_ID_LIMIT)
+        {
+            return Err(RefusalKind::TooLarge.into());
+        }
+        let criticality = request
+            .header(names::CRITICALITY)
+            .map(parse_criticality)
+            .transpose()?;
+        let patience = request
+            .header(names::DEADLINE)
+            .map(parse_millis)
+            .transpose()?;
+        Ok(Self {
+            service,
+            path,
+            request: id,
+            criticality,
+            patience,
+        })
+    }
+}
+
+/// Leaves out the headers that filbertwheel itself reads and writes.
+pub fn passed_headers(headers: Vec<Header>) -> Vec<Header> {
+    headers
+        .into_iter()
+        .filter(|header| !header.name.as_bytes().starts_with(names::PREFIX.as_bytes()))
+        .collect()
+}
+
+/// Splits `/service/rest` into the service's name and `/rest`.
+fn split_path(path: &Text) -> Option<(ServiceId, Text)> {
+    let text = path.as_str()?.strip_prefix('/')?;
+    let end = text.find(['/', '?']).unwrap_or(text.len());
+    let (service, rest) = text.split_at(end);
+    if service.is_empty() {
+        return None;
+    }
+    let rest = if rest.starts_with('/') {
+        rest.to_owned()
+    } else {
+        format!("/{rest}")
+    };
+    Some((service.into(), rest.into()))
+}
+
+fn parse_criticality(text: &Text) -> Result<Criticality, Refusal> {
+    match text.as_bytes() {
+        b"sheddable" => Ok(Criticality::Sheddable),
+        b"normal" => Ok(Criticality::Normal),
+        b"critical" => Ok(Criticality::Critical),
+        _ => Err(RefusalKind::Malformed.into()),
+    }
+}
+
+fn parse_millis(text: &Text) -> Result<Duration, Refusal> {
+    let millis = text.as_str().and_then(|text| text.parse::<u32>().ok());
+    millis
+        .map(|millis| Duration::from_millis(millis.into()))
+        .ok_or(RefusalKind::Malformed.into())
+}
--- /dev/null
+++ b/crates/http/src/stop.rs
@@ -0,0 +1,36 @@
+//! A signal to stop, seen by every task that waits for it.
+
+use async_channel::{Receiver, Sender};
+
+/// Gives the signal.
+#[derive(Debug)]
+pub struct Stopper(Sender<()>);
+
+/// Sees the signal. Cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Stop(Receiver<()>);
+
+impl Stopper {
+    /// A signal that hasn't been given, and one view of it.
+    pub fn open() -> (Self, Stop) {
+        let (sender, receiver) = async_channel::bounded(1);
+        (Self(sender), Stop(receiver))
+    }
+
+    /// Gives the signal.
+    pub fn close(self) {
+        self.0.close();
+    }
+}
+
+impl Stop {
+    /// Whether the signal was given.
+    pub fn is_given(&self) -> bool {
+        self.0.is_closed()
+    }
+
+    /// Completes once the signal is given.
+    pub async fn given(&self) {
+        let _closed = self.0.recv().await;
+    }
+}
--- /dev/null
+++ b/crates/rpc/src/client.rs
@@ -0,0 +1,94 @@
+//! The client's side of JSON-RPC.
+
+use std::time::Instant;
+
+use derive_more::{Display, Error};
+use filbertwheel_core::{Text, value};
+use filbertwheel_http::{Pool, Request, Response, SendError};
+use jsonrpsee_types::{Id, Response as RpcResponse, ResponsePayload};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::{Guard, RPC_PATH};
+
+/// Why a JSON-RPC request has no answer.
+#[value]
+#[derive(Display, Error)]
+pub enum AskError {
+    /// The other process can't be reached, or its answer was lost.
+    #[display("no answer: {_0}")]
+    NoAnswer(SendError),
+    /// The answer can't be understood.
+    #[display("the answer is malformed")]
+    Malformed,
+    /// The other process refused the request.
+    #[display("refused: {detail}")]
+    Refused {
+        /// Code of the error.
+        code: i32,
+        /// What it said.
+        detail: Text,
+        /// Data of the error in JSON.
+        data: Option<Text>,
+    },
+}
+
+/// Sends signed JSON-RPC requests.
+#[derive(Debug, Clone)]
+pub struct RpcClient {
+    guard: Guard,
+}
+
+impl RpcClient {
+    /// A client that signs with `guard`.
+    pub fn open(guard: Guard) -> Self {
+        Self { guard }
+    }
+
+    /// Sends a signed request.
+    pub async fn send(
+        &self,
+        pool: &Pool,
+        request: Request,
+        deadline: Instant,
+    ) -> Result<Response, SendError> {
+        let response = pool.exchange(self.guard.sign(request), deadline).await?;
+        match response.status {
+            200 => Ok(response),
+            // The door turned the request away before anything was done with it.
+            401 | 404 => Err(SendError::NotSent),
+            _ => Err(SendError::Broken),
+        }
+    }
+
+    /// Calls a method with one argument.
+    pub async fn ask<Q: Serialize + Sync, A: DeserializeOwned + Clone>(
+        &self,
+        pool: &Pool,
+        method: &str,
+        question: &Q,
+        deadline: Instant,
+    ) -> Result<A, AskError> {
+        let params = serde_json::value::to_raw_value(&[question]).map_err(malformed)?;
+        let request = jsonrpsee_types::Request::borrowed(method, Some(&params), Id::Number(0));
+        let body = serde_json::to_vec(&request).map_err(malformed)?;
+        let response = self
+            .send(pool, Request::post(RPC_PATH, body), deadline)
+            .await;
+        let response = response.map_err(AskError::NoAnswer)?;
+        let reply: RpcResponse<'_, A> =
+            serde_json::from_slice(&response.body).map_err(malformed)?;
+        match reply.payload {
+            ResponsePayload::Success(answer) => Ok(answer.into_owned()),
+            ResponsePayload::Error(error) => Err(AskError::Refused {
+                code: error.code(),
+                detail: error.message().into(),
+                data: error.data().map(|data| data.get().into()),
+            }),
+        }
+    }
+}
+
+fn malformed(_: serde_json::Error) -> AskError {
+    AskError::Malformed
+}
--- /dev/null
+++ b/crates/rpc/src/server.rs
@@ -0,0 +1,33 @@
+//! The server's side of JSON-RPC.
+
+use std::fmt::Display;
+
+use filbertwheel_http::{Request, Response};
+use jsonrpsee_core::server::RpcModule;
+use jsonrpsee_types::{ErrorObjectOwned, Params};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Code of an error that a method itself reports.
+const METHOD_ERROR_CODE: i32 = -32_001;
+
+/// Answers one request with the methods of `module`.
+pub async fn answer<C>(module: &RpcModule<C>, request: &Request) -> Response {
+    let Ok(text) = std::str::from_utf8(&request.body) else {
+        return Response::new(400, "the request is not UTF-8");
+    };
+    match module.raw_json_request(text, 1).await {
+        Ok((reply, _)) => Response::new(200, reply.get().to_owned()),
+        Err(error) => Response::new(400, error.to_string()),
+    }
+}
+
+/// Reads the one argument of a method.
+pub fn argument<T: DeserializeOwned>(params: &Params<'_>) -> Result<T, ErrorObjectOwned> {
+    params.one()
+}
+
+/// Turns a method's own error into a JSON-RPC error that carries it.
+pub fn reject<E: Display + Serialize>(error: E) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(METHOD_ERROR_CODE, error.to_string(), Some(error))
+}
