--- /dev/null
+++ b/crates/backend/src/client.rs
@@ -0,0 +1,141 @@
+//! Requests to the backend server.
+
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use derive_more::{Display, Error};
+use filbertwheel_core::{Answer, Call, Clock, Header, RefusalKind, Text, token};
+use filbertwheel_http::{Limits, Pool, Request, Response, SendError, names, passed_headers};
+
+/// Header value with which a backend server says that it hasn't run a request.
+const NOT_RUN: &[u8] = b"not-run";
+
+/// A backend server's whole answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BackendReply {
+    /// The answer, without retries given back.
+    pub answer: Answer,
+    /// The load that it reported, from 0 to 1.
+    pub load: Option<f64>,
+}
+
+/// Why a backend server gave no answer.
+#[token]
+#[derive(Display, Error)]
+pub enum BackendError {
+    /// No byte of the request was sent.
+    #[display("the backend server can't be reached")]
+    NotSent,
+    /// It said itself that it hasn't run the request.
+    #[display("the backend server refused: {_0}")]
+    Refused(#[error(not(source))] RefusalKind),
+    /// The connection ended.
+    #[display("the connection to the backend server was lost")]
+    Lost,
+    /// The deadline passed.
+    #[display("the backend server is late")]
+    Late,
+    /// The answer was cut or malformed.
+    #[display("the backend server's answer was cut or malformed")]
+    Broken,
+}
+
+/// A backend server, as its node sees it.
+#[async_trait]
+pub trait Backend: Debug + Send + Sync {
+    /// Runs a call. `token` stands for the call when the backend server calls other services.
+    async fn run(&self, call: &Call, token: Text) -> Result<BackendReply, BackendError>;
+}
+
+/// A backend server that speaks HTTP.
+#[derive(Debug)]
+pub struct HttpBackend {
+    pool: Pool,
+    clock: Arc<dyn Clock>,
+}
+
+impl HttpBackend {
+    /// The backend server at `address`.
+    pub fn open(address: SocketAddr, limits: Limits, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            pool: Pool::open(address, limits, Arc::clone(&clock)),
+            clock,
+        }
+    }
+}
+
+#[async_trait]
+impl Backend for HttpBackend {
+    async fn run(&self, call: &Call, token: Text) -> Result<BackendReply, BackendError> {
+        let request = encode(call, token, self.clock.now());
+        let response = self.pool.exchange(request, call.deadline).await;
+        decode(response.map_err(error_of)?)
+    }
+}
+
+fn encode(call: &Call, token: Text, now: Instant) -> Request {
+    let mut headers = call.headers.clone();
+    let mut add = |name, value| {
+        headers.push(Header {
+            name: Text::from_static(name),
+            value,
+        })
+    };
+    add(names::TOKEN, token);
+    add(
+        names::DEADLINE,
+        call.time_left(now).as_millis().to_string().into(),
+    );
+    if let Some(organisation) = &call.organisation {
+        add(names::ORGANISATION, organisation.clone());
+    }
+    if let Some(request) = &call.request {
+        add(names::REQUEST, request.clone());
+    }
+    Request {
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers,
+        body: call.body.clone(),
+    }
+}
+
+fn decode(response: Response) -> Result<BackendReply, BackendError> {
+    if response
+        .header(names::OUTCOME)
+        .is_some_and(|outcome| outcome.as_bytes() == NOT_RUN)
+    {
+        let draining = response
+            .header(names::REASON)
+            .is_some_and(|r| r.as_bytes() == b"draining");
+        let kind = if draining {
+            RefusalKind::Draining
+        } else {
+            RefusalKind::Overloaded
+        };
+        return Err(BackendError::Refused(kind));
+    }
+    let load = response
+        .header(names::LOAD)
+        .and_then(|load| load.as_str()?.parse().ok());
+    let headers = passed_headers(response.headers);
+    let answer = Answer {
+        status: response.status,
+        headers,
+        body: response.body,
+        retries: 0,
+    };
+    Ok(BackendReply { answer, load })
+}
+
+fn error_of(error: SendError) -> BackendError {
+    match error {
+        SendError::NotSent | SendError::Unencodable => BackendError::NotSent,
+        SendError::Lost => BackendError::Lost,
+        SendError::Late => BackendError::Late,
+        SendError::Broken => BackendError::Broken,
+    }
+}
--- /dev/null
+++ b/crates/backend/src/lib.rs
@@ -0,0 +1,12 @@
+//! Backend servers: what the node sends to its own, and what that one sends to its node.
+//!
+//! Only the node beside a backend server sends to it. The backend server announces itself at the
+//! node's local door, and makes its calls to other services there.
+
+mod announce;
+mod client;
+mod door;
+
+pub use announce::Announcement;
+pub use client::{Backend, BackendError, BackendReply, HttpBackend};
+pub use door::{LocalDoor, Neighbour, NestedRequest};
--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,8 @@
+//! Callers: the front door of a node.
+//!
+//! Requests come in with a key over HTTP and leave with a whole answer or a typed refusal. The
+//! key goes no further than this package's border.
+
+mod front;
+
+pub use front::{Entry, EntryRequest, FrontDoor};
--- /dev/null
+++ b/crates/operator/src/command.rs
@@ -0,0 +1,91 @@
+//! Typed commands and their replies.
+
+use derive_more::{Display, Error};
+use filbertwheel_core::{CommandId, Edit, Text, Version, VmId, message};
+
+/// What an operator wants.
+#[message]
+pub enum Command {
+    /// Change the configuration.
+    Edit(Edit),
+    /// Show something.
+    Show(Query),
+}
+
+/// What can be shown.
+#[message]
+#[derive(Copy, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Query {
+    /// Organisations with their limits and shares.
+    Organisations,
+    /// Keys by hash.
+    Keys,
+    /// Routes.
+    Routes,
+    /// Members of the fleet.
+    Members,
+    /// The node that answers.
+    Status,
+}
+
+/// A command on its way to a node.
+#[message]
+pub struct Order {
+    /// Id of the command, the same on a retry.
+    pub id: CommandId,
+    /// The command.
+    pub command: Command,
+}
+
+/// What a node replies.
+#[message]
+pub enum Reply {
+    /// The change was accepted and is in force at every live node.
+    Accepted {
+        /// Version that it made.
+        version: Version,
+    },
+    /// The change is kept, but some nodes haven't confirmed it yet.
+    Pending {
+        /// Version that it made.
+        version: Version,
+        /// Nodes that haven't confirmed it.
+        waiting: Vec<VmId>,
+    },
+    /// Rows of a table.
+    Rows {
+        /// Names of the columns.
+        columns: Vec<Text>,
+        /// Cells, a row each.
+        rows: Vec<Vec<Text>>,
+    },
+}
+
+/// Why a command wasn't carried out.
+#[message]
+#[derive(Eq, Display, Error)]
+#[serde(rename_all = "kebab-case")]
+pub enum CommandError {
+    /// Another operator's change came first.
+    #[display("another change came first and made version {winner}")]
+    Conflict {
+        /// Version that the other change made.
+        winner: Version,
+    },
+    /// The edit doesn't fit the configuration.
+    #[display("{detail}")]
+    Invalid {
+        /// What doesn't fit.
+        detail: Text,
+    },
+    /// The platform can't be reached; nothing was changed.
+    #[display("the platform can't be reached; nothing was changed")]
+    Unavailable,
+    /// The platform's answer was lost; the same command can be sent again.
+    #[display("it isn't known whether the change was kept; send the command again")]
+    Unknown,
+    /// The node is stopping.
+    #[display("the node is stopping")]
+    Stopping,
+}
--- /dev/null
+++ b/crates/operator/src/door.rs
@@ -0,0 +1,82 @@
+//! The door at which operators knock.
+
+use std::fmt::Debug;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use filbertwheel_http::{Handler, LocalFuture, Request, Response};
+use filbertwheel_rpc::{Guard, RPC_PATH, answer, argument, reject};
+use jsonrpsee_core::RegisterMethodError;
+use jsonrpsee_core::server::RpcModule;
+
+use crate::{CommandError, Order, RUN_METHOD, Reply};
+
+/// Carries out operators' commands.
+#[async_trait]
+pub trait Desk: Debug + Send + Sync {
+    /// Carries out one command.
+    async fn run(&self, order: Order) -> Result<Reply, CommandError>;
+
+    /// Metrics in the text format of Prometheus.
+    fn metrics(&self) -> String;
+
+    /// Whether the node can serve calls.
+    fn is_healthy(&self) -> bool;
+}
+
+/// Turns operators' HTTP requests into commands, and shows metrics and health to everybody.
+#[derive(Debug)]
+pub struct OperatorDoor {
+    desk: Arc<dyn Desk>,
+    module: RpcModule<Arc<dyn Desk>>,
+    guard: Guard,
+}
+
+impl OperatorDoor {
+    /// A door before `desk`.
+    pub fn open(desk: Arc<dyn Desk>, guard: Guard) -> Result<Self, RegisterMethodError> {
+        let mut module = RpcModule::new(Arc::clone(&desk));
+        module.register_async_method(RUN_METHOD, |params, desk, _| async move {
+            desk.run(argument(&params)?).await.map_err(reject)
+        })?;
+        Ok(Self {
+            desk,
+            module,
+            guard,
+        })
+    }
+
+    async fn command(&self, request: Request) -> Response {
+        if let Err(error) = self.guard.verify(&request) {
+            tracing::warn!("operator: A command was refused: {error}.");
+            return Response::new(401, error.to_string());
+        }
+        answer(&self.module, &request).await
+    }
+
+    fn health(&self) -> Response {
+        if self.desk.is_healthy() {
+            Response::new(200, "serving\n")
+        } else {
+            Response::new(503, "not serving\n")
+        }
+    }
+}
+
+impl Handler for OperatorDoor {
+    fn handle(&self, request: Request) -> LocalFuture<'_, Response> {
+        Box::pin(async move {
+            match request.path.as_str() {
+                Some(RPC_PATH) => self.command(request).await,
+                Some("/metrics") => {
+                    Response::new(200, self.desk.metrics()).with("content-type", METRICS_TYPE)
+                }
+                Some("/healthz") => self.health(),
+                _ => Response::new(404, ""),
+            }
+        })
+    }
+}
+
+/// Content type of the metrics.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,122 @@
+//! Messages to other nodes.
+
+use std::collections::HashMap;
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use derive_more::{Display, Error};
+use filbertwheel_core::{Beat, Call, Claim, Clock, Pulse, Tokens, Verdict, token};
+use filbertwheel_http::{Limits, Pool, Request, SendError};
+use filbertwheel_rpc::{AskError, Guard, RpcClient};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::wire::{decode_verdict, encode_call};
+use crate::{BEAT_METHOD, CALL_PATH, CLAIM_METHOD};
+
+/// How long one control message may take.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Forwards calls to the nodes beside other backend servers.
+#[async_trait]
+pub trait Forward: Debug + Send + Sync {
+    /// Forwards a call. Returns the verdict and the load of the other backend server in seconds.
+    async fn forward(&self, to: SocketAddr, call: &Call) -> Result<(Verdict, f64), ForwardError>;
+}
+
+/// Sends control messages to other nodes.
+#[async_trait]
+pub trait Controls: Debug + Send + Sync {
+    /// Sends a beat to the parent.
+    async fn beat(&self, to: SocketAddr, beat: &Beat) -> Result<Pulse, AskError>;
+
+    /// Claims tokens from the parent.
+    async fn claim(&self, to: SocketAddr, claim: &Claim) -> Result<Tokens, AskError>;
+}
+
+/// Why a forwarded call has no verdict.
+#[token]
+#[derive(Display, Error)]
+pub enum ForwardError {
+    /// The other node can't have seen the call.
+    #[display("the node can't be reached")]
+    NotSent,
+    /// The connection ended after the call was sent.
+    #[display("the connection to the node was lost")]
+    Lost,
+    /// The deadline passed after the call was sent.
+    #[display("the node is late")]
+    Late,
+    /// The verdict was cut or malformed.
+    #[display("the node's verdict was cut or malformed")]
+    Broken,
+}
+
+/// A client of all other nodes, with a pool of connections for each.
+#[derive(Debug)]
+pub struct PeerClient {
+    limits: Limits,
+    clock: Arc<dyn Clock>,
+    rpc: RpcClient,
+    pools: Mutex<HashMap<SocketAddr, Arc<Pool>>>,
+}
+
+impl PeerClient {
+    /// A client without connections.
+    pub fn open(limits: Limits, clock: Arc<dyn Clock>, guard: Guard) -> Self {
+        Self {
+            limits,
+            clock,
+            rpc: RpcClient::open(guard),
+            pools: Mutex::default(),
+        }
+    }
+
+    async fn ask<Q: Serialize + Sync, A: DeserializeOwned + Clone>(
+        &self,
+        to: SocketAddr,
+        method: &str,
+        question: &Q,
+    ) -> Result<A, AskError> {
+        let deadline = self.clock.now() + CONTROL_TIMEOUT;
+        self.rpc
+            .ask(&self.pool(to), method, question, deadline)
+            .await
+    }
+
+    fn pool(&self, to: SocketAddr) -> Arc<Pool> {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        let open = || Arc::new(Pool::open(to, self.limits, Arc::clone(&self.clock)));
+        Arc::clone(pools.entry(to).or_insert_with(open))
+    }
+}
+
+#[async_trait]
+impl Forward for PeerClient {
+    async fn forward(&self, to: SocketAddr, call: &Call) -> Result<(Verdict, f64), ForwardError> {
+        let frame = encode_call(call, self.clock.now()).ok_or(ForwardError::NotSent)?;
+        let request = Request::post(CALL_PATH, frame);
+        let reply = self.rpc.send(&self.pool(to), request, call.deadline).await;
+        let reply = reply.map_err(|error| match error {
+            SendError::NotSent | SendError::Unencodable => ForwardError::NotSent,
+            SendError::Lost => ForwardError::Lost,
+            SendError::Late => ForwardError::Late,
+            SendError::Broken => ForwardError::Broken,
+        })?;
+        decode_verdict(&reply.body).ok_or(ForwardError::Broken)
+    }
+}
+
+#[async_trait]
+impl Controls for PeerClient {
+    async fn beat(&self, to: SocketAddr, beat: &Beat) -> Result<Pulse, AskError> {
+        self.ask(to, BEAT_METHOD, beat).await
+    }
+
+    async fn claim(&self, to: SocketAddr, claim: &Claim) -> Result<Tokens, AskError> {
+        self.ask(to, CLAIM_METHOD, claim).await
+    }
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,18 @@
+//! Other nodes: forwarded calls, and the control messages of the fleet.
+//!
+//! Calls travel as HTTP exchanges on pooled connections; control messages are JSON-RPC requests
+//! on the same listener. Every message carries a proof that its sender knows the fleet's secret.
+
+mod client;
+mod server;
+mod wire;
+
+pub use client::{Controls, Forward, ForwardError, PeerClient};
+pub use server::{CallSink, ControlSink, PeerDoor, SinkError};
+
+/// Path of forwarded calls.
+const CALL_PATH: &str = "/call";
+/// Method of a heartbeat.
+const BEAT_METHOD: &str = "beat";
+/// Method of a claim for tokens.
+const CLAIM_METHOD: &str = "claim";
--- /dev/null
+++ b/crates/peer/src/wire.rs
@@ -0,0 +1,192 @@
+//! The form in which calls and verdicts travel between nodes.
+//!
+//! A frame is the length of the head in four bytes, the head in JSON, then the body as it is.
+
+use std::time::{Duration, Instant};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use filbertwheel_core::{
+    Answer, Call, CallId, Criticality, Doubt, Failure, Header, Method, OrganisationId, Refusal,
+    RefusalKind, RequestId, ServiceId, Text, Verdict, message,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Bytes of the length before the head.
+const LENGTH_BYTES: usize = 4;
+
+/// The head of a forwarded call.
+#[message]
+pub(crate) struct CallHead {
+    id: CallId,
+    organisation: Option<OrganisationId>,
+    request: Option<RequestId>,
+    service: ServiceId,
+    criticality: Criticality,
+    idempotent: bool,
+    rank: u32,
+    time_left_us: u64,
+    retries: u32,
+    depth: u8,
+    method: Method,
+    path: Text,
+    headers: Vec<(Text, Text)>,
+}
+
+/// The head of a verdict.
+#[message]
+pub(crate) struct VerdictHead {
+    outcome: OutcomeHead,
+    load: f64,
+}
+
+#[message]
+enum OutcomeHead {
+    Answer {
+        status: u16,
+        headers: Vec<(Text, Text)>,
+        retries: u32,
+    },
+    Refused {
+        kind: RefusalKind,
+        retry_after_ms: Option<u64>,
+        retries: u32,
+    },
+    Unknown {
+        doubt: Doubt,
+    },
+}
+
+pub(crate) fn encode_call(call: &Call, now: Instant) -> Option<Bytes> {
+    let head = CallHead {
+        id: call.id,
+        organisation: call.organisation.clone(),
+        request: call.request.clone(),
+        service: call.service.clone(),
+        criticality: call.criticality,
+        idempotent: call.idempotent,
+        rank: call.rank,
+        time_left_us: call.time_left(now).as_micros() as u64,
+        retries: call.retries,
+        depth: call.depth,
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers: pairs(&call.headers),
+    };
+    join(&head, &call.body)
+}
+
+pub(crate) fn decode_call(frame: &Bytes, now: Instant) -> Option<Call> {
+    let (head, body) = split::<CallHead>(frame)?;
+    Some(Call {
+        id: head.id,
+        organisation: head.organisation,
+        request: head.request,
+        service: head.service,
+        criticality: head.criticality,
+        idempotent: head.idempotent,
+        rank: head.rank,
+        deadline: now.checked_add(Duration::from_micros(head.time_left_us))?,
+        retries: head.retries,
+        depth: head.depth,
+        method: head.method,
+        path: head.path,
+        headers: lines(head.headers),
+        body,
+    })
+}
+
+pub(crate) fn encode_verdict(verdict: Verdict, load: f64) -> Option<Bytes> {
+    let (outcome, body) = match verdict {
+        Ok(Answer {
+            status,
+            headers,
+            body,
+            retries,
+        }) => (
+            OutcomeHead::Answer {
+                status,
+                headers: pairs(&headers),
+                retries,
+            },
+            body,
+        ),
+        Err(Failure::Refused(Refusal {
+            kind,
+            retry_after,
+            retries,
+        })) => {
+            let retry_after_ms = retry_after.map(|after| after.as_millis() as u64);
+            (
+                OutcomeHead::Refused {
+                    kind,
+                    retry_after_ms,
+                    retries,
+                },
+                Bytes::new(),
+            )
+        }
+        Err(Failure::Unknown(doubt)) => (OutcomeHead::Unknown { doubt }, Bytes::new()),
+    };
+    join(&VerdictHead { outcome, load }, &body)
+}
+
+pub(crate) fn decode_verdict(frame: &Bytes) -> Option<(Verdict, f64)> {
+    let (head, body) = split::<VerdictHead>(frame)?;
+    let verdict = match head.outcome {
+        OutcomeHead::Answer {
+            status,
+            headers,
+            retries,
+        } => Ok(Answer {
+            status,
+            headers: lines(headers),
+            body,
+            retries,
+        }),
+        OutcomeHead::Refused {
+            kind,
+            retry_after_ms,
+            retries,
+        } => {
+            let retry_after = retry_after_ms.map(Duration::from_millis);
+            Err(Failure::Refused(Refusal {
+                kind,
+                retry_after,
+                retries,
+            }))
+        }
+        OutcomeHead::Unknown { doubt } => Err(Failure::Unknown(doubt)),
+    };
+    Some((verdict, head.load))
+}
+
+fn join<T: Serialize>(head: &T, body: &[u8]) -> Option<Bytes> {
+    let head = serde_json::to_vec(head).ok()?;
+    let mut frame = BytesMut::with_capacity(LENGTH_BYTES + head.len() + body.len());
+    frame.put_u32(u32::try_from(head.len()).ok()?);
+    frame.put_slice(&head);
+    frame.put_slice(body);
+    Some(frame.freeze())
+}
+
+fn split<T: DeserializeOwned>(frame: &Bytes) -> Option<(T, Bytes)> {
+    let length = u32::from_be_bytes(frame.get(..LENGTH_BYTES)?.try_into().ok()?) as usize;
+    let end = LENGTH_BYTES.checked_add(length)?;
+    let head = serde_json::from_slice(frame.get(LENGTH_BYTES..end)?).ok()?;
+    Some((head, frame.slice(end..)))
+}
+
+fn pairs(headers: &[Header]) -> Vec<(Text, Text)> {
+    headers
+        .iter()
+        .map(|header| (header.name.clone(), header.value.clone()))
+        .collect()
+}
+
+fn lines(pairs: Vec<(Text, Text)>) -> Vec<Header> {
+    pairs
+        .into_iter()
+        .map(|(name, value)| Header { name, value })
+        .collect()
+}
--- /dev/null
+++ b/crates/platform/src/memory.rs
@@ -0,0 +1,92 @@
+//! The platform's services in memory, for tests and the stand-in.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use filbertwheel_core::Text;
+
+use crate::{Objects, PlatformError, Row, Table, Write};
+
+/// Rows that one scan returns at most.
+const SCAN_ROWS: usize = 10_000;
+
+/// A table in memory.
+#[derive(Debug, Default)]
+pub struct MemoryTable {
+    rows: Mutex<BTreeMap<Text, Row>>,
+}
+
+/// An object store in memory.
+#[derive(Debug, Default)]
+pub struct MemoryObjects {
+    objects: Mutex<BTreeMap<Text, Bytes>>,
+}
+
+#[async_trait]
+impl Table for MemoryTable {
+    async fn read(&self, key: &Text) -> Result<Option<Row>, PlatformError> {
+        Ok(lock(&self.rows).get(key).cloned())
+    }
+
+    async fn scan(&self, prefix: &Text, after: &Text) -> Result<Vec<Row>, PlatformError> {
+        let rows = lock(&self.rows);
+        let found = rows
+            .range(prefix.clone()..)
+            .take_while(|(key, _)| key.as_bytes().starts_with(prefix.as_bytes()))
+            .filter(|(key, _)| *key > after)
+            .take(SCAN_ROWS)
+            .map(|(_, row)| row.clone())
+            .collect();
+        Ok(found)
+    }
+
+    async fn commit(&self, writes: Vec<Write>) -> Result<(), PlatformError> {
+        let mut rows = lock(&self.rows);
+        for write in &writes {
+            let version = rows.get(&write.key).map(|row| row.version);
+            if version != write.expect {
+                return Err(PlatformError::Conflict {
+                    key: write.key.clone(),
+                    version,
+                });
+            }
+        }
+        for Write { key, expect, value } in writes {
+            match value {
+                Some(value) => {
+                    let version = expect.unwrap_or_default() + 1;
+                    rows.insert(
+                        key.clone(),
+                        Row {
+                            key,
+                            version,
+                            value,
+                        },
+                    );
+                }
+                None => {
+                    rows.remove(&key);
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Objects for MemoryObjects {
+    async fn get(&self, key: &Text) -> Result<Option<Bytes>, PlatformError> {
+        Ok(lock(&self.objects).get(key).cloned())
+    }
+
+    async fn put(&self, key: &Text, object: Bytes) -> Result<(), PlatformError> {
+        lock(&self.objects).insert(key.clone(), object);
+        Ok(())
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
