--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,179 @@
+//! `filbertwheel-load`: an open-loop load generator.
+//!
+//! Requests are sent at a fixed rate whatever becomes of them, and their latency is counted from
+//! the moment at which they were meant to be sent.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, From};
+use filbertwheel_core::{Clock, SystemClock};
+use filbertwheel_http::{Limits, Pool, Request, names};
+use getopts::{Matches, Options};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use smol::LocalExecutor;
+
+/// Largest latency that's told apart, in microseconds.
+const LARGEST_US: u64 = 60_000_000;
+/// Longest run.
+const LONGEST_RUN: Duration = Duration::from_secs(300);
+/// How long an answer is waited for.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Why there's no run.
+#[derive(Debug, Display, From)]
+enum Fault {
+    #[display("{_0}")]
+    Usage(getopts::Fail),
+    #[display("--{_0} is missing or malformed")]
+    Option(&'static str),
+    #[display("the run is longer than {} s", LONGEST_RUN.as_secs())]
+    TooLong,
+    #[display("{_0}")]
+    Histogram(hdrhistogram::CreationError),
+}
+
+/// What to send.
+#[derive(Debug)]
+struct Plan {
+    target: SocketAddr,
+    path: String,
+    key: Option<String>,
+    rate: f64,
+    length: Duration,
+}
+
+/// What came back.
+#[derive(Debug)]
+struct Tally {
+    latency: Histogram<u64>,
+    answered: u64,
+    refused: u64,
+    failed: u64,
+}
+
+/// The result in a form for machines.
+#[derive(Debug, Serialize)]
+struct Summary {
+    rate: f64,
+    answered: u64,
+    refused: u64,
+    failed: u64,
+    p50_us: u64,
+    p90_us: u64,
+    p99_us: u64,
+    p999_us: u64,
+    max_us: u64,
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match plan(&arguments).and_then(run) {
+        Ok(summary) => {
+            println!("{}", serde_json::json!(summary));
+            ExitCode::SUCCESS
+        }
+        Err(fault) => {
+            eprintln!("filbertwheel-load: {fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn plan(arguments: &[String]) -> Result<Plan, Fault> {
+    let mut options = Options::new();
+    options.optopt("t", "target", "where to send", "IP:PORT");
+    options.optopt("p", "path", "path of the requests", "PATH");
+    options.optopt("k", "key", "key of the caller", "KEY");
+    options.optopt("r", "rate", "requests a second", "RATE");
+    options.optopt("s", "seconds", "length of the run", "SECONDS");
+    let matches = options.parse(arguments)?;
+    let length = Duration::from_secs(parsed(&matches, "seconds")?);
+    if length > LONGEST_RUN {
+        return Err(Fault::TooLong);
+    }
+    Ok(Plan {
+        target: parsed(&matches, "target")?,
+        path: parsed(&matches, "path")?,
+        key: matches.opt_str("key"),
+        rate: parsed(&matches, "rate")?,
+        length,
+    })
+}
+
+fn parsed<T: std::str::FromStr>(matches: &Matches, name: &'static str) -> Result<T, Fault> {
+    matches
+        .opt_str(name)
+        .and_then(|text| text.parse().ok())
+        .ok_or(Fault::Option(name))
+}
+
+fn run(plan: Plan) -> Result<Summary, Fault> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let executor = Rc::new(LocalExecutor::new());
+    let latency = Histogram::new_with_bounds(1, LARGEST_US, 3)?;
+    let tally = Rc::new(RefCell::new(Tally {
+        latency,
+        answered: 0,
+        refused: 0,
+        failed: 0,
+    }));
+    let pool = Rc::new(Pool::open(
+        plan.target,
+        Limits::default(),
+        Arc::clone(&clock),
+    ));
+    let plan = Rc::new(plan);
+    let count = (plan.rate * plan.length.as_secs_f64()) as u64;
+    let sending = async {
+        let start = clock.now();
+        let mut sent = Vec::with_capacity(count as usize);
+        for index in 0..count {
+            let due = start + Duration::from_secs_f64(index as f64 / plan.rate);
+            clock
+                .sleep(due.saturating_duration_since(clock.now()))
+                .await;
+            let (pool, plan, tally) = (Rc::clone(&pool), Rc::clone(&plan), Rc::clone(&tally));
+            let clock = Arc::clone(&clock);
+            sent.push(executor.spawn(async move {
+                let mut request = Request::get(&plan.path);
+                if let Some(key) = &plan.key {
+                    request = request.with(names::KEY, key.as_str());
+                }
+                let response = pool.exchange(request, due + PATIENCE).await;
+                let took = clock.now().saturating_duration_since(due).as_micros() as u64;
+                let mut tally = tally.borrow_mut();
+                match response {
+                    Ok(response) if response.status == 200 => {
+                        tally.answered += 1;
+                        tally.latency.saturating_record(took.max(1));
+                    }
+                    Ok(_) => tally.refused += 1,
+                    Err(_) => tally.failed += 1,
+                }
+            }));
+        }
+        for task in sent {
+            task.await;
+        }
+    };
+    smol::block_on(executor.run(sending));
+    let tally = tally.borrow();
+    let at = |quantile| tally.latency.value_at_quantile(quantile);
+    Ok(Summary {
+        rate: plan.rate,
+        answered: tally.answered,
+        refused: tally.refused,
+        failed: tally.failed,
+        p50_us: at(0.5),
+        p90_us: at(0.9),
+        p99_us: at(0.99),
+        p999_us: at(0.999),
+        max_us: tally.latency.max(),
+    })
+}
--- /dev/null
+++ b/crates/node/src/control/claims.rs
@@ -0,0 +1,59 @@
+//! Claims for single tokens, where the node's share doesn't cover its calls.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use filbertwheel_core::{Claim, OrganisationId};
+
+use crate::control::{ClaimReply, Control};
+
+/// Wait that's reported when the root doesn't answer.
+const SILENT_WAIT: Duration = Duration::from_secs(1);
+
+/// Claims one token of an organisation for a waiting call.
+pub(crate) async fn serve_claims(
+    control: Rc<RefCell<Control>>,
+    organisation: OrganisationId,
+    deadline: Instant,
+    reply: Sender<ClaimReply>,
+) {
+    let outcome = claim(&control, organisation, deadline).await;
+    let _gone = reply.try_send(outcome);
+}
+
+async fn claim(
+    control: &Rc<RefCell<Control>>,
+    organisation: OrganisationId,
+    deadline: Instant,
+) -> ClaimReply {
+    let (clock, controls, parent, claim) = {
+        let control = control.borrow();
+        let me = control.me();
+        let claim = Claim {
+            vm: me.vm.clone(),
+            incarnation: me.incarnation,
+            fence: control.fence(),
+            organisation,
+            count: 1,
+        };
+        let parts = &control.parts;
+        (
+            Arc::clone(&parts.clock),
+            Arc::clone(&parts.controls),
+            control.parent(),
+            claim,
+        )
+    };
+    let tokens = match parent {
+        Some(parent) => controls.claim(parent, &claim).await.ok(),
+        None => control.borrow_mut().take_claim(&claim).ok(),
+    };
+    match tokens {
+        Some(tokens) if tokens.count > 0 && clock.now() < deadline => ClaimReply::Given,
+        Some(tokens) => ClaimReply::Short(tokens.retry_after),
+        None => ClaimReply::Short(SILENT_WAIT),
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/message.rs
@@ -0,0 +1,40 @@
+//! Messages to the control thread.
+
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use filbertwheel_backend::Announcement;
+use filbertwheel_core::{Beat, Claim, OrganisationId, Pulse, Tokens};
+use filbertwheel_operator::{CommandError, Order, Reply};
+use filbertwheel_peer::SinkError;
+
+/// A message to the control thread.
+#[derive(Debug)]
+pub(crate) enum Message {
+    /// The backend server announced itself.
+    Announce(Announcement),
+    /// A call wants a token that the node's share doesn't have.
+    Want {
+        /// The organisation.
+        organisation: OrganisationId,
+        /// When the call's answer is no longer wanted.
+        deadline: Instant,
+        /// Where the outcome goes.
+        reply: Sender<ClaimReply>,
+    },
+    /// Another node's beat.
+    Beat(Box<Beat>, Sender<Result<Pulse, SinkError>>),
+    /// Another node's claim.
+    Claim(Claim, Sender<Result<Tokens, SinkError>>),
+    /// An operator's command.
+    Order(Order, Sender<Result<Reply, CommandError>>),
+}
+
+/// What became of a claim.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum ClaimReply {
+    /// A token was given.
+    Given,
+    /// There's none, perhaps after a while.
+    Short(Duration),
+}
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,19 @@
+//! The control thread: membership, configuration, shares and the region's lease.
+//!
+//! One thread owns the state without locks. Its tasks wait on channels, timers and I/O.
+
+mod claims;
+mod config;
+mod desk;
+mod message;
+mod pulse;
+mod root;
+mod state;
+
+pub(crate) use claims::serve_claims;
+pub(crate) use config::watch_changes;
+pub(crate) use desk::{ControlDesk, take_messages};
+pub(crate) use message::{ClaimReply, Message};
+pub(crate) use pulse::{run_pulses, send_beat};
+pub(crate) use root::{hold_lease, release_lease};
+pub(crate) use state::{Control, Parts};
--- /dev/null
+++ b/crates/node/src/control/root.rs
@@ -0,0 +1,177 @@
+//! The lease that makes a node the root of its region.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{Clock, Text};
+use filbertwheel_platform::{PlatformError, Row, Table, Write};
+use filbertwheel_policy::{LeaseRow, LeaseStep, LeaseWatch, SHARE_LIFETIME};
+
+use crate::control::Control;
+
+/// Time between looks at the lease, and between renewals.
+const LEASE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Finds the root, or becomes it, for as long as the node runs.
+pub(crate) async fn hold_lease(control: Rc<RefCell<Control>>) {
+    let (clock, table, key) = {
+        let control = control.borrow();
+        let key: Text = format!("lease/{}", control.me().region).into();
+        (
+            Arc::clone(&control.parts.clock),
+            Arc::clone(&control.parts.table),
+            key,
+        )
+    };
+    let mut watch = LeaseWatch::default();
+    loop {
+        let now = clock.now();
+        let (is_root, is_lost) = {
+            let control = control.borrow();
+            (
+                control.is_root(),
+                control.parent().is_none() || control.is_cut_off(now),
+            )
+        };
+        if is_root {
+            renew(&control, table.as_ref(), &key).await;
+        } else if is_lost {
+            look(&control, table.as_ref(), clock.as_ref(), &key, &mut watch).await;
+        }
+        clock.sleep(LEASE_INTERVAL).await;
+    }
+}
+
+/// Gives the lease up, so that another node takes it at once.
+pub(crate) async fn release_lease(control: &Rc<RefCell<Control>>) {
+    if !control.borrow().is_root() {
+        return;
+    }
+    let (table, key) = {
+        let control = control.borrow();
+        let key: Text = format!("lease/{}", control.me().region).into();
+        (Arc::clone(&control.parts.table), key)
+    };
+    control.borrow_mut().step_down();
+    if let Ok((row, lease)) = read(table.as_ref(), &key).await {
+        let mine = lease
+            .as_ref()
+            .is_some_and(|lease| is_own(&control.borrow(), lease));
+        if let (true, Some(lease)) = (mine, lease) {
+            let released = LeaseRow {
+                released: true,
+                ..lease
+            };
+            let _lost = write(table.as_ref(), &key, row.as_ref(), &released).await;
+        }
+    }
+}
+
+async fn look(
+    control: &Rc<RefCell<Control>>,
+    table: &dyn Table,
+    clock: &dyn Clock,
+    key: &Text,
+    watch: &mut LeaseWatch,
+) {
+    let (row, lease) = match read(table, key).await {
+        Ok(found) => found,
+        Err(error) => {
+            tracing::warn!("control: The lease can't be read: {error}.");
+            return;
+        }
+    };
+    match watch.observe(lease.as_ref(), clock.now()) {
+        LeaseStep::Follow => {
+            let Some(lease) = lease else { return };
+            if is_own(&control.borrow(), &lease) {
+                return;
+            }
+            control.borrow_mut().follow(lease.address, lease.fence);
+        }
+        LeaseStep::Take(fence) => {
+            let had_holder = lease.is_some();
+            take(control, table, clock, key, row.as_ref(), fence, had_holder).await;
+        }
+    }
+}
+
+async fn take(
+    control: &Rc<RefCell<Control>>,
+    table: &dyn Table,
+    clock: &dyn Clock,
+    key: &Text,
+    row: Option<&Row>,
+    fence: u64,
+    had_holder: bool,
+) {
+    let me = control.borrow().me().clone();
+    let lease = LeaseRow {
+        holder: me.vm,
+        incarnation: me.incarnation,
+        address: me.address,
+        fence,
+        serial: 0,
+        released: false,
+    };
+    if write(table, key, row, &lease).await.is_ok() {
+        // An earlier root may have given out shares until now.
+        let withheld: Option<Instant> = had_holder.then(|| clock.now() + SHARE_LIFETIME);
+        control.borrow_mut().lead(fence, withheld);
+    }
+}
+
+async fn renew(control: &Rc<RefCell<Control>>, table: &dyn Table, key: &Text) {
+    let (row, lease) = match read(table, key).await {
+        Ok((row, Some(lease))) => (row, lease),
+        Ok((_, None)) => return control.borrow_mut().step_down(),
+        // The platform may be down for long; no other node can take the lease meanwhile.
+        Err(_) => return,
+    };
+    if !is_own(&control.borrow(), &lease) {
+        return control.borrow_mut().step_down();
+    }
+    let renewed = LeaseRow {
+        serial: lease.serial + 1,
+        ..lease
+    };
+    if let Err(PlatformError::Conflict { .. }) = write(table, key, row.as_ref(), &renewed).await {
+        control.borrow_mut().step_down();
+    }
+}
+
+fn is_own(control: &Control, lease: &LeaseRow) -> bool {
+    let me = control.me();
+    lease.holder == me.vm && lease.incarnation == me.incarnation && !lease.released
+}
+
+async fn read(
+    table: &dyn Table,
+    key: &Text,
+) -> Result<(Option<Row>, Option<LeaseRow>), PlatformError> {
+    let Some(row) = table.read(key).await? else {
+        return Ok((None, None));
+    };
+    let lease = serde_json::from_slice(row.value.as_bytes());
+    let lease = lease.map_err(|_| PlatformError::Malformed)?;
+    Ok((Some(row), Some(lease)))
+}
+
+async fn write(
+    table: &dyn Table,
+    key: &Text,
+    row: Option<&Row>,
+    lease: &LeaseRow,
+) -> Result<(), PlatformError> {
+    let value = serde_json::to_string(lease).map_err(|_| PlatformError::Malformed)?;
+    let expect = row.map(|row| row.version);
+    table
+        .commit(vec![Write {
+            key: key.clone(),
+            expect,
+            value: Some(value.into()),
+        }])
+        .await
+}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,79 @@
+//! `filbertwheel-node`: the process beside each backend server.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use async_signal::{Signal, Signals};
+use derive_more::{Display, From};
+use filbertwheel_core::{SettingsError, SystemClock, init_logging};
+use filbertwheel_node::{Node, NodeError, NodeSettings};
+use futures_lite::StreamExt as _;
+use getopts::Options;
+
+/// Exit code when the node can't start.
+const EXIT_FAILED: u8 = 1;
+/// Exit code for mistakes on the command line or in the settings.
+const EXIT_USAGE: u8 = 2;
+
+/// Why the node didn't start.
+#[derive(Debug, Display, From)]
+enum Fault {
+    #[display("{_0}")]
+    Usage(getopts::Fail),
+    #[display("a settings file is wanted: --settings FILE")]
+    NoSettings,
+    #[display("{_0}")]
+    Settings(SettingsError),
+    #[display("{_0}")]
+    Node(NodeError),
+    #[display("signals can't be caught: {_0}")]
+    Signals(std::io::Error),
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("filbertwheel-node: {fault}");
+            ExitCode::from(match fault {
+                Fault::Node(_) | Fault::Signals(_) => EXIT_FAILED,
+                _ => EXIT_USAGE,
+            })
+        }
+    }
+}
+
+fn run(arguments: &[String]) -> Result<(), Fault> {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "settings file", "FILE");
+    options.optflag("c", "check", "check the settings and start nothing");
+    options.optflag("h", "help", "show this help");
+    let matches = options.parse(arguments)?;
+    if matches.opt_present("help") {
+        print!(
+            "{}",
+            options.usage("Usage: filbertwheel-node --settings FILE [--check]")
+        );
+        return Ok(());
+    }
+    let path = matches
+        .opt_str("settings")
+        .map(PathBuf::from)
+        .ok_or(Fault::NoSettings)?;
+    let settings = NodeSettings::load(&path)?;
+    if matches.opt_present("check") {
+        return Ok(());
+    }
+    init_logging(settings.run.log);
+    smol::block_on(async {
+        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+        let node = Node::spawn(&settings, Arc::new(SystemClock)).await?;
+        node.run(async move {
+            let _signal = signals.next().await;
+        })
+        .await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,133 @@
+//! Metrics of a node.
+
+use std::time::Duration;
+
+use filbertwheel_core::{Failure, Verdict, broken_invariants};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// Bounds of the latency buckets in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
+];
+
+/// Labels of finished calls.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CallLabels {
+    service: String,
+    organisation: String,
+    outcome: String,
+    reason: String,
+}
+
+/// Labels of latencies.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LatencyLabels {
+    service: String,
+    organisation: String,
+}
+
+/// Metrics of a node.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    calls: Family<CallLabels, Counter>,
+    latency: Family<LatencyLabels, Histogram>,
+    /// Tries beyond the first, at this node.
+    pub retries: Counter,
+    /// Calls running at the backend server.
+    pub running: Gauge,
+    /// Calls waiting for it.
+    pub queued: Gauge,
+    /// Version of the configuration in force.
+    pub config: Gauge,
+    broken: Gauge,
+}
+
+impl Metrics {
+    /// Metrics at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("filbertwheel");
+        let calls = Family::<CallLabels, Counter>::default();
+        let latency = Family::<LatencyLabels, Histogram>::new_with_constructor(|| {
+            Histogram::new(LATENCY_BUCKETS)
+        });
+        let (retries, running, queued) = (Counter::default(), Gauge::default(), Gauge::default());
+        let (config, broken) = (Gauge::default(), Gauge::default());
+        registry.register("calls", "Calls that ended at this entry", calls.clone());
+        registry.register_with_unit(
+            "call_duration",
+            "Time from entry to verdict of answered calls",
+            Unit::Seconds,
+            latency.clone(),
+        );
+        registry.register("retries", "Tries beyond the first", retries.clone());
+        registry.register("running", "Calls at the backend server", running.clone());
+        registry.register(
+            "queued",
+            "Calls waiting for the backend server",
+            queued.clone(),
+        );
+        registry.register("config_version", "Version in force", config.clone());
+        registry.register(
+            "broken_invariants",
+            "Invariants found broken",
+            broken.clone(),
+        );
+        Self {
+            registry,
+            calls,
+            latency,
+            retries,
+            running,
+            queued,
+            config,
+            broken,
+        }
+    }
+
+    /// Counts a call that has ended.
+    pub fn count(&self, service: &str, organisation: &str, verdict: &Verdict, took: Duration) {
+        let (outcome, reason) = match verdict {
+            Ok(_) => ("whole", String::new()),
+            Err(Failure::Refused(refusal)) => ("not-run", name(&refusal.kind)),
+            Err(Failure::Unknown(doubt)) => ("unknown", name(doubt)),
+        };
+        let labels = CallLabels {
+            service: service.to_owned(),
+            organisation: organisation.to_owned(),
+            outcome: outcome.to_owned(),
+            reason,
+        };
+        self.calls.get_or_create(&labels).inc();
+        if verdict.is_ok() {
+            let labels = LatencyLabels {
+                service: service.to_owned(),
+                organisation: organisation.to_owned(),
+            };
+            self.latency
+                .get_or_create(&labels)
+                .observe(took.as_secs_f64());
+        }
+    }
+
+    /// The metrics as text.
+    pub fn text(&self) -> String {
+        self.broken.set(broken_invariants() as i64);
+        let mut text = String::new();
+        if encode(&mut text, &self.registry).is_err() {
+            tracing::warn!("metrics: Encoding failed.");
+        }
+        text
+    }
+}
+
+fn name(kind: &impl serde::Serialize) -> String {
+    let value = serde_json::to_value(kind).unwrap_or_default();
+    value.as_str().unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,243 @@
+//! A whole node: doors, threads, and an orderly end.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime};
+
+use arc_swap::ArcSwap;
+use async_channel::Receiver;
+use derive_more::{Display, Error, From};
+use filbertwheel_backend::LocalDoor;
+use filbertwheel_caller::FrontDoor;
+use filbertwheel_core::{Clock, Configuration, Member, Status};
+use filbertwheel_http::{Handler, Limits, Listener, Stop, Stopper};
+use filbertwheel_operator::OperatorDoor;
+use filbertwheel_peer::{CallSink, ControlSink, Controls, Forward, PeerClient, PeerDoor};
+use filbertwheel_platform::{Table, TableClient};
+use filbertwheel_policy::{Purse, Roster};
+use filbertwheel_rpc::Guard;
+use smol::LocalExecutor;
+
+use crate::NodeSettings;
+use crate::control::{
+    Control, ControlDesk, Message, Parts, hold_lease, release_lease, run_pulses, send_beat,
+    take_messages, watch_changes,
+};
+use crate::engine::Engine;
+use crate::metrics::Metrics;
+use crate::runner::Runner;
+use crate::snapshot::{Board, Snapshot};
+use crate::traffic::{Door, TrafficThread};
+
+/// Messages that may wait for the control thread.
+const CONTROL_QUEUE: usize = 4_096;
+/// Room for the head of a forwarded call, in bytes.
+const FRAME_HEAD: usize = 64 * 1024;
+/// Longest time that a planned stop waits for running calls.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time between looks at the running calls during a stop.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+/// Beats that other nodes need to learn of a leave.
+const DRAIN_BEATS: u32 = 4;
+
+/// Why a node can't start.
+#[derive(Debug, Display, Error, From)]
+pub enum NodeError {
+    /// An address can't be bound.
+    #[display("{address} can't be bound: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A thread can't be started.
+    #[display("a thread can't be started: {_0}")]
+    Thread(io::Error),
+    /// A method was registered twice.
+    #[display("{_0}")]
+    Method(jsonrpsee_core::RegisterMethodError),
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    control: Rc<RefCell<Control>>,
+    executor: Rc<LocalExecutor<'static>>,
+    engine: Arc<Engine>,
+    threads: Vec<TrafficThread>,
+    stopper: Stopper,
+    clock: Arc<dyn Clock>,
+    messages: Receiver<Message>,
+}
+
+impl Node {
+    /// Binds the node's doors and starts its traffic threads. The calling thread becomes the
+    /// control thread when it calls `run`.
+    pub async fn spawn(settings: &NodeSettings, clock: Arc<dyn Clock>) -> Result<Self, NodeError> {
+        let (stopper, stop) = Stopper::open();
+        let limits = Limits {
+            body: settings.run.body_limit,
+            ..Limits::default()
+        };
+        let frames = Limits {
+            body: limits.body + FRAME_HEAD,
+            ..limits
+        };
+        let listen = settings.listen;
+        let bind = |address, limits| bind(address, limits, Arc::clone(&clock), stop.clone());
+        let front = bind(listen.front, limits).await?;
+        let local = bind(listen.local, limits).await?;
+        let peer = bind(listen.peer, frames).await?;
+        let operator = bind(listen.operator, limits).await?;
+
+        let me = member(settings, peer.address(), clock.as_ref());
+        let metrics = Arc::new(Metrics::new());
+        let board = board(&me);
+        let purse = Arc::new(Mutex::new(Purse::default()));
+        let (sender, messages) = async_channel::bounded(CONTROL_QUEUE);
+        let fleet = Guard::open(settings.secrets.fleet(), Arc::clone(&clock));
+        let operators = Guard::open(settings.secrets.operator(), Arc::clone(&clock));
+        let peers = Arc::new(PeerClient::open(frames, Arc::clone(&clock), fleet.clone()));
+        let runner = Runner::open(limits, Arc::clone(&clock), Arc::clone(&metrics));
+        let engine = Arc::new(Engine::open(
+            Arc::clone(&clock),
+            Arc::clone(&board),
+            Arc::clone(&purse),
+            runner,
+            Arc::clone(&peers) as Arc<dyn Forward>,
+            sender.clone(),
+            Arc::clone(&metrics),
+        ));
+        let desk = Arc::new(ControlDesk {
+            control: sender,
+            metrics: Arc::clone(&metrics),
+            board: Arc::clone(&board),
+            clock: Arc::clone(&clock),
+        });
+
+        let calls = Arc::clone(&engine) as Arc<dyn CallSink>;
+        let controls = Arc::clone(&desk) as Arc<dyn ControlSink>;
+        let peer_door = PeerDoor::open(calls, controls, fleet, Arc::clone(&clock))?;
+        let doors = vec![
+            door(front, FrontDoor::open(Arc::clone(&engine) as _)),
+            door(local, LocalDoor::open(Arc::clone(&engine) as _)),
+            door(peer, peer_door),
+            door(operator, OperatorDoor::open(desk, operators)?),
+        ];
+        let threads = (0..settings.run.threads)
+            .map(|index| TrafficThread::spawn(index, doors.clone()))
+            .collect::<io::Result<Vec<_>>>()
+            .map_err(NodeError::Thread)?;
+
+        let table = TableClient::open(settings.platform.table, Arc::clone(&clock));
+        let parts = Parts {
+            clock: Arc::clone(&clock),
+            table: Arc::new(table) as Arc<dyn Table>,
+            controls: peers as Arc<dyn Controls>,
+            purse,
+            board,
+            metrics,
+            beat: settings.run.beat(),
+        };
+        let control = Rc::new(RefCell::new(Control::open(parts, me)));
+        let executor = Rc::new(LocalExecutor::new());
+        Ok(Self {
+            control,
+            executor,
+            engine,
+            threads,
+            stopper,
+            clock,
+            messages,
+        })
+    }
+
+    /// Runs the control thread until `leave` completes, then leaves in an orderly way.
+    pub async fn run(self, leave: impl Future<Output = ()>) {
+        let control = || Rc::clone(&self.control);
+        let executor = Rc::clone(&self.executor);
+        let messages = self.messages.clone();
+        let tasks = [
+            executor.spawn(take_messages(control(), messages, Rc::clone(&executor))),
+            executor.spawn(hold_lease(control())),
+            executor.spawn(watch_changes(control())),
+            executor.spawn(run_pulses(control())),
+        ];
+        tracing::info!("node: {} is running.", self.control.borrow().me().vm);
+        executor
+            .run(async {
+                leave.await;
+                self.close().await;
+            })
+            .await;
+        drop(tasks);
+    }
+
+    /// Leaves: takes no new work, finishes what runs, then stops.
+    async fn close(self) {
+        tracing::info!("node: Draining.");
+        self.control.borrow_mut().set_status(Status::Draining);
+        let pause = self.control.borrow().parts.beat * DRAIN_BEATS;
+        send_beat(&self.control).await;
+        self.clock.sleep(pause).await;
+        let until = self.clock.now() + DRAIN_TIMEOUT;
+        while self.engine.in_flight() > 0 && self.clock.now() < until {
+            self.clock.sleep(DRAIN_INTERVAL).await;
+        }
+        self.stopper.close();
+        // The threads end once their last connection has; control goes on meanwhile.
+        let threads = self.threads;
+        smol::unblock(move || threads.into_iter().for_each(TrafficThread::close)).await;
+        self.control.borrow_mut().set_status(Status::Gone);
+        send_beat(&self.control).await;
+        release_lease(&self.control).await;
+        tracing::info!("node: Stopped.");
+    }
+}
+
+async fn bind(
+    address: SocketAddr,
+    limits: Limits,
+    clock: Arc<dyn Clock>,
+    stop: Stop,
+) -> Result<Listener, NodeError> {
+    let bound = Listener::bind(address, limits, clock, stop).await;
+    bound.map_err(|source| NodeError::Bind { address, source })
+}
+
+fn door(listener: Listener, handler: impl Handler + 'static) -> Door {
+    Door {
+        listener,
+        handler: Arc::new(handler),
+    }
+}
+
+fn member(settings: &NodeSettings, address: SocketAddr, clock: &dyn Clock) -> Member {
+    let started = clock
+        .wall()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    Member {
+        vm: settings.vm.clone(),
+        incarnation: started.as_millis() as u64,
+        region: settings.region.clone(),
+        domain: settings.domain.clone(),
+        service: None,
+        address,
+        slots: 0,
+        status: Status::Joining,
+    }
+}
+
+fn board(me: &Member) -> Board {
+    Arc::new(ArcSwap::from_pointee(Snapshot {
+        config: Arc::new(Configuration::default()),
+        roster: Arc::new(Roster::default()),
+        me: me.clone(),
+        lease: None,
+    }))
+}
--- /dev/null
+++ b/crates/node/src/passes.rs
@@ -0,0 +1,69 @@
+//! Call tokens: what a backend server shows when it calls other services.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use filbertwheel_core::{Call, Text, invariant};
+
+/// The calls that are running at this node's backend server, by token.
+#[derive(Debug, Default)]
+pub(crate) struct Passes {
+    calls: Mutex<HashMap<Text, Pass>>,
+}
+
+/// What nested calls inherit.
+#[derive(Debug, Clone)]
+pub(crate) struct Pass {
+    /// The running call, without its body.
+    pub call: Call,
+    /// Retries that are left for it and everything below.
+    pub retries: u32,
+}
+
+impl Passes {
+    /// Makes a token for a call that's about to run.
+    pub fn issue(&self, call: &Call) -> Text {
+        let token: Text = format!("{:032x}", rand::random::<u128>()).into();
+        let retries = call.retries;
+        let call = Call {
+            body: Default::default(),
+            headers: Vec::new(),
+            ..call.clone()
+        };
+        self.lock().insert(token.clone(), Pass { call, retries });
+        token
+    }
+
+    /// Ends a call. Returns the retries that are left.
+    pub fn end(&self, token: &Text) -> u32 {
+        self.lock().remove(token).map_or(0, |pass| pass.retries)
+    }
+
+    /// Looks up a token, and takes half of the retries that are left for a nested call.
+    pub fn borrow(&self, token: &Text) -> Option<Pass> {
+        let mut calls = self.lock();
+        let pass = calls.get_mut(token)?;
+        let given = pass.retries.div_ceil(2);
+        pass.retries -= given;
+        Some(Pass {
+            call: pass.call.clone(),
+            retries: given,
+        })
+    }
+
+    /// Gives back what a nested call hasn't spent of the retries that it was given.
+    pub fn give_back(&self, token: &Text, given: u32, left: u32) {
+        invariant!(
+            "retries-bounded",
+            left <= given,
+            "{left} retries came back of {given}"
+        );
+        if let Some(pass) = self.lock().get_mut(token) {
+            pass.retries += left.min(given);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Text, Pass>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/node/src/runner.rs
@@ -0,0 +1,278 @@
+//! Runs calls at the node's own backend server, as its gate allows.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use async_channel::{Receiver, Sender};
+use filbertwheel_backend::{Announcement, Backend, BackendError, BackendReply, HttpBackend};
+use filbertwheel_core::{Call, Clock, Doubt, Failure, Refusal, RefusalKind, Text, Verdict};
+use filbertwheel_http::Limits;
+use filbertwheel_policy::{Entry, Gate, Offer, Release, Ticket};
+use futures_lite::FutureExt as _;
+
+use crate::metrics::Metrics;
+use crate::passes::Passes;
+
+/// Runs calls at one backend server.
+#[derive(Debug)]
+pub(crate) struct Runner {
+    state: Mutex<State>,
+    passes: Passes,
+    limits: Limits,
+    clock: Arc<dyn Clock>,
+    metrics: Arc<Metrics>,
+}
+
+#[derive(Debug)]
+struct State {
+    gate: Gate,
+    backend: Option<Target>,
+    waiting: HashMap<Ticket, Sender<Result<(), RefusalKind>>>,
+}
+
+#[derive(Debug, Clone)]
+struct Target {
+    announcement: Announcement,
+    backend: Arc<dyn Backend>,
+}
+
+impl Runner {
+    /// A runner whose backend server hasn't announced itself yet.
+    pub fn open(limits: Limits, clock: Arc<dyn Clock>, metrics: Arc<Metrics>) -> Self {
+        let state = State {
+            gate: Gate::open(0),
+            backend: None,
+            waiting: HashMap::new(),
+        };
+        Self {
+            state: Mutex::new(state),
+            passes: Passes::default(),
+            limits,
+            clock,
+            metrics,
+        }
+    }
+
+    /// The tokens of running calls.
+    pub fn passes(&self) -> &Passes {
+        &self.passes
+    }
+
+    /// Takes note of the backend server.
+    pub fn announce(&self, announcement: &Announcement) {
+        let mut state = self.lock();
+        let known = state
+            .backend
+            .as_ref()
+            .map(|target| target.announcement.address);
+        if known != Some(announcement.address) {
+            let clock = Arc::clone(&self.clock);
+            let backend = HttpBackend::open(announcement.address, self.limits, clock);
+            let backend: Arc<dyn Backend> = Arc::new(backend);
+            state.backend = Some(Target {
+                announcement: announcement.clone(),
+                backend,
+            });
+        }
+        state.gate.resize(announcement.slots);
+    }
+
+    /// How long a new call would wait, in seconds.
+    pub fn wait(&self) -> f64 {
+        self.lock().gate.wait().as_secs_f64()
+    }
+
+    /// Calls that run or wait.
+    pub fn in_flight(&self) -> usize {
+        let state = self.lock();
+        state.gate.running() + state.gate.queued()
+    }
+
+    /// Runs a call once the gate lets it through.
+    pub async fn run(&self, call: &Call) -> Verdict {
+        let Some(target) = self.lock().backend.clone() else {
+            return Err(Refusal::new(RefusalKind::Unavailable)
+                .with_retries(call.retries)
+                .into());
+        };
+        let refuse = |kind| Failure::Refused(Refusal::new(kind).with_retries(call.retries));
+        let slot = self.admit(call).await.map_err(refuse)?;
+        let token = slot.token.clone();
+        let reply = target.backend.run(call, token).await;
+        let retries = slot.close();
+        verdict_of(reply, retries)
+    }
+
+    async fn admit(&self, call: &Call) -> Result<Slot<'_>, RefusalKind> {
+        let entry = Entry {
+            criticality: call.criticality,
+            organisation: call.organisation.clone(),
+            rank: call.rank,
+            deadline: call.deadline,
+        };
+        if let Admitted::Later(ticket, released) = self.offer(&entry)? {
+            let waiting = Waiting {
+                runner: self,
+                ticket,
+                released,
+                done: false,
+            };
+            self.wait_for(waiting, call.deadline).await?;
+        }
+        Ok(self.slot(call))
+    }
+
+    fn offer(&self, entry: &Entry) -> Result<Admitted, RefusalKind> {
+        let mut state = self.lock();
+        let (offer, releases) = state.gate.offer(entry, self.clock.now());
+        state.release(releases);
+        self.gauge(&state);
+        match offer {
+            Offer::Run(_) => Ok(Admitted::Now),
+            Offer::Refuse(kind) => Err(kind),
+            Offer::Wait(ticket) => {
+                let (sender, receiver) = async_channel::bounded(1);
+                state.waiting.insert(ticket, sender);
+                Ok(Admitted::Later(ticket, receiver))
+            }
+        }
+    }
+
+    async fn wait_for(
+        &self,
+        mut waiting: Waiting<'_>,
+        deadline: Instant,
+    ) -> Result<(), RefusalKind> {
+        loop {
+            let left = deadline.saturating_duration_since(self.clock.now());
+            let pause = left.min(EXPIRY_INTERVAL);
+            let release = async { waiting.released.recv().await.ok() };
+            let tick = async {
+                self.clock.sleep(pause).await;
+                None
+            };
+            if let Some(release) = release.or(tick).await {
+                waiting.done = true;
+                return release;
+            }
+            let mut state = self.lock();
+            let releases = state.gate.expire(self.clock.now());
+            state.release(releases);
+        }
+    }
+
+    fn slot(&self, call: &Call) -> Slot<'_> {
+        let token = self.passes.issue(call);
+        Slot {
+            runner: self,
+            token,
+            began: self.clock.now(),
+            ended: false,
+        }
+    }
+
+    fn finish(&self, began: Instant) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let releases = state.gate.finish(now.saturating_duration_since(began), now);
+        state.release(releases);
+        self.gauge(&state);
+    }
+
+    fn gauge(&self, state: &State) {
+        self.metrics.running.set(state.gate.running() as i64);
+        self.metrics.queued.set(state.gate.queued() as i64);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// How often a waiting call looks whether it has waited too long.
+const EXPIRY_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+
+enum Admitted {
+    Now,
+    Later(Ticket, Receiver<Result<(), RefusalKind>>),
+}
+
+impl State {
+    fn release(&mut self, releases: Vec<Release>) {
+        for release in releases {
+            let (ticket, outcome) = match release {
+                Release::Run(ticket) => (ticket, Ok(())),
+                Release::Refuse(ticket, kind) => (ticket, Err(kind)),
+            };
+            if let Some(sender) = self.waiting.remove(&ticket) {
+                let _full = sender.try_send(outcome);
+            }
+        }
+    }
+}
+
+/// A waiting call. Dropped early, it leaves the queue.
+struct Waiting<'a> {
+    runner: &'a Runner,
+    ticket: Ticket,
+    released: Receiver<Result<(), RefusalKind>>,
+    done: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        let mut state = self.runner.lock();
+        state.gate.cancel(self.ticket);
+        state.waiting.remove(&self.ticket);
+        drop(state);
+        if let Ok(Ok(())) = self.released.try_recv() {
+            // It was let through, but nobody is left to run it.
+            self.runner.finish(self.runner.clock.now());
+        }
+    }
+}
+
+/// A running call. Dropped early, it makes room for the next one.
+struct Slot<'a> {
+    runner: &'a Runner,
+    token: Text,
+    began: Instant,
+    ended: bool,
+}
+
+impl Slot<'_> {
+    /// Ends the call. Returns the retries that are left.
+    fn close(mut self) -> u32 {
+        self.end()
+    }
+
+    fn end(&mut self) -> u32 {
+        self.ended = true;
+        self.runner.finish(self.began);
+        self.runner.passes.end(&self.token)
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end();
+        }
+    }
+}
+
+fn verdict_of(reply: Result<BackendReply, BackendError>, retries: u32) -> Verdict {
+    let refused = |kind| Failure::Refused(Refusal::new(kind).with_retries(retries));
+    match reply {
+        Ok(BackendReply { answer, .. }) => Ok(filbertwheel_core::Answer { retries, ..answer }),
+        Err(BackendError::NotSent) => Err(refused(RefusalKind::Unavailable)),
+        Err(BackendError::Refused(kind)) => Err(refused(kind)),
+        Err(BackendError::Lost) => Err(Doubt::Lost.into()),
+        Err(BackendError::Late) => Err(Doubt::Late.into()),
+        Err(BackendError::Broken) => Err(Doubt::Broken.into()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,155 @@
+//! Settings of a node.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use filbertwheel_core::{
+    DomainId, FleetSecret, LogFormat, RegionId, SettingsError, Text, VmId, load_settings, settings,
+};
+
+/// Smallest number of bytes of a secret.
+const SECRET_BYTES: usize = 16;
+
+/// Settings of a node, as its TOML file gives them.
+#[settings]
+pub struct NodeSettings {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Its region.
+    pub region: RegionId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Where the node listens.
+    pub listen: ListenSettings,
+    /// Where the platform's services are.
+    pub platform: PlatformSettings,
+    /// Secrets that the fleet and its operators share.
+    pub secrets: SecretSettings,
+    /// How the node runs.
+    #[serde(default)]
+    pub run: RunSettings,
+}
+
+/// Where a node listens.
+#[settings]
+#[derive(Copy)]
+pub struct ListenSettings {
+    /// For callers.
+    pub front: SocketAddr,
+    /// For the node's own backend server.
+    pub local: SocketAddr,
+    /// For other nodes.
+    pub peer: SocketAddr,
+    /// For operators, metrics and health.
+    pub operator: SocketAddr,
+}
+
+/// Where the platform's services are.
+#[settings]
+#[derive(Copy)]
+pub struct PlatformSettings {
+    /// The table service.
+    pub table: SocketAddr,
+    /// The object store.
+    pub objects: SocketAddr,
+}
+
+/// Secrets that are shared.
+#[settings]
+pub struct SecretSettings {
+    /// Among the nodes of the fleet.
+    fleet: Text,
+    /// Between nodes and operators.
+    operator: Text,
+}
+
+/// How a node runs.
+#[settings]
+#[serde(default)]
+pub struct RunSettings {
+    /// Threads for traffic.
+    pub threads: usize,
+    /// Milliseconds between beats.
+    pub beat_ms: u64,
+    /// Largest body in bytes.
+    pub body_limit: usize,
+    /// How log lines are written.
+    pub log: LogFormat,
+}
+
+impl Default for RunSettings {
+    fn default() -> Self {
+        Self {
+            threads: 2,
+            beat_ms: 500,
+            body_limit: 8 * 1024 * 1024,
+            log: LogFormat::Text,
+        }
+    }
+}
+
+impl NodeSettings {
+    /// Reads and checks the settings in a file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        load_settings(path, Self::faults)
+    }
+
+    fn faults(&self) -> Vec<String> {
+        let run = &self.run;
+        let checks = [
+            (self.vm.is_empty(), "vm must not be empty"),
+            (self.region.is_empty(), "region must not be empty"),
+            (self.domain.is_empty(), "domain must not be empty"),
+            (
+                !(1..=64).contains(&run.threads),
+                "run.threads must be from 1 to 64",
+            ),
+            (
+                !(100..=2_000).contains(&run.beat_ms),
+                "run.beat_ms must be from 100 to 2000",
+            ),
+            (run.body_limit == 0, "run.body_limit must be positive"),
+            (
+                short(&self.secrets.fleet),
+                "secrets.fleet must have at least 16 bytes",
+            ),
+            (
+                short(&self.secrets.operator),
+                "secrets.operator must have at least 16 bytes",
+            ),
+            (
+                self.secrets.fleet == self.secrets.operator,
+                "secrets.fleet and secrets.operator must differ",
+            ),
+        ];
+        checks
+            .iter()
+            .filter(|(fault, _)| *fault)
+            .map(|(_, text)| (*text).to_owned())
+            .collect()
+    }
+}
+
+impl SecretSettings {
+    /// The secret of the fleet.
+    pub fn fleet(&self) -> FleetSecret {
+        FleetSecret::new(self.fleet.clone())
+    }
+
+    /// The secret of the operators.
+    pub fn operator(&self) -> FleetSecret {
+        FleetSecret::new(self.operator.clone())
+    }
+}
+
+impl RunSettings {
+    /// Time between beats.
+    pub fn beat(&self) -> Duration {
+        Duration::from_millis(self.beat_ms)
+    }
+}
+
+fn short(secret: &Text) -> bool {
+    secret.as_bytes().len() < SECRET_BYTES
+}
--- /dev/null
+++ b/crates/node/src/snapshot.rs
@@ -0,0 +1,36 @@
+//! What control publishes to traffic.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use filbertwheel_core::{Configuration, Member, Status};
+use filbertwheel_policy::Roster;
+
+/// The latest snapshot, shared by control and traffic.
+pub(crate) type Board = Arc<ArcSwap<Snapshot>>;
+
+/// An immutable view of the control state.
+#[derive(Debug, Clone)]
+pub(crate) struct Snapshot {
+    /// The configuration in force.
+    pub config: Arc<Configuration>,
+    /// The members as this node knows them.
+    pub roster: Arc<Roster>,
+    /// The node itself.
+    pub me: Member,
+    /// Until when the node may serve keyed routes.
+    pub lease: Option<Instant>,
+}
+
+impl Snapshot {
+    /// Whether the configuration is known to be current.
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.lease.is_some_and(|until| now < until)
+    }
+
+    /// Whether the node takes work for its backend server.
+    pub fn is_serving(&self) -> bool {
+        self.me.status == Status::Serving
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic.rs
@@ -0,0 +1,50 @@
+//! Traffic threads: each runs the listeners' connections on an executor of its own.
+
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::{Builder, JoinHandle};
+
+use filbertwheel_http::{Handler, Listener};
+use smol::LocalExecutor;
+
+/// A door: a listener with what answers its requests.
+#[derive(Debug, Clone)]
+pub(crate) struct Door {
+    pub listener: Listener,
+    pub handler: Arc<dyn Handler>,
+}
+
+/// A running traffic thread.
+#[derive(Debug)]
+pub(crate) struct TrafficThread {
+    thread: JoinHandle<()>,
+}
+
+impl TrafficThread {
+    /// Starts a thread that serves the doors until their stop signal.
+    pub fn spawn(index: usize, doors: Vec<Door>) -> io::Result<Self> {
+        let thread = Builder::new()
+            .name(format!("traffic-{index}"))
+            .spawn(move || {
+                let executor = Rc::new(LocalExecutor::new());
+                let running = doors.into_iter().map(|door| {
+                    executor.spawn(door.listener.run(Rc::clone(&executor), door.handler))
+                });
+                let running: Vec<_> = running.collect();
+                smol::block_on(executor.run(async {
+                    for door in running {
+                        door.await;
+                    }
+                }));
+            })?;
+        Ok(Self { thread })
+    }
+
+    /// Waits for the thread's end.
+    pub fn close(self) {
+        if self.thread.join().is_err() {
+            tracing::error!("traffic: A thread panicked.");
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/backend.rs
@@ -0,0 +1,197 @@
+//! A stand-in for a backend server: slots, work that takes time, and calls to other services.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use filbertwheel_backend::Announcement;
+use filbertwheel_core::{Clock, ServiceId, Status, Text, message};
+use filbertwheel_http::{Handler, Limits, LocalFuture, Pool, Request, Response, names};
+
+/// Time between announcements.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+/// How long an announcement may take.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a nested call may take where the request names no deadline.
+const NESTED_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How a stand-in backend server runs.
+#[derive(Debug, Clone)]
+pub struct BackendOptions {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Local door of its node.
+    pub node: SocketAddr,
+    /// Its service.
+    pub service: ServiceId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Time that a request takes.
+    pub work: Duration,
+    /// Services that each request calls, one after another.
+    pub calls: Vec<ServiceId>,
+}
+
+/// How the stand-in behaves. Body of `POST /fault`.
+#[message]
+#[derive(Copy)]
+#[serde(default)]
+pub struct BackendFault {
+    /// Work takes this many times as long.
+    slowness: f64,
+    /// The load is reported as zero whatever it is.
+    reports_idle: bool,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct BackendStandin {
+    options: BackendOptions,
+    node: Pool,
+    clock: Arc<dyn Clock>,
+    running: AtomicU32,
+    runs: Mutex<BTreeMap<Text, u32>>,
+    fault: Mutex<BackendFault>,
+}
+
+impl BackendStandin {
+    /// A backend server without faults.
+    pub fn open(options: BackendOptions, clock: Arc<dyn Clock>) -> Self {
+        let node = Pool::open(options.node, Limits::default(), Arc::clone(&clock));
+        Self {
+            options,
+            node,
+            clock,
+            running: AtomicU32::new(0),
+            runs: Mutex::default(),
+            fault: Mutex::default(),
+        }
+    }
+
+    /// Announces the backend server to its node for as long as it runs.
+    pub async fn announce(self: Arc<Self>) {
+        loop {
+            let announcement = Announcement {
+                service: self.options.service.clone(),
+                address: self.options.listen,
+                slots: self.options.slots,
+                status: Status::Serving,
+                load: self.load(),
+            };
+            let body = serde_json::to_vec(&announcement).unwrap_or_default();
+            let request = Request::post("/filbertwheel/announce", body);
+            let deadline = self.clock.now() + ANNOUNCE_TIMEOUT;
+            let pause = match self.node.exchange(request, deadline).await {
+                Ok(_) => ANNOUNCE_INTERVAL,
+                Err(_) => ANNOUNCE_INTERVAL / 10,
+            };
+            self.clock.sleep(pause).await;
+        }
+    }
+
+    async fn work(&self, request: &Request) -> Response {
+        if self.running.load(Ordering::Relaxed) >= self.options.slots {
+            return Response::new(503, "")
+                .with(names::OUTCOME, "not-run")
+                .with(names::REASON, "overloaded");
+        }
+        let _slot = Slot::take(&self.running);
+        if let Some(id) = request.header(names::REQUEST) {
+            let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+            *runs.entry(id.clone()).or_default() += 1;
+        }
+        let fault = self.fault();
+        self.clock
+            .sleep(self.options.work.mul_f64(fault.slowness))
+            .await;
+        let mut lines = vec![format!("{} ran {}", self.options.service, request.path)];
+        for service in &self.options.calls {
+            match self.nested(service, request).await {
+                Some(response) if response.status == 200 => {
+                    lines.push(String::from_utf8_lossy(&response.body).into_owned());
+                }
+                _ => return Response::new(502, format!("{service} gave no answer")),
+            }
+        }
+        Response::new(200, lines.join("; ")).with(names::LOAD, format!("{:.3}", self.load()))
+    }
+
+    async fn nested(&self, service: &ServiceId, request: &Request) -> Option<Response> {
+        let token = request.header(names::TOKEN)?.clone();
+        let path = format!("/{service}{}", request.path);
+        let nested = Request::get(&path).with(names::TOKEN, token);
+        self.node
+            .exchange(nested, self.deadline(request))
+            .await
+            .ok()
+    }
+
+    fn deadline(&self, request: &Request) -> Instant {
+        let millis = request
+            .header(names::DEADLINE)
+            .and_then(|text| text.as_str()?.parse().ok());
+        self.clock.now() + millis.map_or(NESTED_TIMEOUT, Duration::from_millis)
+    }
+
+    fn load(&self) -> f64 {
+        if self.fault().reports_idle {
+            return 0.0;
+        }
+        f64::from(self.running.load(Ordering::Relaxed)) / f64::from(self.options.slots.max(1))
+    }
+
+    fn fault(&self) -> BackendFault {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn runs(&self) -> Response {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        Response::new(200, serde_json::to_vec(&*runs).unwrap_or_default())
+    }
+
+    fn set_fault(&self, request: &Request) -> Response {
+        let Ok(fault) = serde_json::from_slice(&request.body) else {
+            return Response::new(400, "the body is malformed");
+        };
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+        Response::new(200, "")
+    }
+}
+
+impl Handler for BackendStandin {
+    fn handle(&self, request: Request) -> LocalFuture<'_, Response> {
+        Box::pin(async move {
+            match request.path.as_bytes() {
+                b"/fault" => self.set_fault(&request),
+                b"/runs" => self.runs(),
+                _ => self.work(&request).await,
+            }
+        })
+    }
+}
+
+impl Default for BackendFault {
+    fn default() -> Self {
+        Self {
+            slowness: 1.0,
+            reports_idle: false,
+        }
+    }
+}
+
+struct Slot<'a>(&'a AtomicU32);
+
+impl<'a> Slot<'a> {
+    fn take(running: &'a AtomicU32) -> Self {
+        running.fetch_add(1, Ordering::Relaxed);
+        Self(running)
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
