--- /dev/null
+++ b/crates/slopes/src/fleet.rs
@@ -0,0 +1,101 @@
+//! Made-up fleets of any size.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use filbertwheel_core::{
+    Beat, Change, Configuration, Criticality, Demand, Edit, Member, OrganisationId, Rate, Route,
+    Status, Text, hash_key,
+};
+
+/// Members for each service, as in the largest fleet: 2,400 in 440 services.
+const MEMBERS_PER_SERVICE: usize = 5;
+/// Failure domains of a fleet.
+const DOMAINS: usize = 4;
+
+/// A member by its number.
+pub fn member(number: usize) -> Member {
+    Member {
+        vm: format!("vm-{number:05}").into(),
+        incarnation: 1_760_000_000_000 + number as u64,
+        region: "lahore".into(),
+        domain: format!("domain-{}", number % DOMAINS).into(),
+        service: Some(format!("service-{:03}", number / MEMBERS_PER_SERVICE).into()),
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7_002),
+        slots: 50,
+        status: Status::Serving,
+    }
+}
+
+/// An organisation by its number.
+pub fn organisation(number: usize) -> OrganisationId {
+    format!("organisation-{number:04}").into()
+}
+
+/// A beat with demand of so many organisations.
+pub fn beat(number: usize, organisations: usize) -> Beat {
+    let demands = (0..organisations)
+        .map(|index| Demand {
+            organisation: organisation(index),
+            rate: 1.0 + (index as f64) / 3.0,
+            held: 1_000_003 * (index as u64 + 1),
+        })
+        .collect();
+    Beat {
+        member: member(number),
+        number: 1,
+        fence: 1,
+        config: 1,
+        roster: 0,
+        demands,
+    }
+}
+
+/// A configuration with so many organisations, two keys and a route each.
+pub fn configuration(organisations: usize) -> Configuration {
+    let mut config = Configuration::default();
+    for index in 0..organisations {
+        for edit in edits(index) {
+            let version = config.version + 1;
+            let command = Text::from(format!("{version:032x}"));
+            let applied = config.apply(&Change {
+                version,
+                command,
+                edit,
+            });
+            assert!(applied.is_ok(), "the edits of a made-up fleet fit");
+        }
+    }
+    config
+}
+
+fn edits(index: usize) -> Vec<Edit> {
+    let name = organisation(index);
+    let key = |half: usize| Edit::AddKey {
+        hash: hash_key(format!("{index}-{half}").as_bytes()),
+        organisation: name.clone(),
+    };
+    let route = Route {
+        service: format!("service-{index:03}").into(),
+        method: None,
+        prefix: "/".into(),
+        criticality: Criticality::Normal,
+        idempotent: true,
+        open: false,
+    };
+    let limit = Rate {
+        rate: 100.0,
+        burst: 200.0,
+    };
+    vec![
+        Edit::SetOrganisation {
+            name: name.clone(),
+            limit,
+        },
+        key(0),
+        key(1),
+        Edit::SetRoute {
+            name: format!("route-{index:03}").into(),
+            route,
+        },
+    ]
+}
--- /dev/null
+++ b/crates/slopes/src/main.rs
@@ -0,0 +1,80 @@
+//! `filbertwheel-slopes`: how state, messages and processor time grow with the fleet.
+//!
+//! docs/CAPACITY.md is worked out from what this program prints. Each line is one measurement in
+//! JSON.
+
+mod connections;
+mod fleet;
+mod growth;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use derive_more::{Display, From};
+use getopts::Options;
+
+use crate::connections::hold_connections;
+use crate::growth::{measure_beats, measure_config, measure_ledger, measure_roster};
+
+/// Longest time for which connections are held.
+const LONGEST_HOLD: Duration = Duration::from_secs(120);
+
+/// Why nothing was measured.
+#[derive(Debug, Display, From)]
+enum Fault {
+    #[display("{_0}")]
+    Usage(getopts::Fail),
+    #[display("what to measure is wanted: state, messages or connections")]
+    NoSubject,
+    #[display("--{_0} is missing or malformed")]
+    Option(&'static str),
+    #[display("{_0}")]
+    Io(std::io::Error),
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("filbertwheel-slopes: {fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(arguments: &[String]) -> Result<(), Fault> {
+    let mut options = Options::new();
+    options.optopt("t", "target", "connections: where they lead", "IP:PORT");
+    options.optopt("c", "count", "connections: how many", "COUNT");
+    options.optopt("s", "seconds", "connections: how long", "SECONDS");
+    let matches = options.parse(arguments)?;
+    let wanted = |name: &'static str| matches.opt_str(name).ok_or(Fault::Option(name));
+    match matches.free.first().map(String::as_str) {
+        Some("state") => {
+            measure_roster();
+            measure_config();
+            Ok(())
+        }
+        Some("messages") => {
+            measure_beats();
+            measure_ledger();
+            Ok(())
+        }
+        Some("connections") => {
+            let target: SocketAddr = wanted("target")?
+                .parse()
+                .map_err(|_| Fault::Option("target"))?;
+            let count = wanted("count")?
+                .parse()
+                .map_err(|_| Fault::Option("count"))?;
+            let seconds = wanted("seconds")?
+                .parse()
+                .map_err(|_| Fault::Option("seconds"))?;
+            let length = Duration::from_secs(seconds).min(LONGEST_HOLD);
+            Ok(smol::block_on(hold_connections(target, count, length))?)
+        }
+        _ => Err(Fault::NoSubject),
+    }
+}
