--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -13,7 +13,9 @@
     pub member: Member,
     /// Number of this beat within the incarnation.
     pub number: u64,
-    /// Fence of the root that the node follows.
+    /// Number of the latest beat whose pulse came back from this parent, or zero.
+    pub heard: u64,
+    /// Fence of the root that the node follows. It refuses lower ones from then on.
     pub fence: Fence,
     /// Version of the configuration that's in force at the node and below it.
     pub config: Version,
@@ -37,6 +39,8 @@
 /// What a parent answers.
 #[message]
 pub struct Pulse {
+    /// Number of the beat that it answers.
+    pub number: u64,
     /// Fence of the root that the parent follows.
     pub fence: Fence,
     /// How long the node may serve without another pulse, counted from when it sent its beat.
@@ -51,8 +55,9 @@
     pub roster: u64,
     /// Members that have changed since the position in the beat.
     pub members: Vec<Member>,
-    /// The node's shares; an organisation that's left out has none.
-    pub shares: Vec<Share>,
+    /// The node's shares; an organisation that's left out has none. Where there's no list, the
+    /// node goes on with what it holds until that runs out.
+    pub shares: Option<Vec<Share>>,
 }
 
 /// What a node needs to bring its configuration up to date.
--- a/crates/node/src/control/claims.rs
+++ b/crates/node/src/control/claims.rs
@@ -7,6 +7,7 @@
 
 use async_channel::Sender;
 use filbertwheel_core::{Claim, OrganisationId};
+use filbertwheel_policy::CLAIM_LIFETIME;
 
 use crate::control::{ClaimReply, Control};
 
@@ -47,12 +48,15 @@
             claim,
         )
     };
+    let sent = clock.now();
     let tokens = match parent {
         Some(parent) => controls.claim(parent, &claim).await.ok(),
         None => control.borrow_mut().take_claim(&claim).ok(),
     };
     match tokens {
-        Some(tokens) if tokens.count > 0 && clock.now() < deadline => ClaimReply::Given,
+        Some(tokens) if tokens.count > 0 && clock.now() < deadline.min(sent + CLAIM_LIFETIME) => {
+            ClaimReply::Given
+        }
         Some(tokens) => ClaimReply::Short(tokens.retry_after),
         None => ClaimReply::Short(SILENT_WAIT),
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! One thread owns the state without locks. Its tasks wait on channels, timers and I/O.
 
+mod children;
 mod claims;
 mod config;
 mod desk;
--- a/crates/node/src/control/pulse.rs
+++ b/crates/node/src/control/pulse.rs
@@ -21,19 +21,12 @@
 
 /// Sends one beat and takes its answer.
 pub(crate) async fn send_beat(control: &Rc<RefCell<Control>>) {
-    let (clock, controls) = {
-        let control = control.borrow();
-        (
-            Arc::clone(&control.parts.clock),
-            Arc::clone(&control.parts.controls),
-        )
-    };
-    let sent = clock.now();
+    let controls = Arc::clone(&control.borrow().parts.controls);
     let beat = control.borrow_mut().next_beat();
     let parent = control.borrow().parent();
     if let Some(parent) = parent {
         match controls.beat(parent, &beat).await {
-            Ok(pulse) => control.borrow_mut().take_pulse(pulse, sent),
+            Ok(pulse) => control.borrow_mut().take_pulse(pulse),
             Err(error) => tracing::debug!("control: A beat had no answer: {error}."),
         }
         return;
@@ -43,6 +36,6 @@
         return;
     }
     if let Ok(pulse) = control.take_beat(&beat) {
-        control.take_pulse(pulse, sent);
+        control.take_pulse(pulse);
     }
 }
--- a/crates/node/src/control/root.rs
+++ b/crates/node/src/control/root.rs
@@ -7,7 +7,7 @@
 
 use filbertwheel_core::{Clock, Text};
 use filbertwheel_platform::{PlatformError, Row, Table, Write};
-use filbertwheel_policy::{LeaseRow, LeaseStep, LeaseWatch, SHARE_LIFETIME};
+use filbertwheel_policy::{LeaseRow, LeaseStep, LeaseWatch};
 
 use crate::control::Control;
 
@@ -30,13 +30,10 @@
         let now = clock.now();
         let (is_root, is_lost) = {
             let control = control.borrow();
-            (
-                control.is_root(),
-                control.parent().is_none() || control.is_cut_off(now),
-            )
+            (control.is_root(), control.is_lost(now))
         };
         if is_root {
-            renew(&control, table.as_ref(), &key).await;
+            renew(&control, table.as_ref(), clock.as_ref(), &key).await;
         } else if is_lost {
             look(&control, table.as_ref(), clock.as_ref(), &key, &mut watch).await;
         }
@@ -54,7 +51,14 @@
         let key: Text = format!("lease/{}", control.me().region).into();
         (Arc::clone(&control.parts.table), key)
     };
+    // Where an earlier root may still grant shares, a successor has to wait for its end.
+    let is_settled = control
+        .borrow()
+        .is_settled(control.borrow().parts.clock.now());
     control.borrow_mut().step_down();
+    if !is_settled {
+        return;
+    }
     if let Ok((row, lease)) = read(table.as_ref(), &key).await {
         let mine = lease
             .as_ref()
@@ -92,22 +96,28 @@
             control.borrow_mut().follow(lease.address, lease.fence);
         }
         LeaseStep::Take(fence) => {
-            let had_holder = lease.is_some();
-            take(control, table, clock, key, row.as_ref(), fence, had_holder).await;
+            let found = Found { row, lease };
+            take(control, table, clock, key, found, fence).await;
         }
     }
 }
 
+/// The lease as it was read.
+struct Found {
+    row: Option<Row>,
+    lease: Option<LeaseRow>,
+}
+
 async fn take(
     control: &Rc<RefCell<Control>>,
     table: &dyn Table,
     clock: &dyn Clock,
     key: &Text,
-    row: Option<&Row>,
+    found: Found,
     fence: u64,
-    had_holder: bool,
 ) {
     let me = control.borrow().me().clone();
+    let earlier = found.lease.as_ref();
     let lease = LeaseRow {
         holder: me.vm,
         incarnation: me.incarnation,
@@ -115,33 +125,50 @@
         fence,
         serial: 0,
         released: false,
+        voters: earlier.map(|row| row.voters.clone()).unwrap_or_default(),
     };
-    if write(table, key, row, &lease).await.is_ok() {
-        // An earlier root may have given out shares until now.
-        let withheld: Option<Instant> = had_holder.then(|| clock.now() + SHARE_LIFETIME);
-        control.borrow_mut().lead(fence, withheld);
+    let sent = clock.now();
+    let written = write(table, key, found.row.as_ref(), &lease).await;
+    if written.is_ok() && control.borrow().fence() < fence {
+        control.borrow_mut().lead(fence, earlier, sent);
     }
 }
 
-async fn renew(control: &Rc<RefCell<Control>>, table: &dyn Table, key: &Text) {
+async fn renew(control: &Rc<RefCell<Control>>, table: &dyn Table, clock: &dyn Clock, key: &Text) {
     let (row, lease) = match read(table, key).await {
         Ok((row, Some(lease))) => (row, lease),
         Ok((_, None)) => return control.borrow_mut().step_down(),
-        // The platform may be down for long; no other node can take the lease meanwhile.
+        // The platform may be down for long; the voters decide how long this root goes on.
         Err(_) => return,
     };
     if !is_own(&control.borrow(), &lease) {
         return control.borrow_mut().step_down();
     }
-    let renewed = LeaseRow {
-        serial: lease.serial + 1,
-        ..lease
+    let Some(renewed) = renewal(&mut control.borrow_mut(), lease, clock.now()) else {
+        return;
     };
-    if let Err(PlatformError::Conflict { .. }) = write(table, key, row.as_ref(), &renewed).await {
-        control.borrow_mut().step_down();
+    let sent = clock.now();
+    let written = write(table, key, row.as_ref(), &renewed).await;
+    if written.is_ok()
+        && let Some(root) = control.borrow_mut().root_mut()
+        && root.fence() == renewed.fence
+    {
+        root.reign_mut().renewed(sent);
     }
 }
 
+/// The next row of this root's lease.
+fn renewal(control: &mut Control, lease: LeaseRow, now: Instant) -> Option<LeaseRow> {
+    control.root_mut()?.reign_mut().learn(lease.voters.clone());
+    let voters = control.choose_voters(now);
+    control.root_mut()?.reign_mut().renew(voters.clone());
+    Some(LeaseRow {
+        serial: lease.serial + 1,
+        voters,
+        ..lease
+    })
+}
+
 fn is_own(control: &Control, lease: &LeaseRow) -> bool {
     let me = control.me();
     lease.holder == me.vm && lease.incarnation == me.incarnation && !lease.released
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -12,15 +12,16 @@
 };
 use filbertwheel_peer::{Controls, SinkError};
 use filbertwheel_platform::Table;
-use filbertwheel_policy::{Ledger, Purse, Roster, SHARE_LIFETIME};
+use filbertwheel_policy::{LeaseRow, Link, Purse, Root, RootError, Roster, SHARE_LIFETIME, Voter};
 
+use crate::control::children::Children;
 use crate::metrics::Metrics;
 use crate::snapshot::{Board, Snapshot};
 
 /// How long a node may serve keyed routes after its last beat that was answered.
-pub(crate) const SERVING_LEASE: Duration = Duration::from_secs(5);
-/// Silence after which a child is gone.
-const CHILD_SILENCE: Duration = Duration::from_secs(6);
+pub(crate) const SERVING_LEASE: Duration = Duration::from_secs(8);
+/// Time without an answered beat after which a node looks for another root.
+const LOST_TIME: Duration = Duration::from_millis(1_500);
 /// Changes that are kept at hand for nodes that lag.
 const CHANGES_KEPT: usize = 1_000;
 
@@ -45,7 +46,9 @@
     config: Configuration,
     changes: VecDeque<Change>,
     lease: Option<Instant>,
-    beats: u64,
+    /// When the latest beat that was answered was sent.
+    answered: Option<Instant>,
+    link: Link,
     /// Position of this node's view in its parent's sequence.
     seen: u64,
     /// Version that every live member has confirmed, as the parent says.
@@ -59,22 +62,16 @@
     /// No root is known yet.
     Lost,
     /// Another node is the root.
-    Child { root: SocketAddr, fence: Fence },
+    Child(SocketAddr),
     /// This node is the root.
-    Root(Box<Root>),
+    Root(Box<Lead>),
 }
 
+/// What a root keeps.
 #[derive(Debug)]
-struct Root {
-    fence: Fence,
-    ledger: Ledger,
-    children: BTreeMap<VmId, Heard>,
-}
-
-#[derive(Debug)]
-struct Heard {
-    at: Instant,
-    config: Version,
+struct Lead {
+    root: Root,
+    children: Children,
 }
 
 impl Control {
@@ -87,7 +84,8 @@
             config: Configuration::default(),
             changes: VecDeque::new(),
             lease: None,
-            beats: 0,
+            answered: None,
+            link: Link::default(),
             seen: 0,
             confirmed: 0,
             role: Role::Lost,
@@ -117,23 +115,43 @@
     /// The root that this node follows, if it's another node.
     pub fn parent(&self) -> Option<SocketAddr> {
         match self.role {
-            Role::Child { root, .. } => Some(root),
+            Role::Child(root) => Some(root),
             _ => None,
         }
     }
 
     /// Fence of the root that this node follows or is.
     pub fn fence(&self) -> Fence {
-        match &self.role {
-            Role::Lost => 0,
-            Role::Child { fence, .. } => *fence,
-            Role::Root(root) => root.fence,
+        self.link.fence()
+    }
+
+    /// Whether the node needs another root.
+    pub fn is_lost(&self, now: Instant) -> bool {
+        let silent = |at: Instant| now.saturating_duration_since(at) > LOST_TIME;
+        self.parent().is_none() || self.answered.is_none_or(silent)
+    }
+
+    /// The root's state, where this node is the root.
+    pub fn root_mut(&mut self) -> Option<&mut Root> {
+        match &mut self.role {
+            Role::Root(lead) => Some(&mut lead.root),
+            _ => None,
         }
     }
 
-    /// Whether the last answered beat is older than the serving lease allows.
-    pub fn is_cut_off(&self, now: Instant) -> bool {
-        self.lease.is_none_or(|until| until <= now)
+    /// The voters that the root's next renewal names.
+    pub fn choose_voters(&self, now: Instant) -> Vec<Voter> {
+        let Role::Root(lead) = &self.role else {
+            return Vec::new();
+        };
+        let live = lead.children.names();
+        let members = live.filter_map(|vm| self.roster.member(vm));
+        lead.root.reign().choose(members, now)
+    }
+
+    /// Whether what this root has granted is all that can be in use.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        matches!(&self.role, Role::Root(lead) if lead.root.reign().is_settled(now))
     }
 
     /// Takes note of the backend server.
@@ -152,30 +170,37 @@
         self.publish();
     }
 
-    /// Follows another root.
+    /// Follows another root, unless it's an earlier one.
     pub fn follow(&mut self, root: SocketAddr, fence: Fence) {
-        if fence < self.fence() {
+        let before = self.fence();
+        if !self.link.follow(fence) {
             return;
         }
-        if fence > self.fence() {
+        if fence > before {
             self.seen = 0;
         }
-        self.role = Role::Child { root, fence };
+        self.role = Role::Child(root);
     }
 
-    /// Becomes the root. `withheld` is when the shares of earlier roots have run out.
-    pub fn lead(&mut self, fence: Fence, withheld: Option<Instant>) {
+    /// Becomes the root by a write sent at `sent`, which replaced the row `earlier`.
+    pub fn lead(&mut self, fence: Fence, earlier: Option<&LeaseRow>, sent: Instant) {
         invariant!(
             "fence-grows",
             fence > self.fence(),
             "fence {fence} does not grow"
         );
+        if !self.link.follow(fence) {
+            return;
+        }
         tracing::info!("control: This node is now the root with fence {fence}.");
-        let ledger = Ledger::open(self.me.vm.clone(), withheld);
-        self.role = Role::Root(Box::new(Root {
-            fence,
-            ledger,
-            children: BTreeMap::new(),
+        let now = self.parts.clock.now();
+        let own = Voter {
+            vm: self.me.vm.clone(),
+            incarnation: self.me.incarnation,
+        };
+        self.role = Role::Root(Box::new(Lead {
+            root: Root::open(own, fence, earlier, sent, now),
+            children: Children::default(),
         }));
     }
 
@@ -189,11 +214,13 @@
 
     /// The node's next beat.
     pub fn next_beat(&mut self) -> Beat {
-        self.beats += 1;
-        let demands = self.purse().demands(self.parts.clock.now());
+        let now = self.parts.clock.now();
+        self.link.begin(now);
+        let demands = self.purse().demands(now);
         Beat {
             member: self.me.clone(),
-            number: self.beats,
+            number: self.link.number(),
+            heard: self.link.heard(),
             fence: self.fence(),
             config: self.config.version,
             roster: self.seen,
@@ -203,28 +230,19 @@
 
     /// Takes another node's beat.
     pub fn take_beat(&mut self, beat: &Beat) -> Result<Pulse, SinkError> {
-        let now = self.parts.clock.now();
         let limits = self.limits();
-        let Role::Root(root) = &mut self.role else {
+        let Role::Root(lead) = &mut self.role else {
             return Err(SinkError::NoRoot);
         };
-        if beat.fence > root.fence {
-            return Err(SinkError::WrongFence);
-        }
-        let shares = root.ledger.settle(beat, &limits, now);
-        let shares = shares.map_err(|_| SinkError::OutOfOrder)?;
-        let heard = Heard {
-            at: now,
-            config: beat.config,
-        };
-        root.children.insert(beat.member.vm.clone(), heard);
-        let fence = root.fence;
-        if self.roster.merge(beat.member.clone()) {
-            self.publish();
-        }
+        let now = self.parts.clock.now();
+        let taken = lead.root.take_beat(beat, &limits, now);
+        let fence = lead.root.fence();
+        let shares = taken.map_err(|error| self.turn_down(error))?;
+        self.hear(beat, now);
         // Positions of an earlier root's sequence mean nothing here.
         let known = if beat.fence == fence { beat.roster } else { 0 };
         Ok(Pulse {
+            number: beat.number,
             fence,
             lease: SERVING_LEASE,
             lifetime: SHARE_LIFETIME,
@@ -236,15 +254,13 @@
         })
     }
 
-    /// Takes the answer to a beat that was sent at `sent`.
-    pub fn take_pulse(&mut self, pulse: Pulse, sent: Instant) {
-        if pulse.fence < self.fence() {
+    /// Takes the answer to a beat.
+    pub fn take_pulse(&mut self, pulse: Pulse) {
+        let Some(sent) = self.link.accept(pulse.number, pulse.fence) else {
             return;
-        }
+        };
         let now = self.parts.clock.now();
-        if let Role::Child { fence, .. } = &mut self.role {
-            *fence = pulse.fence;
-        }
+        self.answered = Some(sent);
         self.apply(pulse.delta);
         for member in pulse.members {
             self.roster.merge(member);
@@ -252,10 +268,12 @@
         self.seen = pulse.roster;
         self.confirmed = pulse.confirmed;
         self.lease = Some(sent + pulse.lease);
-        let limits = self.limits();
-        let expires = sent + pulse.lifetime;
-        let limit = |organisation: &OrganisationId| limits.get(organisation).copied();
-        self.purse().adopt(&pulse.shares, limit, expires, now);
+        if let Some(shares) = pulse.shares {
+            let limits = self.limits();
+            let limit = |organisation: &OrganisationId| limits.get(organisation).copied();
+            self.purse()
+                .adopt(&shares, limit, sent + pulse.lifetime, now);
+        }
         self.publish();
     }
 
@@ -309,40 +327,36 @@
 
     /// The configuration's version that every live member has confirmed.
     pub fn confirmed(&self) -> Version {
-        let Role::Root(root) = &self.role else {
+        let Role::Root(lead) = &self.role else {
             return self.confirmed;
         };
-        let versions = root.children.values().map(|heard| heard.config);
-        versions.min().unwrap_or(0).min(self.config.version)
+        // Nodes that an earlier root still serves haven't been heard yet.
+        if !lead
+            .root
+            .has_outlived(SERVING_LEASE, self.parts.clock.now())
+        {
+            return self.confirmed;
+        }
+        lead.children.confirmed().min(self.config.version)
     }
 
     /// Children that haven't confirmed a version.
     pub fn unconfirmed(&self, version: Version) -> Vec<VmId> {
-        let Role::Root(root) = &self.role else {
-            return Vec::new();
-        };
-        let late = root
-            .children
-            .iter()
-            .filter(|(_, heard)| heard.config < version);
-        late.map(|(vm, _)| vm.clone()).collect()
+        match &self.role {
+            Role::Root(lead) => lead.children.unconfirmed(version),
+            _ => Vec::new(),
+        }
     }
 
     /// Marks children that have been silent for too long as gone.
     pub fn expire_children(&mut self) {
         let now = self.parts.clock.now();
-        let Role::Root(root) = &mut self.role else {
+        let Role::Root(lead) = &mut self.role else {
             return;
         };
-        let silent: Vec<VmId> = root
-            .children
-            .iter()
-            .filter(|(_, heard)| now.saturating_duration_since(heard.at) > CHILD_SILENCE)
-            .map(|(vm, _)| vm.clone())
-            .collect();
-        for vm in silent {
-            root.children.remove(&vm);
-            if let Some(member) = self.roster.member(&vm).cloned() {
+        let silent = lead.children.expire(now);
+        for vm in &silent {
+            if let Some(member) = self.roster.member(vm).cloned() {
                 tracing::warn!("control: {vm} is silent and counts as gone.");
                 self.roster.merge(Member {
                     status: Status::Gone,
@@ -350,7 +364,9 @@
                 });
             }
         }
-        self.publish();
+        if !silent.is_empty() {
+            self.publish();
+        }
     }
 
     /// Purse of the node, shared with traffic.
@@ -361,6 +377,25 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn hear(&mut self, beat: &Beat, now: Instant) {
+        if let Role::Root(lead) = &mut self.role {
+            lead.children.hear(beat, now);
+        }
+        if self.roster.merge(beat.member.clone()) {
+            self.publish();
+        }
+    }
+
+    fn turn_down(&mut self, error: RootError) -> SinkError {
+        match error {
+            RootError::OutOfOrder => SinkError::OutOfOrder,
+            RootError::Deposed => {
+                self.step_down();
+                SinkError::WrongFence
+            }
+        }
+    }
+
     fn change(&mut self, change: Change) {
         if change.version <= self.config.version {
             return;
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -13,7 +13,7 @@
 };
 use filbertwheel_http::{LocalFuture, Particulars};
 use filbertwheel_peer::{CallSink, Forward, ForwardError};
-use filbertwheel_policy::{Candidate, Purse, RETRIES_PER_CALL, choose};
+use filbertwheel_policy::{Candidate, Purse, RETRIES_PER_CALL, Receipt, choose};
 
 use crate::control::{ClaimReply, Message};
 use crate::metrics::Metrics;
@@ -114,24 +114,24 @@
         };
         let limit = snapshot.config.organisations.get(&organisation);
         let limit = limit.ok_or(Refusal::new(RefusalKind::BadKey))?.limit;
-        self.charge(&organisation, limit, call.deadline).await?;
+        let receipt = self.charge(&organisation, limit, call.deadline).await?;
         let verdict = self.dispatch(call).await;
-        if let Err(Failure::Refused(_)) = &verdict {
+        if let (Some(receipt), Err(Failure::Refused(_))) = (receipt, &verdict) {
             self.purse()
-                .put_back(&organisation, limit, self.clock.now());
+                .put_back(&organisation, receipt, self.clock.now());
         }
         verdict
     }
 
-    /// Spends a token of the node's share, or claims one.
+    /// Spends a token of the node's share, or claims one. A claimed token can't be put back.
     async fn charge(
         &self,
         organisation: &OrganisationId,
         limit: Rate,
         deadline: Instant,
-    ) -> Result<(), Refusal> {
+    ) -> Result<Option<Receipt>, Refusal> {
         let short = match self.purse().charge(organisation, limit, self.clock.now()) {
-            Ok(()) => return Ok(()),
+            Ok(receipt) => return Ok(Some(receipt)),
             Err(short) => short,
         };
         let (reply, answer) = async_channel::bounded(1);
@@ -147,7 +147,7 @@
             None
         };
         match answered {
-            Some(ClaimReply::Given) => Ok(()),
+            Some(ClaimReply::Given) => Ok(None),
             Some(ClaimReply::Short(wait)) => Err(Refusal::retry_after(
                 RefusalKind::OverRate,
                 short.wait.unwrap_or(wait),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -193,6 +193,8 @@
         let threads = self.threads;
         smol::unblock(move || threads.into_iter().for_each(TrafficThread::close)).await;
         self.control.borrow_mut().set_status(Status::Gone);
+        // Nothing is spent any more; the root learns of it with the last beat.
+        self.control.borrow().purse().clear();
         send_beat(&self.control).await;
         release_lease(&self.control).await;
         tracing::info!("node: Stopped.");
--- a/crates/policy/src/bucket.rs
+++ b/crates/policy/src/bucket.rs
@@ -1,14 +1,35 @@
 //! Token buckets.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use filbertwheel_core::Rate;
+use filbertwheel_core::{Rate, invariant, value};
+
+/// Rounding error that's allowed in a level, in tokens.
+const TOLERANCE: f64 = 1e-6;
 
 /// A bucket that fills at a rate up to a burst.
+///
+/// Tokens that are on their way to another node, and tokens that may still come back, take room
+/// in the bucket. So they never add up to more than the burst with what has come in meanwhile.
 #[derive(Debug, Clone)]
 pub struct Bucket {
     level: f64,
     at: Instant,
+    /// Until when tokens are on their way.
+    away: VecDeque<Instant>,
+    /// Tokens taken since the last overflow.
+    taken: f64,
+    /// Grows with each overflow.
+    overflows: u64,
+}
+
+/// Proof of a token that was taken, with which it can be put back.
+#[value]
+#[derive(Copy)]
+pub struct Receipt {
+    pub(crate) bucket: u64,
+    overflows: u64,
 }
 
 impl Bucket {
@@ -17,14 +38,9 @@
         Self {
             level: 0.0,
             at: now,
-        }
-    }
-
-    /// A bucket filled to its burst.
-    pub fn full(limit: Rate, now: Instant) -> Self {
-        Self {
-            level: limit.burst,
-            at: now,
+            away: VecDeque::new(),
+            taken: 0.0,
+            overflows: 0,
         }
     }
 
@@ -33,15 +49,59 @@
         self.level
     }
 
+    /// Loses all tokens. Those that are taken can't come back.
+    pub fn drain(&mut self, now: Instant) {
+        self.level = 0.0;
+        self.at = self.at.max(now);
+        self.overflow();
+    }
+
     /// Adds what has come in since the last call and drops what's over the burst.
     pub fn refill(&mut self, limit: Rate, now: Instant) {
         let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
-        self.level = (self.level + elapsed * limit.rate).min(limit.burst);
+        while self.away.front().is_some_and(|until| *until <= self.at) {
+            self.away.pop_front();
+        }
+        let room = (limit.burst - self.away.len() as f64).max(0.0);
+        self.level = (self.level + elapsed * limit.rate).min(room);
+        if self.level + self.taken > room {
+            self.overflow();
+        }
+        invariant!(
+            "bucket-within-burst",
+            self.level + self.taken <= room + TOLERANCE,
+            "{} tokens in a bucket of {room}",
+            self.level + self.taken
+        );
     }
 
     /// Takes one token, or returns how long it takes until there's one.
-    pub fn take(&mut self, limit: Rate, now: Instant) -> Result<(), Duration> {
+    pub fn take(&mut self, limit: Rate, now: Instant) -> Result<Receipt, Duration> {
+        self.spend(limit, now)?;
+        self.taken += 1.0;
+        Ok(Receipt {
+            bucket: 0,
+            overflows: self.overflows,
+        })
+    }
+
+    /// Takes one token that's spent elsewhere until `until`.
+    pub fn send(&mut self, limit: Rate, now: Instant, until: Instant) -> Result<(), Duration> {
+        self.spend(limit, now)?;
+        self.away.push_back(until);
+        Ok(())
+    }
+
+    /// Gives back a token that wasn't used. It's lost if the bucket has overflowed meanwhile.
+    pub fn put_back(&mut self, receipt: Receipt) {
+        if receipt.overflows == self.overflows && self.taken >= 1.0 {
+            self.taken -= 1.0;
+            self.level += 1.0;
+        }
+    }
+
+    fn spend(&mut self, limit: Rate, now: Instant) -> Result<(), Duration> {
         self.refill(limit, now);
         if self.level >= 1.0 {
             self.level -= 1.0;
@@ -50,9 +110,9 @@
         Err(seconds((1.0 - self.level) / limit.rate))
     }
 
-    /// Gives back a token that wasn't used.
-    pub fn put_back(&mut self, limit: Rate) {
-        self.level = (self.level + 1.0).min(limit.burst);
+    fn overflow(&mut self) {
+        self.taken = 0.0;
+        self.overflows += 1;
     }
 }
 
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -6,7 +6,7 @@
 use filbertwheel_core::{Fence, Incarnation, VmId, message, value};
 
 /// How long a lease lasts without a renewal, by the clock of whoever watches it.
-pub const LEASE_TIME: Duration = Duration::from_secs(5);
+pub const LEASE_TIME: Duration = Duration::from_secs(3);
 
 /// The lease as it stands in the table.
 #[message]
@@ -22,8 +22,20 @@
     pub fence: Fence,
     /// Grows with each renewal.
     pub serial: u64,
-    /// Whether the holder has given it up.
+    /// Whether the holder has given it up and grants nothing any more.
     pub released: bool,
+    /// The nodes whose word decides whether a root without a renewal goes on.
+    pub voters: Vec<Voter>,
+}
+
+/// A run of a node that votes.
+#[message]
+#[derive(Eq, PartialOrd, Ord)]
+pub struct Voter {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its run. A later run of the same VM has no part in the vote.
+    pub incarnation: Incarnation,
 }
 
 /// What to do after a look at the lease.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,20 +4,27 @@
 //! `filbertwheel-core`, so that tests drive it with a clock of their own.
 
 mod bucket;
+mod divide;
 mod gate;
 mod lease;
 mod ledger;
+mod link;
 mod purse;
+mod reign;
 mod retry;
+mod root;
 mod roster;
 mod routing;
 
-pub use bucket::Bucket;
+pub use bucket::{Bucket, Receipt};
 pub use gate::{Entry, Gate, Offer, Release, Ticket};
-pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch};
+pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch, Voter};
 pub use ledger::{Ledger, LedgerError, SHARE_LIFETIME};
-pub use purse::{Purse, Short};
+pub use link::Link;
+pub use purse::{CLAIM_LIFETIME, Purse, Short};
+pub use reign::{OUTAGE_LIMIT, Reign, SUPPORT_TIME};
 pub use retry::{RETRIES_PER_CALL, RetryRatio};
+pub use root::{Root, RootError};
 pub use roster::Roster;
 pub use routing::{Candidate, choose};
 
--- a/crates/policy/src/purse.rs
+++ b/crates/policy/src/purse.rs
@@ -5,18 +5,24 @@
 
 use filbertwheel_core::{Demand, OrganisationId, Rate, Share, value};
 
-use crate::{Bucket, WHOLE};
+use crate::{Bucket, Receipt, WHOLE};
 
 /// Weight of the newest interval in the smoothed demand.
 const DEMAND_WEIGHT: f64 = 0.5;
 /// Demand in calls a second below which a holding is forgotten.
 const DEMAND_FLOOR: f64 = 0.01;
+/// How long a claimed token may be spent, counted from when the claim was sent.
+pub const CLAIM_LIFETIME: Duration = Duration::from_secs(1);
+/// How long the root keeps room for a claimed token, counted from when it paid.
+const CLAIM_ROOM: Duration = Duration::from_millis(1_500);
 
 /// The node's shares, and what was asked of them.
 #[derive(Debug, Default)]
 pub struct Purse {
     holdings: BTreeMap<OrganisationId, Holding>,
     measured: Option<Instant>,
+    /// Buckets that were opened.
+    buckets: u64,
 }
 
 #[derive(Debug)]
@@ -24,6 +30,8 @@
     portion: u64,
     expires: Instant,
     bucket: Bucket,
+    /// Number of the bucket, so that a receipt from an earlier one isn't taken.
+    number: u64,
     asked: u64,
     demand: f64,
 }
@@ -36,16 +44,19 @@
 }
 
 impl Purse {
-    /// Spends one token of an organisation.
+    /// Spends one token of an organisation. The receipt takes it back if the call doesn't run.
     pub fn charge(
         &mut self,
         organisation: &OrganisationId,
         limit: Rate,
         now: Instant,
-    ) -> Result<(), Short> {
+    ) -> Result<Receipt, Short> {
         let holding = self.holding(organisation, now);
         holding.asked += 1;
-        holding.take(limit, now)
+        let scaled = holding.live(limit, now)?;
+        let mut receipt = holding.bucket.take(scaled, now).map_err(Short::after)?;
+        receipt.bucket = holding.number;
+        Ok(receipt)
     }
 
     /// Spends up to `count` tokens for another node's claim. Returns how many were spent.
@@ -58,18 +69,25 @@
     ) -> u32 {
         let holding = self.holding(organisation, now);
         (0..count)
-            .take_while(|_| holding.take(limit, now).is_ok())
+            .take_while(|_| holding.send(limit, now).is_ok())
             .count() as u32
     }
 
     /// Returns a token of a call that didn't run.
-    pub fn put_back(&mut self, organisation: &OrganisationId, limit: Rate, now: Instant) {
-        let holding = self.holding(organisation, now);
-        if now < holding.expires {
-            holding.bucket.put_back(scaled(limit, holding.portion));
+    pub fn put_back(&mut self, organisation: &OrganisationId, receipt: Receipt, now: Instant) {
+        if let Some(holding) = self.holdings.get_mut(organisation)
+            && holding.number == receipt.bucket
+            && now < holding.expires
+        {
+            holding.bucket.put_back(receipt);
         }
     }
 
+    /// Gives up all shares.
+    pub fn clear(&mut self) {
+        self.holdings.clear();
+    }
+
     /// Takes over new shares, which replace all earlier ones. `limits` gives the whole limit.
     pub fn adopt(
         &mut self,
@@ -131,27 +149,42 @@
     fn holding(&mut self, organisation: &OrganisationId, now: Instant) -> &mut Holding {
         self.holdings
             .entry(organisation.clone())
-            .or_insert_with(|| Holding {
-                portion: 0,
-                expires: now,
-                bucket: Bucket::empty(now),
-                asked: 0,
-                demand: 0.0,
+            .or_insert_with(|| {
+                self.buckets += 1;
+                Holding {
+                    portion: 0,
+                    expires: now,
+                    bucket: Bucket::empty(now),
+                    number: self.buckets,
+                    asked: 0,
+                    demand: 0.0,
+                }
             })
     }
 }
 
+impl Short {
+    fn after(wait: Duration) -> Self {
+        Self { wait: Some(wait) }
+    }
+}
+
 impl Holding {
-    fn take(&mut self, limit: Rate, now: Instant) -> Result<(), Short> {
+    /// The part of the limit that may be spent now.
+    fn live(&mut self, limit: Rate, now: Instant) -> Result<Rate, Short> {
         let portion = self.portion_at(now);
         if portion == 0 {
             // Nothing accrues without a live share.
-            self.bucket = Bucket::empty(now);
+            self.bucket.drain(now);
             return Err(Short { wait: None });
         }
-        self.bucket
-            .take(scaled(limit, portion), now)
-            .map_err(|wait| Short { wait: Some(wait) })
+        Ok(scaled(limit, portion))
+    }
+
+    fn send(&mut self, limit: Rate, now: Instant) -> Result<(), Short> {
+        let scaled = self.live(limit, now)?;
+        let until = now + CLAIM_ROOM;
+        self.bucket.send(scaled, now, until).map_err(Short::after)
     }
 
     fn portion_at(&self, now: Instant) -> u64 {
--- /dev/null
+++ b/crates/policy/src/reign.rs
@@ -0,0 +1,176 @@
+//! How long a root may grant shares.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{DomainId, Member, Status};
+
+use crate::{LEASE_TIME, LeaseRow, Voter};
+
+/// Allowance for clocks that run at different speeds.
+pub(crate) const CLOCK_MARGIN: Duration = Duration::from_millis(500);
+/// Age at which the support of a voter no longer counts.
+pub const SUPPORT_TIME: Duration = Duration::from_secs(3);
+/// Longest time that a root goes on without a renewal.
+pub const OUTAGE_LIMIT: Duration = Duration::from_secs(3_600);
+/// Voters that a lease names at most.
+const VOTERS: usize = 8;
+
+/// The right of one root to grant shares.
+///
+/// A renewed lease gives the right for its time. A root that can't renew it, as in an outage of
+/// the table, goes on while more than half of its voters support it. A successor grants once at
+/// least half of the same voters have promised to follow it, and the support of its predecessor
+/// has run out. The two sets share a voter, so the two never grant at the same time.
+#[derive(Debug)]
+pub struct Reign {
+    own: Voter,
+    took: Instant,
+    renewed: Instant,
+    voters: Vec<Voter>,
+    /// Voters of a renewal whose outcome isn't known.
+    pending: Option<Vec<Voter>>,
+    supports: BTreeMap<Voter, Instant>,
+    promises: BTreeSet<Voter>,
+    settled: Option<Instant>,
+}
+
+impl Reign {
+    /// The reign after a lease that was taken by a write sent at `sent`. `earlier` is the row that
+    /// the write replaced.
+    pub fn open(own: Voter, earlier: Option<&LeaseRow>, sent: Instant, now: Instant) -> Self {
+        let alone = earlier.is_none_or(|row| row.released);
+        let mut reign = Self {
+            promises: BTreeSet::from([own.clone()]),
+            own,
+            took: now,
+            renewed: sent,
+            voters: earlier.map(|row| row.voters.clone()).unwrap_or_default(),
+            pending: None,
+            supports: BTreeMap::new(),
+            settled: alone.then_some(now),
+        };
+        if !alone {
+            reign.decide(now);
+        }
+        reign
+    }
+
+    /// From when on no earlier root can grant anything, once that's known.
+    pub fn settled(&self) -> Option<Instant> {
+        self.settled
+    }
+
+    /// The voters that the lease names.
+    pub fn voters(&self) -> &[Voter] {
+        &self.voters
+    }
+
+    /// Whether no earlier root can grant anything any more.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.settled.is_some_and(|at| now >= at)
+    }
+
+    /// Whether this root may grant shares now.
+    pub fn may_grant(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.renewed);
+        let leased = age + CLOCK_MARGIN < LEASE_TIME;
+        let supported = age < OUTAGE_LIMIT
+            && self.has_majority(&self.voters, now)
+            && self
+                .pending
+                .as_ref()
+                .is_none_or(|voters| self.has_majority(voters, now));
+        self.is_settled(now) && (leased || supported)
+    }
+
+    /// Takes note that a node follows this root and no earlier one.
+    pub fn promise(&mut self, voter: Voter, now: Instant) {
+        if self.settled.is_none() {
+            self.promises.insert(voter);
+            self.decide(now);
+        }
+    }
+
+    /// Takes note that a node followed this root at `at`.
+    pub fn support(&mut self, voter: Voter, at: Instant) {
+        let known = self.supports.entry(voter).or_insert(at);
+        *known = at.max(*known);
+    }
+
+    /// Begins a renewal that names other voters.
+    pub fn renew(&mut self, voters: Vec<Voter>) {
+        self.pending = Some(voters);
+    }
+
+    /// Ends a renewal whose write was sent at `sent` and is known to have taken effect. No earlier
+    /// write can take effect after it.
+    pub fn renewed(&mut self, sent: Instant) {
+        self.renewed = sent.max(self.renewed);
+        if let Some(voters) = self.pending.take() {
+            self.voters = voters;
+        }
+        self.supports
+            .retain(|_, at| sent.saturating_duration_since(*at) < SUPPORT_TIME);
+    }
+
+    /// Takes note of the voters in the row that was read.
+    pub fn learn(&mut self, voters: Vec<Voter>) {
+        self.voters = voters;
+    }
+
+    /// The voters that the next renewal should name. They stay until this reign is settled, and
+    /// while the outcome of a renewal isn't known.
+    pub fn choose<'a>(
+        &self,
+        members: impl Iterator<Item = &'a Member>,
+        now: Instant,
+    ) -> Vec<Voter> {
+        if let Some(pending) = &self.pending {
+            return pending.clone();
+        }
+        if !self.is_settled(now) {
+            return self.voters.clone();
+        }
+        choose_voters(&self.own, members)
+    }
+
+    fn decide(&mut self, now: Instant) {
+        let promised = self.voters.iter().filter(|one| self.promises.contains(one));
+        let enough = promised.count() * 2 >= self.voters.len();
+        let waited = now.saturating_duration_since(self.took) >= OUTAGE_LIMIT + CLOCK_MARGIN;
+        if enough {
+            self.settled = Some(now + SUPPORT_TIME + CLOCK_MARGIN);
+        } else if waited {
+            self.settled = Some(now);
+        }
+    }
+
+    fn has_majority(&self, voters: &[Voter], now: Instant) -> bool {
+        let supports = |voter: &&Voter| {
+            let at = self.supports.get(*voter);
+            **voter == self.own
+                || at.is_some_and(|at| now.saturating_duration_since(*at) < SUPPORT_TIME)
+        };
+        voters.iter().filter(supports).count() * 2 > voters.len()
+    }
+}
+
+/// Chooses voters that are spread over the failure domains.
+fn choose_voters<'a>(own: &Voter, members: impl Iterator<Item = &'a Member>) -> Vec<Voter> {
+    let mut domains: BTreeMap<&DomainId, Vec<Voter>> = BTreeMap::new();
+    for member in members.filter(|member| member.status < Status::Draining) {
+        let voter = Voter {
+            vm: member.vm.clone(),
+            incarnation: member.incarnation,
+        };
+        let voters = domains.entry(&member.domain).or_default();
+        let place = if voter == *own { 0 } else { voters.len() };
+        voters.insert(place, voter);
+    }
+    let each = VOTERS / domains.len().clamp(1, VOTERS);
+    domains
+        .into_values()
+        .flat_map(|voters| voters.into_iter().take(each))
+        .collect()
+}
--- /dev/null
+++ b/crates/policy/src/root.rs
@@ -0,0 +1,126 @@
+//! The root of a region's tree: who follows it, and what it gives them.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use derive_more::{Display, Error};
+use filbertwheel_core::{Beat, Fence, OrganisationId, Rate, Share, token};
+
+use crate::reign::CLOCK_MARGIN;
+use crate::{LeaseRow, Ledger, LedgerError, Reign, Voter};
+
+/// A root with its reign and its ledger.
+#[derive(Debug)]
+pub struct Root {
+    fence: Fence,
+    reign: Reign,
+    ledger: Ledger,
+    withheld: Option<Instant>,
+    is_first: bool,
+}
+
+/// Why a root doesn't take a beat.
+#[token]
+#[derive(Display, Error)]
+pub enum RootError {
+    /// The sender follows a newer root.
+    #[display("a newer root exists")]
+    Deposed,
+    /// A later beat was taken already.
+    #[display("the beat is out of order")]
+    OutOfOrder,
+}
+
+impl From<LedgerError> for RootError {
+    fn from(error: LedgerError) -> Self {
+        match error {
+            LedgerError::OutOfOrder => Self::OutOfOrder,
+        }
+    }
+}
+
+impl Root {
+    /// The root after a lease with `fence` was taken by a write sent at `sent`. `earlier` is the
+    /// row that the write replaced.
+    pub fn open(
+        own: Voter,
+        fence: Fence,
+        earlier: Option<&LeaseRow>,
+        sent: Instant,
+        now: Instant,
+    ) -> Self {
+        Self {
+            fence,
+            ledger: Ledger::open(own.vm.clone()),
+            reign: Reign::open(own, earlier, sent, now),
+            withheld: None,
+            is_first: earlier.is_none(),
+        }
+    }
+
+    /// Its fence.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// The right to grant shares.
+    pub fn reign(&self) -> &Reign {
+        &self.reign
+    }
+
+    /// The right to grant shares, for renewals.
+    pub fn reign_mut(&mut self) -> &mut Reign {
+        &mut self.reign
+    }
+
+    /// The shares that were given out.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Whether whatever an earlier root gave for `lifetime` has run out.
+    pub fn has_outlived(&self, lifetime: Duration, now: Instant) -> bool {
+        let settled = self.reign.settled();
+        self.is_first || settled.is_some_and(|at| now >= at + lifetime + CLOCK_MARGIN)
+    }
+
+    /// Takes a beat and returns the sender's shares, or `None` where it goes on with what it has.
+    pub fn take_beat(
+        &mut self,
+        beat: &Beat,
+        limits: &BTreeMap<OrganisationId, Rate>,
+        now: Instant,
+    ) -> Result<Option<Vec<Share>>, RootError> {
+        if beat.fence > self.fence {
+            return Err(RootError::Deposed);
+        }
+        let support = self.ledger.note(beat, now)?;
+        if beat.fence < self.fence {
+            return Ok(None);
+        }
+        let voter = Voter {
+            vm: beat.member.vm.clone(),
+            incarnation: beat.member.incarnation,
+        };
+        if let Some(at) = support {
+            self.reign.support(voter.clone(), at);
+        }
+        self.reign.promise(voter, now);
+        let Some(settled) = self.reign.settled() else {
+            return Ok(None);
+        };
+        self.withhold(settled);
+        if !self.reign.may_grant(now) {
+            return Ok(None);
+        }
+        Ok(self.ledger.settle(beat, limits, settled, now))
+    }
+
+    /// Withholds once what an earlier root may have given out.
+    fn withhold(&mut self, settled: Instant) {
+        if self.withheld.is_none() && !self.is_first {
+            self.ledger.withhold(settled);
+            self.withheld = Some(settled);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/fleet/mod.rs
@@ -0,0 +1,292 @@
+//! A small fleet over the real share decisions, with a faulty network and table.
+
+mod network;
+mod table;
+
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{
+    Beat, Clock, Incarnation, Member, OrganisationId, PausedClock, Rate, Status, Text,
+};
+use filbertwheel_policy::{LeaseRow, LeaseWatch, Link, Purse, Receipt, Root};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use network::{Mail, Message, take_beat, take_pulse};
+
+/// Time between beats.
+pub const BEAT: Duration = Duration::from_millis(500);
+/// Silence after which a node looks at the lease.
+const LOST: Duration = Duration::from_millis(1_500);
+/// The organisation that spends.
+pub const ORGANISATION: OrganisationId = Text::from_static("ward");
+/// Its limit.
+pub const LIMIT: Rate = Rate {
+    rate: 10.0,
+    burst: 20.0,
+};
+
+/// What a table does with requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TableMode {
+    Up,
+    Down,
+    Faulty,
+}
+
+/// One process of a node.
+pub struct Process {
+    member: Member,
+    link: Link,
+    purse: Purse,
+    root: Option<Root>,
+    watch: LeaseWatch,
+    follows: Option<usize>,
+    answered: Option<Instant>,
+    pub frozen: bool,
+    pub dead: bool,
+    receipts: Vec<(usize, Receipt)>,
+}
+
+struct LateWrite {
+    due: Instant,
+    expect: u64,
+    row: LeaseRow,
+}
+
+pub struct Fleet {
+    clock: PausedClock,
+    rng: StdRng,
+    pub nodes: Vec<Process>,
+    row: Option<(u64, LeaseRow)>,
+    pub mode: TableMode,
+    writes: Vec<LateWrite>,
+    mail: Vec<Mail>,
+    /// Side of each VM; messages don't cross sides. The table is on the side of zero.
+    sides: Vec<u8>,
+    /// Percent of messages that meet a fault.
+    pub faults: u32,
+    spent: Vec<Option<Instant>>,
+    pub refused: usize,
+}
+
+impl Fleet {
+    pub fn open(vms: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            clock: PausedClock::new(),
+            rng: StdRng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            row: None,
+            mode: TableMode::Up,
+            writes: Vec::new(),
+            mail: Vec::new(),
+            sides: vec![0; vms],
+            faults: 0,
+            spent: Vec::new(),
+            refused: 0,
+        };
+        (0..vms).for_each(|vm| fleet.start(vm, 1));
+        fleet
+    }
+
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// The process that runs on a VM now.
+    pub fn process(&self, vm: usize) -> usize {
+        let name = name(vm);
+        let found = self.nodes.iter().rposition(|one| one.member.vm == name);
+        found.expect("every VM has a process")
+    }
+
+    pub fn is_root(&self, process: usize) -> bool {
+        self.nodes[process].root.is_some()
+    }
+
+    pub fn may_grant(&self, process: usize) -> bool {
+        let root = self.nodes[process].root.as_ref();
+        root.is_some_and(|root| root.reign().may_grant(self.now()))
+    }
+
+    pub fn spent(&self) -> usize {
+        self.spent.iter().flatten().count()
+    }
+
+    /// Starts a new run on a VM. An earlier run goes on if it isn't dead.
+    pub fn restart(&mut self, vm: usize) {
+        let last = &self.nodes[self.process(vm)];
+        let incarnation = last.member.incarnation + 1;
+        self.start(vm, incarnation);
+    }
+
+    pub fn cut(&mut self, mask: u8) {
+        for (vm, side) in self.sides.iter_mut().enumerate() {
+            *side = mask >> vm & 1;
+        }
+    }
+
+    /// Ends a root as a planned stop does.
+    pub fn release(&mut self, process: usize) {
+        let now = self.now();
+        let node = &mut self.nodes[process];
+        let Some(root) = node.root.take() else { return };
+        node.follows = None;
+        node.dead = true;
+        let settled = root.reign().is_settled(now);
+        if let Some((version, row)) = self.read(process).ok().flatten()
+            && settled
+            && row.fence == root.fence()
+        {
+            let released = LeaseRow {
+                released: true,
+                ..row
+            };
+            let _lost = self.write(process, Some(version), released);
+        }
+    }
+
+    /// Lets a node spend, with claims for what its share lacks.
+    pub fn spend(&mut self, process: usize, count: u32) {
+        if !self.runs(process) {
+            return;
+        }
+        for _ in 0..count {
+            let now = self.now();
+            match self.nodes[process].purse.charge(&ORGANISATION, LIMIT, now) {
+                Ok(receipt) => {
+                    self.spent.push(Some(now));
+                    let index = self.spent.len() - 1;
+                    self.nodes[process].receipts.push((index, receipt));
+                }
+                Err(_) => self.claim(process),
+            }
+        }
+    }
+
+    /// Returns the tokens of calls that didn't run.
+    pub fn put_back(&mut self, process: usize, count: usize) {
+        if !self.runs(process) {
+            return;
+        }
+        let now = self.now();
+        for _ in 0..count {
+            let node = &mut self.nodes[process];
+            let Some((index, receipt)) = node.receipts.pop() else {
+                return;
+            };
+            node.purse.put_back(&ORGANISATION, receipt, now);
+            self.spent[index] = None;
+        }
+    }
+
+    /// One beat of every node.
+    pub fn tick(&mut self) {
+        self.clock.advance(BEAT);
+        self.land_writes();
+        self.deliver();
+        for process in 0..self.nodes.len() {
+            if self.runs(process) {
+                self.keep_lease(process);
+                self.beat(process);
+            }
+        }
+        self.deliver();
+    }
+
+    /// Checks that the calls which ran fit a bucket of the whole limit.
+    pub fn check(&self) -> Result<(), String> {
+        let mut level = LIMIT.burst;
+        let mut times: Vec<Instant> = self.spent.iter().flatten().copied().collect();
+        times.sort();
+        let Some(mut last) = times.first().copied() else {
+            return Ok(());
+        };
+        for at in times {
+            let gained = (at - last).as_secs_f64() * LIMIT.rate;
+            level = (level + gained).min(LIMIT.burst) - 1.0;
+            last = at;
+            if level < -1e-6 {
+                return Err(format!("{} tokens over the limit", -level));
+            }
+        }
+        Ok(())
+    }
+
+    fn start(&mut self, vm: usize, incarnation: Incarnation) {
+        self.nodes.push(Process {
+            member: Member {
+                vm: name(vm),
+                incarnation,
+                region: "here".into(),
+                domain: format!("domain-{}", vm % 3).into(),
+                service: None,
+                address: ([127, 0, 0, 1], 1_000 + self.nodes.len() as u16).into(),
+                slots: 1,
+                status: Status::Serving,
+            },
+            link: Link::default(),
+            purse: Purse::default(),
+            root: None,
+            watch: LeaseWatch::default(),
+            follows: None,
+            answered: None,
+            frozen: false,
+            dead: false,
+            receipts: Vec::new(),
+        });
+    }
+
+    fn runs(&self, process: usize) -> bool {
+        !self.nodes[process].frozen && !self.nodes[process].dead
+    }
+
+    fn side(&self, process: usize) -> u8 {
+        let vm = &self.nodes[process].member.vm;
+        let index = (0..self.sides.len()).find(|index| name(*index) == *vm);
+        index.map_or(0, |index| self.sides[index])
+    }
+
+    fn claim(&mut self, process: usize) {
+        let now = self.now();
+        let node = &mut self.nodes[process];
+        let fence = node.link.fence();
+        if node.root.is_some() && node.purse.pay(&ORGANISATION, LIMIT, 1, now) > 0 {
+            self.spent.push(Some(now));
+            return;
+        }
+        // Refused until the token comes.
+        self.refused += 1;
+        if let (None, Some(root)) = (&node.root, node.follows) {
+            self.send(process, root, Message::Claim(fence, now));
+        }
+    }
+
+    fn beat(&mut self, process: usize) {
+        let now = self.now();
+        let node = &mut self.nodes[process];
+        let demands = node.purse.demands(now);
+        let heard = node.link.heard();
+        node.link.begin(now);
+        let beat = Beat {
+            member: node.member.clone(),
+            number: node.link.number(),
+            heard,
+            fence: node.link.fence(),
+            config: 0,
+            roster: 0,
+            demands,
+        };
+        if node.root.is_some() {
+            if let Some(Message::Pulse(number, fence, shares)) = take_beat(node, &beat, now) {
+                take_pulse(node, number, fence, shares, now);
+            }
+        } else if let Some(root) = node.follows {
+            self.send(process, root, Message::Beat(beat));
+        }
+    }
+}
+
+fn name(vm: usize) -> Text {
+    format!("vm-{vm}").into()
+}
--- /dev/null
+++ b/crates/policy/tests/fleet/table.rs
@@ -0,0 +1,163 @@
+//! The table with the lease: down, faulty, and late with its writes.
+
+use std::time::Duration;
+
+use filbertwheel_core::Member;
+use filbertwheel_policy::{LeaseRow, LeaseStep, Root, Voter};
+use rand::Rng;
+
+use super::{Fleet, LOST, LateWrite, Process, TableMode};
+
+impl Fleet {
+    pub fn keep_lease(&mut self, process: usize) {
+        let now = self.now();
+        let node = &self.nodes[process];
+        let lost = node.answered.is_none_or(|at| now - at > LOST);
+        if node.root.is_some() {
+            self.renew(process);
+        } else if node.follows.is_none() || lost {
+            self.look(process);
+        }
+    }
+
+    fn look(&mut self, process: usize) {
+        let now = self.now();
+        let Ok(found) = self.read(process) else {
+            return;
+        };
+        let row = found.as_ref().map(|(_, row)| row);
+        let node = &mut self.nodes[process];
+        let own = row.is_some_and(|row| is_own(row, node));
+        let step = node.watch.observe(row, now);
+        match (step, row) {
+            (LeaseStep::Take(fence), _) => self.take(process, fence, found),
+            (LeaseStep::Follow, Some(row)) if !own && node.link.follow(row.fence) => {
+                let address = row.address;
+                let root = self
+                    .nodes
+                    .iter()
+                    .position(|one| one.member.address == address);
+                self.nodes[process].follows = root;
+            }
+            _ => {}
+        }
+    }
+
+    fn take(&mut self, process: usize, fence: u64, found: Option<(u64, LeaseRow)>) {
+        let now = self.now();
+        let own = voter(&self.nodes[process].member);
+        let earlier = found.as_ref().map(|(_, row)| row);
+        let row = LeaseRow {
+            holder: own.vm.clone(),
+            incarnation: own.incarnation,
+            address: self.nodes[process].member.address,
+            fence,
+            serial: 0,
+            released: false,
+            voters: earlier.map(|row| row.voters.clone()).unwrap_or_default(),
+        };
+        let version = found.as_ref().map(|(version, _)| *version);
+        if self.write(process, version, row) == Some(true) {
+            let node = &mut self.nodes[process];
+            if node.link.follow(fence) {
+                node.root = Some(Root::open(own, fence, earlier, now, now));
+            }
+        }
+    }
+
+    fn renew(&mut self, process: usize) {
+        let now = self.now();
+        let Ok(found) = self.read(process) else {
+            return;
+        };
+        let node = &self.nodes[process];
+        let Some((version, row)) = found.filter(|(_, row)| is_own(row, node)) else {
+            self.nodes[process].root = None;
+            self.nodes[process].follows = None;
+            return;
+        };
+        let live: Vec<Member> = self
+            .nodes
+            .iter()
+            .filter(|one| !one.dead)
+            .map(|one| one.member.clone())
+            .collect();
+        let node = &mut self.nodes[process];
+        let Some(root) = &mut node.root else { return };
+        let reign = root.reign_mut();
+        reign.learn(row.voters.clone());
+        let voters = reign.choose(live.iter(), now);
+        reign.renew(voters.clone());
+        let renewed = LeaseRow {
+            serial: row.serial + 1,
+            voters,
+            ..row
+        };
+        if self.write(process, Some(version), renewed) == Some(true)
+            && let Some(root) = &mut self.nodes[process].root
+        {
+            root.reign_mut().renewed(now);
+        }
+    }
+
+    pub fn read(&mut self, process: usize) -> Result<Option<(u64, LeaseRow)>, ()> {
+        let down = self.mode == TableMode::Down || self.side(process) != 0;
+        let flaky = self.mode == TableMode::Faulty && self.rng.random_range(0..3) == 0;
+        if down || flaky {
+            return Err(());
+        }
+        Ok(self.row.clone())
+    }
+
+    /// Writes the row. Returns whether it was written, or `None` where that isn't known.
+    pub fn write(&mut self, process: usize, expect: Option<u64>, row: LeaseRow) -> Option<bool> {
+        if self.mode == TableMode::Down || self.side(process) != 0 {
+            return None;
+        }
+        let expect = expect.unwrap_or(0);
+        if self.mode == TableMode::Faulty && self.rng.random_range(0..2) == 0 {
+            let late = Duration::from_millis(self.rng.random_range(0..20_000));
+            let due = self.now() + late;
+            if self.rng.random_range(0..2) == 0 {
+                self.land(expect, row);
+            } else {
+                self.writes.push(LateWrite { due, expect, row });
+            }
+            return None;
+        }
+        Some(self.land(expect, row))
+    }
+
+    fn land(&mut self, expect: u64, row: LeaseRow) -> bool {
+        let version = self.row.as_ref().map_or(0, |(version, _)| *version);
+        if version != expect {
+            return false;
+        }
+        self.row = Some((version + 1, row));
+        true
+    }
+
+    pub fn land_writes(&mut self) {
+        let now = self.now();
+        let (due, later) = std::mem::take(&mut self.writes)
+            .into_iter()
+            .partition(|write| write.due <= now);
+        self.writes = later;
+        let due: Vec<LateWrite> = due;
+        for write in due {
+            self.land(write.expect, write.row);
+        }
+    }
+}
+
+fn is_own(row: &LeaseRow, node: &Process) -> bool {
+    let member = &node.member;
+    row.holder == member.vm && row.incarnation == member.incarnation && !row.released
+}
+
+fn voter(member: &Member) -> Voter {
+    Voter {
+        vm: member.vm.clone(),
+        incarnation: member.incarnation,
+    }
+}
