Stop keyed routes at a root that's cut off alone

Cause: a root that's alone answered its own beats, so its serving lease never ran out, though it couldn't know of withdrawn keys.

Ruled out: refusing the beats of such a root's children; then their support could never come back while the table is down.

Change: a pulse carries a serving lease only while the root holds its lease or a majority of its voters follows it. A pulse without one doesn't keep a node from looking for another root. Node::spawn takes the table as a trait object and tells where it's bound, so whole nodes run in a test.

--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -237,6 +237,12 @@
         let now = self.parts.clock.now();
         let taken = lead.root.take_beat(beat, &limits, now);
         let fence = lead.root.fence();
+        // A root that may have been replaced doesn't know the latest configuration.
+        let lease = if lead.root.reign().is_live(now) {
+            SERVING_LEASE
+        } else {
+            Duration::ZERO
+        };
         let shares = taken.map_err(|error| self.turn_down(error))?;
         self.hear(beat, now);
         // Positions of an earlier root's sequence mean nothing here.
@@ -244,7 +250,7 @@
         Ok(Pulse {
             number: beat.number,
             fence,
-            lease: SERVING_LEASE,
+            lease,
             lifetime: SHARE_LIFETIME,
             confirmed: self.confirmed(),
             delta: self.delta_since(beat.config),
@@ -260,14 +266,16 @@
             return;
         };
         let now = self.parts.clock.now();
-        self.answered = Some(sent);
         self.apply(pulse.delta);
         for member in pulse.members {
             self.roster.merge(member);
         }
         self.seen = pulse.roster;
         self.confirmed = pulse.confirmed;
-        self.lease = Some(sent + pulse.lease);
+        if pulse.lease > Duration::ZERO {
+            self.answered = Some(sent);
+            self.lease = Some(sent + pulse.lease);
+        }
         if let Some(shares) = pulse.shares {
             let limits = self.limits();
             let limit = |organisation: &OrganisationId| limits.get(organisation).copied();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,4 +14,4 @@
 mod traffic;
 
 pub use node::{Node, NodeError};
-pub use settings::NodeSettings;
+pub use settings::{ListenSettings, NodeSettings};
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,8 +6,9 @@
 
 use async_signal::{Signal, Signals};
 use derive_more::{Display, From};
-use filbertwheel_core::{SettingsError, SystemClock, init_logging};
+use filbertwheel_core::{Clock, SettingsError, SystemClock, init_logging};
 use filbertwheel_node::{Node, NodeError, NodeSettings};
+use filbertwheel_platform::TableClient;
 use futures_lite::StreamExt as _;
 use getopts::Options;
 
@@ -69,7 +70,9 @@
     init_logging(settings.run.log);
     smol::block_on(async {
         let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-        let node = Node::spawn(&settings, Arc::new(SystemClock)).await?;
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let table = TableClient::open(settings.platform.table, Arc::clone(&clock));
+        let node = Node::spawn(&settings, Arc::new(table), clock).await?;
         node.run(async move {
             let _signal = signals.next().await;
         })
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,12 +16,11 @@
 use filbertwheel_http::{Handler, Limits, Listener, Stop, Stopper};
 use filbertwheel_operator::OperatorDoor;
 use filbertwheel_peer::{CallSink, ControlSink, Controls, Forward, PeerClient, PeerDoor};
-use filbertwheel_platform::{Table, TableClient};
+use filbertwheel_platform::Table;
 use filbertwheel_policy::{Purse, Roster};
 use filbertwheel_rpc::Guard;
 use smol::LocalExecutor;
 
-use crate::NodeSettings;
 use crate::control::{
     Control, ControlDesk, Message, Parts, hold_lease, release_lease, run_pulses, send_beat,
     take_messages, watch_changes,
@@ -31,6 +30,7 @@
 use crate::runner::Runner;
 use crate::snapshot::{Board, Snapshot};
 use crate::traffic::{Door, TrafficThread};
+use crate::{ListenSettings, NodeSettings};
 
 /// Messages that may wait for the control thread.
 const CONTROL_QUEUE: usize = 4_096;
@@ -72,12 +72,17 @@
     stopper: Stopper,
     clock: Arc<dyn Clock>,
     messages: Receiver<Message>,
+    bound: ListenSettings,
 }
 
 impl Node {
     /// Binds the node's doors and starts its traffic threads. The calling thread becomes the
     /// control thread when it calls `run`.
-    pub async fn spawn(settings: &NodeSettings, clock: Arc<dyn Clock>) -> Result<Self, NodeError> {
+    pub async fn spawn(
+        settings: &NodeSettings,
+        table: Arc<dyn Table>,
+        clock: Arc<dyn Clock>,
+    ) -> Result<Self, NodeError> {
         let (stopper, stop) = Stopper::open();
         let limits = Limits {
             body: settings.run.body_limit,
@@ -94,6 +99,12 @@
         let peer = bind(listen.peer, frames).await?;
         let operator = bind(listen.operator, limits).await?;
 
+        let bound = ListenSettings {
+            front: front.address(),
+            local: local.address(),
+            peer: peer.address(),
+            operator: operator.address(),
+        };
         let me = member(settings, peer.address(), clock.as_ref());
         let metrics = Arc::new(Metrics::new());
         let board = board(&me);
@@ -133,10 +144,9 @@
             .collect::<io::Result<Vec<_>>>()
             .map_err(NodeError::Thread)?;
 
-        let table = TableClient::open(settings.platform.table, Arc::clone(&clock));
         let parts = Parts {
             clock: Arc::clone(&clock),
-            table: Arc::new(table) as Arc<dyn Table>,
+            table,
             controls: peers as Arc<dyn Controls>,
             purse,
             board,
@@ -153,9 +163,15 @@
             stopper,
             clock,
             messages,
+            bound,
         })
     }
 
+    /// Where the node listens.
+    pub fn bound(&self) -> ListenSettings {
+        self.bound
+    }
+
     /// Runs the control thread until `leave` completes, then leaves in an orderly way.
     pub async fn run(self, leave: impl Future<Output = ()>) {
         let control = || Rc::clone(&self.control);
--- a/crates/policy/src/reign.rs
+++ b/crates/policy/src/reign.rs
@@ -73,15 +73,14 @@
 
     /// Whether this root may grant shares now.
     pub fn may_grant(&self, now: Instant) -> bool {
+        self.is_settled(now) && self.is_live(now)
+    }
+
+    /// Whether no later root can have settled.
+    pub fn is_live(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.renewed);
-        let leased = age + CLOCK_MARGIN < LEASE_TIME;
-        let supported = age < OUTAGE_LIMIT
-            && self.has_majority(&self.voters, now)
-            && self
-                .pending
-                .as_ref()
-                .is_none_or(|voters| self.has_majority(voters, now));
-        self.is_settled(now) && (leased || supported)
+        let is_leased = age + CLOCK_MARGIN < LEASE_TIME;
+        is_leased || age < OUTAGE_LIMIT && self.is_supported(now)
     }
 
     /// Takes note that a node follows this root and no earlier one.
@@ -146,6 +145,12 @@
         }
     }
 
+    fn is_supported(&self, now: Instant) -> bool {
+        let pending = self.pending.as_ref();
+        self.has_majority(&self.voters, now)
+            && pending.is_none_or(|voters| self.has_majority(voters, now))
+    }
+
     fn has_majority(&self, voters: &[Voter], now: Instant) -> bool {
         let supports = |voter: &&Voter| {
             let at = self.supports.get(*voter);
