Run a request id at most once over the fleet

Cause: a repeat of a non-idempotent request ran again at any other node, and each node beside a backend server took what came. Two more faults turned up on the way: a call whose first try was lost and whose second was refused ended "not run", and a queued call ran although its key had been withdrawn.

Ruled out: a claim row in the table (several hundred writes a second, and outages); memory at each backend server (a repeat may reach another one).

Change: an owner by rendezvous hashing lets an id run once and remembers it. An owner counts only once three serving leases have passed, so that two views of the members can't both let an id run. Ids that may be older are answered "outcome unknown". `Repeated` is a doubt now, not a refusal, because the request may have run. Calls carry the key's hash between nodes (never to a backend server), and the runner looks at it again after the queue. The engine is split: entry, dispatch, loads, once. Backend servers are opened through a trait object, so that engines run over fakes.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -50,6 +50,33 @@
     async fn run(&self, call: &Call, token: Text) -> Result<BackendReply, BackendError>;
 }
 
+/// Opens backend servers at the addresses that they announce.
+pub trait Connect: Debug + Send + Sync {
+    /// The backend server at `address`. Connections are opened as they're needed.
+    fn connect(&self, address: SocketAddr) -> Arc<dyn Backend>;
+}
+
+/// Opens backend servers that speak HTTP.
+#[derive(Debug)]
+pub struct HttpConnect {
+    limits: Limits,
+    clock: Arc<dyn Clock>,
+}
+
+impl HttpConnect {
+    /// Opens backend servers with these limits.
+    pub fn open(limits: Limits, clock: Arc<dyn Clock>) -> Self {
+        Self { limits, clock }
+    }
+}
+
+impl Connect for HttpConnect {
+    fn connect(&self, address: SocketAddr) -> Arc<dyn Backend> {
+        let clock = Arc::clone(&self.clock);
+        Arc::new(HttpBackend::open(address, self.limits, clock))
+    }
+}
+
 /// A backend server that speaks HTTP.
 #[derive(Debug)]
 pub struct HttpBackend {
--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -8,5 +8,5 @@
 mod door;
 
 pub use announce::Announcement;
-pub use client::{Backend, BackendError, BackendReply, HttpBackend};
+pub use client::{Backend, BackendError, BackendReply, Connect, HttpBackend, HttpConnect};
 pub use door::{LocalDoor, Neighbour, NestedRequest};
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -1,12 +1,12 @@
 //! Calls, and what becomes of them.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use filbertwheel_macros::{message, token, value};
 
-use crate::{CallId, OrganisationId, RequestId, ServiceId, Text};
+use crate::{CallId, KeyHash, OrganisationId, RequestId, ServiceId, Text};
 
 /// Outcome of a call.
 pub type Verdict = Result<Answer, Failure>;
@@ -44,6 +44,8 @@
     pub id: CallId,
     /// The organisation that it runs for, or `None` on a route open to all.
     pub organisation: Option<OrganisationId>,
+    /// Hash of the key that came with it or with the call that it's part of.
+    pub key: Option<KeyHash>,
     /// The caller's id for the request, the same on a repeat.
     pub request: Option<RequestId>,
     /// The service that's wanted.
@@ -52,6 +54,8 @@
     pub criticality: Criticality,
     /// Whether running it twice does no harm.
     pub idempotent: bool,
+    /// What keeps it from running twice, where it's not idempotent and its caller gave it an id.
+    pub once: Option<Once>,
     /// Position among calls of the same criticality, fixed at the entry. Lower ranks are kept.
     pub rank: u32,
     /// When the answer is no longer wanted.
@@ -70,6 +74,16 @@
     pub body: Bytes,
 }
 
+/// What keeps a call from running twice.
+#[message]
+#[derive(Copy, Eq)]
+pub struct Once {
+    /// Calendar time at which its caller may first have tried it, at the earliest.
+    pub tried: SystemTime,
+    /// Whether the node that answers for its id has let it run.
+    pub admitted: bool,
+}
+
 impl Call {
     /// Time left until the deadline.
     pub fn time_left(&self, now: Instant) -> Duration {
@@ -199,9 +213,6 @@
     /// Requests like it have crashed backend servers.
     #[display("requests like this one crash backend servers")]
     Quarantined,
-    /// A request with this id is running or has run.
-    #[display("a request with this id was already taken")]
-    Repeated,
 }
 
 impl RefusalKind {
@@ -228,6 +239,9 @@
     /// A request with this id may have run before.
     #[display("an earlier request with this id may have run")]
     Forgotten,
+    /// A request with this id was let run before.
+    #[display("a request with this id is running or has run")]
+    Repeated,
 }
 
 /// Whether the organisation's rate was charged for a call.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,7 +16,7 @@
 mod text;
 
 pub use call::{
-    Answer, Call, Charge, Criticality, Doubt, Failure, Header, Method, Refusal, RefusalKind,
+    Answer, Call, Charge, Criticality, Doubt, Failure, Header, Method, Once, Refusal, RefusalKind,
     Verdict,
 };
 pub use clock::{Clock, PausedClock, Sleep, SystemClock};
--- a/crates/http/src/names.rs
+++ b/crates/http/src/names.rs
@@ -6,6 +6,8 @@
 pub const ORGANISATION: &str = "filbertwheel-organisation";
 /// A caller's id for its request; a repeat carries the same one.
 pub const REQUEST: &str = "filbertwheel-request";
+/// When a caller first tried its request, in milliseconds since 1970; the same on a repeat.
+pub const TRIED: &str = "filbertwheel-tried-ms";
 /// Milliseconds until the answer is no longer wanted.
 pub const DEADLINE: &str = "filbertwheel-deadline-ms";
 /// How much the request matters; a caller can only lower it.
--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -1,6 +1,6 @@
 //! Parsing of the headers and paths that callers and backend servers share.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use filbertwheel_core::{Criticality, Header, Refusal, RefusalKind, RequestId, ServiceId, Text};
 
@@ -18,6 +18,8 @@
     pub path: Text,
     /// The sender's id for the request.
     pub request: Option<RequestId>,
+    /// When the sender first tried the request, as it says.
+    pub tried: Option<SystemTime>,
     /// The criticality that's asked for.
     pub criticality: Option<Criticality>,
     /// How long the sender waits.
@@ -35,6 +37,7 @@
         {
             return Err(RefusalKind::TooLarge.into());
         }
+        let tried = request.header(names::TRIED).map(parse_time).transpose()?;
         let criticality = request
             .header(names::CRITICALITY)
             .map(parse_criticality)
@@ -47,6 +50,7 @@
             service,
             path,
             request: id,
+            tried,
             criticality,
             patience,
         })
@@ -92,3 +96,10 @@
         .map(|millis| Duration::from_millis(millis.into()))
         .ok_or(RefusalKind::Malformed.into())
 }
+
+fn parse_time(text: &Text) -> Result<SystemTime, Refusal> {
+    let millis = text.as_str().and_then(|text| text.parse::<u64>().ok());
+    millis
+        .and_then(|millis| SystemTime::UNIX_EPOCH.checked_add(Duration::from_millis(millis)))
+        .ok_or(RefusalKind::Malformed.into())
+}
--- a/crates/http/src/verdict.rs
+++ b/crates/http/src/verdict.rs
@@ -53,7 +53,11 @@
 }
 
 fn unknown(doubt: Doubt) -> Response {
-    let status = if doubt == Doubt::Late { 504 } else { 502 };
+    let status = match doubt {
+        Doubt::Late => 504,
+        Doubt::Repeated | Doubt::Forgotten => 409,
+        Doubt::Lost | Doubt::Broken => 502,
+    };
     problem(status, "unknown", doubt, doubt.to_string())
 }
 
@@ -82,7 +86,6 @@
         RefusalKind::OverRate => 429,
         RefusalKind::Expired => 504,
         RefusalKind::Quarantined => 422,
-        RefusalKind::Repeated => 409,
         RefusalKind::Overloaded
         | RefusalKind::Draining
         | RefusalKind::Unavailable
--- a/crates/node/src/control/message.rs
+++ b/crates/node/src/control/message.rs
@@ -10,7 +10,7 @@
 
 /// A message to the control thread.
 #[derive(Debug)]
-pub(crate) enum Message {
+pub enum Message {
     /// The backend server announced itself.
     Announce(Announcement),
     /// A call wants a token that the node's share doesn't have.
@@ -32,7 +32,7 @@
 
 /// What became of a claim.
 #[derive(Debug, Clone, Copy)]
-pub(crate) enum ClaimReply {
+pub enum ClaimReply {
     /// A token was given.
     Given,
     /// There's none, perhaps after a while.
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -12,7 +12,7 @@
 };
 use filbertwheel_peer::{Controls, SinkError};
 use filbertwheel_platform::Table;
-use filbertwheel_policy::{Ledger, Purse, Roster, SHARE_LIFETIME};
+use filbertwheel_policy::{Ledger, Purse, Roster, SHARE_LIFETIME, Tenure};
 
 use crate::metrics::Metrics;
 use crate::snapshot::{Board, Snapshot};
@@ -42,6 +42,7 @@
     pub parts: Parts,
     me: Member,
     roster: Roster,
+    tenure: Arc<Tenure>,
     config: Configuration,
     changes: VecDeque<Change>,
     lease: Option<Instant>,
@@ -82,6 +83,7 @@
     pub fn open(parts: Parts, me: Member) -> Self {
         Self {
             parts,
+            tenure: Arc::new(Tenure::open(me.vm.clone(), SERVING_LEASE)),
             me,
             roster: Roster::default(),
             config: Configuration::default(),
@@ -172,6 +174,7 @@
         );
         tracing::info!("control: This node is now the root with fence {fence}.");
         let ledger = Ledger::open(self.me.vm.clone(), withheld);
+        self.seen = 0;
         self.role = Role::Root(Box::new(Root {
             fence,
             ledger,
@@ -246,12 +249,14 @@
             *fence = pulse.fence;
         }
         self.apply(pulse.delta);
+        let lease = sent + pulse.lease;
+        Arc::make_mut(&mut self.tenure).observe(pulse.fence, &pulse.members, lease, now);
         for member in pulse.members {
             self.roster.merge(member);
         }
         self.seen = pulse.roster;
         self.confirmed = pulse.confirmed;
-        self.lease = Some(sent + pulse.lease);
+        self.lease = Some(lease);
         let limits = self.limits();
         let expires = sent + pulse.lifetime;
         let limit = |organisation: &OrganisationId| limits.get(organisation).copied();
@@ -399,6 +404,7 @@
         self.parts.board.store(Arc::new(Snapshot {
             config: Arc::new(self.config.clone()),
             roster: Arc::new(self.roster.clone()),
+            tenure: Arc::clone(&self.tenure),
             me: self.me.clone(),
             lease: self.lease,
         }));
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,152 @@
+//! What a request becomes at the entry: who sent it, which route it takes, what call it is.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use filbertwheel_backend::NestedRequest;
+use filbertwheel_caller::EntryRequest;
+use filbertwheel_core::{Call, Criticality, Once, OrganisationId, Refusal, RefusalKind, Route};
+use filbertwheel_http::Particulars;
+use filbertwheel_policy::{CLOCK_ERROR, REPEAT_WINDOW, RETRIES_PER_CALL};
+
+use crate::passes::Pass;
+use crate::snapshot::Snapshot;
+
+/// Deadline of a call whose caller names none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
+/// Longest deadline.
+const LONGEST_PATIENCE: Duration = Duration::from_secs(60);
+/// Deepest call chain.
+const DEPTH_LIMIT: u8 = 16;
+
+/// Finds out for whom a request runs, or refuses it.
+pub(crate) fn identify(
+    snapshot: &Snapshot,
+    request: &EntryRequest,
+    now: Instant,
+) -> Result<Option<OrganisationId>, Refusal> {
+    let route = route_of(snapshot, &request.particulars, request.method.as_bytes());
+    if !snapshot.is_current(now) {
+        return Err(RefusalKind::Stale.into());
+    }
+    let Some(hash) = &request.key else {
+        return match route {
+            Ok(route) if route.open => Ok(None),
+            _ => Err(RefusalKind::NoKey.into()),
+        };
+    };
+    let key = snapshot
+        .config
+        .keys
+        .get(hash)
+        .ok_or(Refusal::new(RefusalKind::BadKey))?;
+    Ok(Some(key.organisation.clone()))
+}
+
+pub(crate) fn route_of<'a>(
+    snapshot: &'a Snapshot,
+    particulars: &Particulars,
+    method: &[u8],
+) -> Result<&'a Route, Refusal> {
+    let path = particulars.path.as_bytes();
+    let path = path.split(|byte| *byte == b'?').next().unwrap_or_default();
+    let route = snapshot
+        .config
+        .route(particulars.service.as_bytes(), method, path);
+    route.ok_or(RefusalKind::NoRoute.into())
+}
+
+/// The call that a caller's request becomes.
+pub(crate) fn entry_call(
+    request: EntryRequest,
+    organisation: Option<OrganisationId>,
+    route: &Route,
+    now: Instant,
+    wall: SystemTime,
+) -> Call {
+    let EntryRequest {
+        key,
+        particulars,
+        method,
+        headers,
+        body,
+    } = request;
+    let patience = particulars
+        .patience
+        .unwrap_or(DEFAULT_PATIENCE)
+        .min(LONGEST_PATIENCE);
+    Call {
+        id: rand::random(),
+        once: once_of(&particulars, route, wall),
+        organisation,
+        key,
+        request: particulars.request,
+        service: particulars.service,
+        criticality: lowered(route.criticality, particulars.criticality),
+        idempotent: route.idempotent,
+        rank: rand::random(),
+        deadline: now + patience,
+        retries: RETRIES_PER_CALL,
+        depth: 0,
+        method,
+        path: particulars.path,
+        headers,
+        body,
+    }
+}
+
+/// The criticality that was asked for, unless it's higher than what's allowed.
+fn lowered(allowed: Criticality, asked: Option<Criticality>) -> Criticality {
+    asked.map_or(allowed, |asked| asked.min(allowed))
+}
+
+/// The call that a backend server's request becomes, as a part of the call that it runs.
+pub(crate) fn nested_call(
+    snapshot: &Snapshot,
+    pass: &Pass,
+    request: NestedRequest,
+    now: Instant,
+    wall: SystemTime,
+) -> Result<Call, Refusal> {
+    let parent = &pass.call;
+    let depth = parent.depth + 1;
+    if depth > DEPTH_LIMIT {
+        return Err(RefusalKind::TooDeep.into());
+    }
+    let particulars = request.particulars;
+    let route = route_of(snapshot, &particulars, request.method.as_bytes())?;
+    let patience = particulars.patience.unwrap_or(LONGEST_PATIENCE);
+    Ok(Call {
+        id: rand::random(),
+        once: once_of(&particulars, route, wall),
+        organisation: parent.organisation.clone(),
+        key: parent.key.clone(),
+        request: particulars.request,
+        service: particulars.service,
+        criticality: lowered(parent.criticality, particulars.criticality),
+        idempotent: route.idempotent,
+        rank: parent.rank,
+        deadline: parent.deadline.min(now + patience),
+        retries: pass.retries,
+        depth,
+        method: request.method,
+        path: particulars.path,
+        headers: request.headers,
+        body: request.body,
+    })
+}
+
+/// What keeps a call from running twice, where its route and its sender ask for it.
+fn once_of(particulars: &Particulars, route: &Route, wall: SystemTime) -> Option<Once> {
+    if route.idempotent || particulars.request.is_none() {
+        return None;
+    }
+    let credible = |tried: &SystemTime| *tried <= wall + CLOCK_ERROR;
+    let tried = match particulars.tried.filter(credible) {
+        Some(tried) => tried.checked_sub(CLOCK_ERROR),
+        None => wall.checked_sub(REPEAT_WINDOW),
+    };
+    Some(Once {
+        tried: tried.unwrap_or(SystemTime::UNIX_EPOCH),
+        admitted: false,
+    })
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,14 +4,23 @@
 //! publishes immutable snapshots to traffic, traffic sends messages to control.
 
 mod control;
+mod dispatch;
 mod engine;
+mod entry;
+mod loads;
 mod metrics;
 mod node;
+mod once;
 mod passes;
 mod runner;
 mod settings;
 mod snapshot;
 mod traffic;
 
+pub use control::{ClaimReply, Message};
+pub use engine::Engine;
+pub use metrics::Metrics;
 pub use node::{Node, NodeError};
+pub use runner::Runner;
 pub use settings::NodeSettings;
+pub use snapshot::{Board, Snapshot};
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -34,7 +34,7 @@
 
 /// Metrics of a node.
 #[derive(Debug)]
-pub(crate) struct Metrics {
+pub struct Metrics {
     registry: Registry,
     calls: Family<CallLabels, Counter>,
     latency: Family<LatencyLabels, Histogram>,
@@ -51,7 +51,7 @@
 
 impl Metrics {
     /// Metrics at zero.
-    pub fn new() -> Self {
+    pub fn open() -> Self {
         let mut registry = Registry::with_prefix("filbertwheel");
         let calls = Family::<CallLabels, Counter>::default();
         let latency = Family::<LatencyLabels, Histogram>::new_with_constructor(|| {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,21 +10,21 @@
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
 use derive_more::{Display, Error, From};
-use filbertwheel_backend::LocalDoor;
+use filbertwheel_backend::{HttpConnect, LocalDoor};
 use filbertwheel_caller::FrontDoor;
 use filbertwheel_core::{Clock, Configuration, Member, Status};
 use filbertwheel_http::{Handler, Limits, Listener, Stop, Stopper};
 use filbertwheel_operator::OperatorDoor;
 use filbertwheel_peer::{CallSink, ControlSink, Controls, Forward, PeerClient, PeerDoor};
 use filbertwheel_platform::{Table, TableClient};
-use filbertwheel_policy::{Purse, Roster};
+use filbertwheel_policy::{Purse, Roster, Tenure};
 use filbertwheel_rpc::Guard;
 use smol::LocalExecutor;
 
 use crate::NodeSettings;
 use crate::control::{
-    Control, ControlDesk, Message, Parts, hold_lease, release_lease, run_pulses, send_beat,
-    take_messages, watch_changes,
+    Control, ControlDesk, Message, Parts, SERVING_LEASE, hold_lease, release_lease, run_pulses,
+    send_beat, take_messages, watch_changes,
 };
 use crate::engine::Engine;
 use crate::metrics::Metrics;
@@ -95,14 +95,20 @@
         let operator = bind(listen.operator, limits).await?;
 
         let me = member(settings, peer.address(), clock.as_ref());
-        let metrics = Arc::new(Metrics::new());
+        let metrics = Arc::new(Metrics::open());
         let board = board(&me);
         let purse = Arc::new(Mutex::new(Purse::default()));
         let (sender, messages) = async_channel::bounded(CONTROL_QUEUE);
         let fleet = Guard::open(settings.secrets.fleet(), Arc::clone(&clock));
         let operators = Guard::open(settings.secrets.operator(), Arc::clone(&clock));
         let peers = Arc::new(PeerClient::open(frames, Arc::clone(&clock), fleet.clone()));
-        let runner = Runner::open(limits, Arc::clone(&clock), Arc::clone(&metrics));
+        let connect = Arc::new(HttpConnect::open(limits, Arc::clone(&clock)));
+        let runner = Runner::open(
+            connect,
+            Arc::clone(&board),
+            Arc::clone(&clock),
+            Arc::clone(&metrics),
+        );
         let engine = Arc::new(Engine::open(
             Arc::clone(&clock),
             Arc::clone(&board),
@@ -237,6 +243,7 @@
     Arc::new(ArcSwap::from_pointee(Snapshot {
         config: Arc::new(Configuration::default()),
         roster: Arc::new(Roster::default()),
+        tenure: Arc::new(Tenure::open(me.vm.clone(), SERVING_LEASE)),
         me: me.clone(),
         lease: None,
     }))
--- /dev/null
+++ b/crates/node/src/once.rs
@@ -0,0 +1,86 @@
+//! Calls that must run at most once, at the node that answers for their request ids.
+
+use std::sync::{MutexGuard, PoisonError};
+use std::time::Instant;
+
+use filbertwheel_core::{Answer, Call, Doubt, Once, Refusal, RefusalKind, Verdict};
+use filbertwheel_policy::{Admission, Memory, RequestKey};
+
+use crate::engine::Engine;
+
+impl Engine {
+    /// Runs a call unless its request id was let run before, or may have been.
+    pub(super) async fn run_owned(&self, call: &Call, once: Once) -> Verdict {
+        let refuse = |kind| Refusal::new(kind).with_retries(call.retries);
+        let Some(key) = RequestKey::of(call) else {
+            return Err(refuse(RefusalKind::Malformed).into());
+        };
+        match self.admit(&key, once) {
+            Admission::Run => {}
+            Admission::Refuse(kind) => return Err(refuse(kind).into()),
+            Admission::Doubt(doubt) => return Err(doubt.into()),
+            Admission::Replay(answer) => {
+                let retries = call.retries;
+                return Ok(Answer { retries, ..answer });
+            }
+        }
+        let taken = Taken {
+            engine: self,
+            key: Some(key),
+        };
+        let admitted = Once {
+            admitted: true,
+            ..once
+        };
+        let call = Call {
+            once: Some(admitted),
+            ..call.clone()
+        };
+        let verdict = self.dispatch(call).await;
+        taken.close(&verdict);
+        verdict
+    }
+
+    fn admit(&self, key: &RequestKey, once: Once) -> Admission {
+        let now = self.clock.now();
+        let Some(tried) = self.instant_of(once, now) else {
+            return Admission::Doubt(Doubt::Forgotten);
+        };
+        let settled = self.board.load().tenure.settled(key, now);
+        self.memory().admit(key, tried, settled, now)
+    }
+
+    /// The first try of a call on this machine's monotonic clock.
+    fn instant_of(&self, once: Once, now: Instant) -> Option<Instant> {
+        let age = self.clock.wall().duration_since(once.tried);
+        now.checked_sub(age.unwrap_or_default())
+    }
+
+    fn memory(&self) -> MutexGuard<'_, Memory> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request that was let run. Dropped early, it may have run.
+struct Taken<'a> {
+    engine: &'a Engine,
+    key: Option<RequestKey>,
+}
+
+impl Taken<'_> {
+    fn close(mut self, verdict: &Verdict) {
+        self.end(verdict);
+    }
+
+    fn end(&mut self, verdict: &Verdict) {
+        if let Some(key) = self.key.take() {
+            self.engine.memory().settle(&key, verdict);
+        }
+    }
+}
+
+impl Drop for Taken<'_> {
+    fn drop(&mut self) {
+        self.end(&Err(Doubt::Lost.into()));
+    }
+}
--- a/crates/node/src/runner.rs
+++ b/crates/node/src/runner.rs
@@ -5,21 +5,22 @@
 use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
-use filbertwheel_backend::{Announcement, Backend, BackendError, BackendReply, HttpBackend};
+use filbertwheel_backend::{Announcement, Backend, BackendError, BackendReply, Connect};
 use filbertwheel_core::{Call, Clock, Doubt, Failure, Refusal, RefusalKind, Text, Verdict};
-use filbertwheel_http::Limits;
 use filbertwheel_policy::{Entry, Gate, Offer, Release, Ticket};
 use futures_lite::FutureExt as _;
 
 use crate::metrics::Metrics;
 use crate::passes::Passes;
+use crate::snapshot::Board;
 
 /// Runs calls at one backend server.
 #[derive(Debug)]
-pub(crate) struct Runner {
+pub struct Runner {
     state: Mutex<State>,
     passes: Passes,
-    limits: Limits,
+    connect: Arc<dyn Connect>,
+    board: Board,
     clock: Arc<dyn Clock>,
     metrics: Arc<Metrics>,
 }
@@ -39,7 +40,12 @@
 
 impl Runner {
     /// A runner whose backend server hasn't announced itself yet.
-    pub fn open(limits: Limits, clock: Arc<dyn Clock>, metrics: Arc<Metrics>) -> Self {
+    pub fn open(
+        connect: Arc<dyn Connect>,
+        board: Board,
+        clock: Arc<dyn Clock>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         let state = State {
             gate: Gate::open(0),
             backend: None,
@@ -48,14 +54,15 @@
         Self {
             state: Mutex::new(state),
             passes: Passes::default(),
-            limits,
+            connect,
+            board,
             clock,
             metrics,
         }
     }
 
     /// The tokens of running calls.
-    pub fn passes(&self) -> &Passes {
+    pub(crate) fn passes(&self) -> &Passes {
         &self.passes
     }
 
@@ -67,9 +74,7 @@
             .as_ref()
             .map(|target| target.announcement.address);
         if known != Some(announcement.address) {
-            let clock = Arc::clone(&self.clock);
-            let backend = HttpBackend::open(announcement.address, self.limits, clock);
-            let backend: Arc<dyn Backend> = Arc::new(backend);
+            let backend = self.connect.connect(announcement.address);
             state.backend = Some(Target {
                 announcement: announcement.clone(),
                 backend,
@@ -97,7 +102,12 @@
                 .into());
         };
         let refuse = |kind| Failure::Refused(Refusal::new(kind).with_retries(call.retries));
+        let honoured = self.board.load().honours(call);
         let slot = self.admit(call).await.map_err(refuse)?;
+        // A key that was never known here is newer than this node's configuration.
+        if honoured && !self.board.load().honours(call) {
+            return Err(refuse(RefusalKind::BadKey));
+        }
         let token = slot.token.clone();
         let reply = target.backend.run(call, token).await;
         let retries = slot.close();
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -4,19 +4,21 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
-use filbertwheel_core::{Configuration, Member, Status};
-use filbertwheel_policy::Roster;
+use filbertwheel_core::{Call, Configuration, Member, Status};
+use filbertwheel_policy::{Roster, Tenure};
 
 /// The latest snapshot, shared by control and traffic.
-pub(crate) type Board = Arc<ArcSwap<Snapshot>>;
+pub type Board = Arc<ArcSwap<Snapshot>>;
 
 /// An immutable view of the control state.
 #[derive(Debug, Clone)]
-pub(crate) struct Snapshot {
+pub struct Snapshot {
     /// The configuration in force.
     pub config: Arc<Configuration>,
     /// The members as this node knows them.
     pub roster: Arc<Roster>,
+    /// For which request ids the node answers, and since when.
+    pub tenure: Arc<Tenure>,
     /// The node itself.
     pub me: Member,
     /// Until when the node may serve keyed routes.
@@ -29,6 +31,15 @@
         self.lease.is_some_and(|until| now < until)
     }
 
+    /// Whether the key that a call came with still stands for its organisation.
+    pub fn honours(&self, call: &Call) -> bool {
+        let Some(hash) = &call.key else {
+            return true;
+        };
+        let key = self.config.keys.get(hash);
+        key.is_some_and(|key| Some(&key.organisation) == call.organisation.as_ref())
+    }
+
     /// Whether the node takes work for its backend server.
     pub fn is_serving(&self) -> bool {
         self.me.status == Status::Serving
--- /dev/null
+++ b/crates/node/tests/engine/fleet.rs
@@ -0,0 +1,388 @@
+//! Real engines with fakes for the network between them and for their backend servers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+use arc_swap::ArcSwap;
+use async_channel::{Receiver, Sender};
+use async_trait::async_trait;
+use filbertwheel_backend::{
+    Announcement, Backend, BackendError, BackendReply, Connect, Neighbour, NestedRequest,
+};
+use filbertwheel_caller::{Entry, EntryRequest};
+use filbertwheel_core::{
+    Answer, Call, Clock, Configuration, Criticality, Member, Once, Route, ServiceId, Status,
+    SystemClock, Text, Verdict,
+};
+use filbertwheel_http::Particulars;
+use filbertwheel_node::{Board, Engine, Metrics, Runner, Snapshot};
+use filbertwheel_peer::{CallSink, Forward, ForwardError};
+use filbertwheel_policy::{Purse, Roster, Tenure};
+use smol::LocalExecutor;
+
+/// Length of the serving leases, in the tenures of the engines.
+pub const LEASE: Duration = Duration::from_secs(5);
+
+/// What a fake does with one message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// It never leaves.
+    Unsent,
+    /// It arrives, but its answer doesn't.
+    Lost,
+    /// It's refused by the backend server.
+    Refused,
+}
+
+/// Decides what happens to the messages to a node or to its backend server.
+pub type Script = Box<dyn FnMut(usize) -> Fault + Send>;
+
+/// Work for the thread of the engines, whose futures stay there.
+enum Job {
+    Call(usize, Call, Sender<Verdict>),
+    Nest(usize, NestedRequest, Sender<Verdict>),
+}
+
+/// Engines with their fakes.
+pub struct Fleet {
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub engines: Vec<Arc<Engine>>,
+    pub boards: Vec<Board>,
+    pub fakes: Arc<Fakes>,
+}
+
+/// The network and the backend servers.
+pub struct Fakes {
+    jobs: Sender<Job>,
+    /// Runs at each node's backend server.
+    pub runs: Mutex<BTreeMap<usize, u32>>,
+    /// The service that each node's backend server calls for every request.
+    calls: Vec<Option<ServiceId>>,
+    network: Mutex<Script>,
+    backends: Mutex<Script>,
+    /// The tokens of all runs.
+    pub tokens: Mutex<Vec<Text>>,
+    /// Holds every run back until it's closed.
+    pub gate: Mutex<Option<Receiver<()>>>,
+}
+
+impl std::fmt::Debug for Fakes {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Fakes")
+    }
+}
+
+impl Fleet {
+    /// An engine for each service that's named, each with a backend server that calls the
+    /// service beside its own.
+    pub fn open(services: &[(&str, Option<&str>)], network: Script, backends: Script) -> Self {
+        let (jobs, waiting) = async_channel::unbounded();
+        let calls = services.iter().map(|(_, calls)| calls.map(Text::from));
+        let fakes = Arc::new(Fakes {
+            jobs,
+            runs: Mutex::default(),
+            calls: calls.collect(),
+            network: Mutex::new(network),
+            backends: Mutex::new(backends),
+            tokens: Mutex::default(),
+            gate: Mutex::default(),
+        });
+        let members: Vec<Member> = (0..services.len())
+            .map(|index| member(index, services[index].0))
+            .collect();
+        let boards: Vec<Board> = members.iter().map(|me| board(me, &members)).collect();
+        let engines = boards.iter().enumerate();
+        let engines: Vec<_> = engines
+            .map(|(index, board)| engine(index, board, &fakes))
+            .collect();
+        let executor = Rc::new(LocalExecutor::new());
+        executor
+            .spawn(work(Rc::clone(&executor), engines.clone(), waiting))
+            .detach();
+        Self {
+            executor,
+            engines,
+            boards,
+            fakes,
+        }
+    }
+
+    /// Sends a request without a key to an engine.
+    pub fn enter(&self, at: usize, request: EntryRequest) -> Verdict {
+        let engine = Arc::clone(&self.engines[at]);
+        smol::block_on(
+            self.executor
+                .run(async move { engine.enter(request).await }),
+        )
+    }
+
+    /// Changes what an engine sees.
+    pub fn change(&self, index: usize, change: impl FnOnce(&mut Snapshot)) {
+        let mut snapshot = Snapshot::clone(&self.boards[index].load());
+        change(&mut snapshot);
+        self.boards[index].store(Arc::new(snapshot));
+    }
+}
+
+impl Fakes {
+    /// Runs at all backend servers together.
+    pub fn total(&self) -> u32 {
+        lock(&self.runs).values().sum()
+    }
+
+    async fn ask(&self, job: impl FnOnce(Sender<Verdict>) -> Job) -> Option<Verdict> {
+        let (reply, answer) = async_channel::bounded(1);
+        self.jobs.send(job(reply)).await.ok()?;
+        answer.recv().await.ok()
+    }
+}
+
+#[async_trait]
+impl Forward for Fakes {
+    async fn forward(&self, to: SocketAddr, call: &Call) -> Result<(Verdict, f64), ForwardError> {
+        let to = usize::from(to.port());
+        let fault = lock(&self.network)(to);
+        if fault == Fault::Unsent {
+            return Err(ForwardError::NotSent);
+        }
+        let verdict = self
+            .ask(|reply| Job::Call(to, call.clone(), reply))
+            .await
+            .ok_or(ForwardError::Lost)?;
+        match fault {
+            Fault::Lost => Err(ForwardError::Lost),
+            _ => Ok((verdict, 0.0)),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct FakeBackend {
+    index: usize,
+    fakes: Arc<Fakes>,
+}
+
+impl Connect for FakeBackend {
+    fn connect(&self, _: SocketAddr) -> Arc<dyn Backend> {
+        Arc::new(Self {
+            index: self.index,
+            fakes: Arc::clone(&self.fakes),
+        })
+    }
+}
+
+#[async_trait]
+impl Backend for FakeBackend {
+    async fn run(&self, call: &Call, token: Text) -> Result<BackendReply, BackendError> {
+        let fault = lock(&self.fakes.backends)(self.index);
+        if fault == Fault::Refused {
+            let kind = filbertwheel_core::RefusalKind::Overloaded;
+            return Err(BackendError::Refused(kind));
+        }
+        if fault == Fault::Unsent {
+            return Err(BackendError::NotSent);
+        }
+        *lock(&self.fakes.runs).entry(self.index).or_default() += 1;
+        lock(&self.fakes.tokens).push(token.clone());
+        let gate = lock(&self.fakes.gate).clone();
+        if let Some(gate) = gate {
+            let _closed = gate.recv().await;
+        }
+        let mut status = 200;
+        if let Some(service) = &self.fakes.calls[self.index] {
+            let nested = NestedRequest {
+                token,
+                particulars: particulars(service.clone(), None),
+                method: call.method.clone(),
+                headers: Vec::new(),
+                body: call.body.clone(),
+            };
+            let index = self.index;
+            let verdict = self
+                .fakes
+                .ask(|reply| Job::Nest(index, nested, reply))
+                .await;
+            if !matches!(verdict, Some(Ok(_))) {
+                status = 500;
+            }
+        }
+        if fault == Fault::Lost {
+            return Err(BackendError::Lost);
+        }
+        let answer = Answer {
+            status,
+            headers: Vec::new(),
+            body: "booked".into(),
+            retries: 0,
+        };
+        Ok(BackendReply { answer, load: None })
+    }
+}
+
+async fn work(
+    executor: Rc<LocalExecutor<'static>>,
+    engines: Vec<Arc<Engine>>,
+    waiting: Receiver<Job>,
+) {
+    while let Ok(job) = waiting.recv().await {
+        let engines = engines.clone();
+        let task = executor.spawn(async move {
+            let (verdict, reply) = match job {
+                Job::Call(at, call, reply) => (engines[at].run(call).await, reply),
+                Job::Nest(at, request, reply) => (engines[at].nest(request).await, reply),
+            };
+            let _gone = reply.try_send(verdict);
+        });
+        task.detach();
+    }
+}
+
+fn engine(index: usize, board: &Board, fakes: &Arc<Fakes>) -> Arc<Engine> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let metrics = Arc::new(Metrics::open());
+    let connect = Arc::new(FakeBackend {
+        index,
+        fakes: Arc::clone(fakes),
+    });
+    let runner = Runner::open(
+        connect,
+        Arc::clone(board),
+        Arc::clone(&clock),
+        Arc::clone(&metrics),
+    );
+    let (control, _) = async_channel::bounded(1);
+    let engine = Engine::open(
+        clock,
+        Arc::clone(board),
+        Arc::new(Mutex::new(Purse::default())),
+        runner,
+        Arc::clone(fakes) as Arc<dyn Forward>,
+        control,
+        metrics,
+    );
+    let engine = Arc::new(engine);
+    let me = board.load().me.clone();
+    engine.announce(Announcement {
+        service: me.service.unwrap_or_default(),
+        address: me.address,
+        slots: me.slots,
+        status: Status::Serving,
+        load: 0.0,
+    });
+    engine
+}
+
+/// The member with an index, which is also the port of its address.
+pub fn member(index: usize, service: &str) -> Member {
+    Member {
+        vm: format!("vm{index:02}").into(),
+        incarnation: 1,
+        region: "lahore".into(),
+        domain: "bazaar".into(),
+        service: Some(service.into()),
+        address: ([127, 0, 0, 1], index as u16).into(),
+        slots: if service == "narrow" { 1 } else { 64 },
+        status: Status::Serving,
+    }
+}
+
+fn board(me: &Member, members: &[Member]) -> Board {
+    let mut roster = Roster::default();
+    let mut config = Configuration::default();
+    for member in members {
+        roster.merge(member.clone());
+        let service = member.service.clone().unwrap_or_default();
+        for (prefix, idempotent) in [("/", true), ("/book", false)] {
+            let name = format!("{service}{prefix}");
+            config
+                .routes
+                .insert(name.into(), route(&service, prefix, idempotent));
+        }
+    }
+    let now = Instant::now();
+    let lease = now + Duration::from_secs(3_600);
+    let mut tenure = Tenure::open(me.vm.clone(), LEASE);
+    // All that an engine needs to answer for request ids from long ago on.
+    let long_ago = now - Duration::from_secs(600);
+    tenure.observe(1, members, lease, long_ago);
+    Arc::new(ArcSwap::from_pointee(Snapshot {
+        config: Arc::new(config),
+        roster: Arc::new(roster),
+        tenure: Arc::new(tenure),
+        me: me.clone(),
+        lease: Some(lease),
+    }))
+}
+
+fn route(service: &ServiceId, prefix: &str, idempotent: bool) -> Route {
+    Route {
+        service: service.clone(),
+        method: None,
+        prefix: prefix.into(),
+        criticality: Criticality::Critical,
+        idempotent,
+        open: true,
+    }
+}
+
+/// What a request to a service says, with a request id on the route that isn't idempotent.
+pub fn particulars(service: ServiceId, id: Option<&str>) -> Particulars {
+    Particulars {
+        service,
+        path: if id.is_some() { "/book" } else { "/" }.into(),
+        request: id.map(Text::from),
+        tried: None,
+        criticality: None,
+        patience: None,
+    }
+}
+
+/// A caller's request without a key.
+pub fn request(service: &str, id: Option<&str>) -> EntryRequest {
+    EntryRequest {
+        key: None,
+        particulars: particulars(service.into(), id),
+        method: "POST".into(),
+        headers: Vec::new(),
+        body: "deposit".into(),
+    }
+}
+
+/// A call as it comes from another node.
+pub fn call(service: &str, id: Option<&str>) -> Call {
+    let tried = SystemTime::now();
+    Call {
+        id: 1,
+        organisation: None,
+        key: None,
+        request: id.map(Text::from),
+        service: service.into(),
+        criticality: Criticality::Normal,
+        idempotent: id.is_none(),
+        once: id.map(|_| Once {
+            tried,
+            admitted: false,
+        }),
+        rank: 0,
+        deadline: Instant::now() + Duration::from_secs(5),
+        retries: 3,
+        depth: 0,
+        method: "POST".into(),
+        path: "/".into(),
+        headers: Vec::new(),
+        body: "deposit".into(),
+    }
+}
+
+/// A script without faults.
+pub fn smooth() -> Script {
+    Box::new(|_| Fault::None)
+}
+
+pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/node/tests/engine/keys.rs
@@ -0,0 +1,101 @@
+//! Keys that are withdrawn, and call tokens.
+
+use std::sync::Arc;
+
+use filbertwheel_backend::{Neighbour as _, NestedRequest};
+use filbertwheel_core::{Call, Failure, Key, RefusalKind, Verdict, hash_key};
+use filbertwheel_peer::CallSink as _;
+
+use crate::fleet::{Fleet, call, lock, particulars, request, smooth};
+
+/// A fleet of one node with one slot, which knows a key.
+fn narrow() -> Fleet {
+    let fleet = Fleet::open(&[("narrow", None)], smooth(), smooth());
+    fleet.change(0, |snapshot| {
+        let key = Key {
+            organisation: "wardoffice".into(),
+        };
+        let config = Arc::make_mut(&mut snapshot.config);
+        config.keys.insert(hash_key(b"a-key"), key);
+    });
+    fleet
+}
+
+fn keyed() -> Call {
+    Call {
+        organisation: Some("wardoffice".into()),
+        key: Some(hash_key(b"a-key")),
+        ..call("narrow", None)
+    }
+}
+
+/// Lets one call run and one wait, does something, then lets the first one end.
+fn with_one_waiting(fleet: &Fleet, first: Call, meanwhile: impl FnOnce()) -> Vec<Verdict> {
+    let (gate, closed) = async_channel::bounded(1);
+    *lock(&fleet.fakes.gate) = Some(closed);
+    let run = |call: Call| {
+        let engine = Arc::clone(&fleet.engines[0]);
+        fleet.executor.spawn(async move { engine.run(call).await })
+    };
+    let tasks = [run(first), run(keyed())];
+    smol::block_on(fleet.executor.run(async {
+        while fleet.engines[0].in_flight() < 2 {
+            smol::future::yield_now().await;
+        }
+        meanwhile();
+        gate.close();
+        let mut verdicts = Vec::new();
+        for task in tasks {
+            verdicts.push(task.await);
+        }
+        verdicts
+    }))
+}
+
+#[test]
+fn a_queued_call_of_a_withdrawn_key_does_not_run() {
+    let fleet = narrow();
+    let verdicts = with_one_waiting(&fleet, keyed(), || {
+        fleet.change(0, |snapshot| {
+            Arc::make_mut(&mut snapshot.config).keys.clear();
+        });
+    });
+    assert!(verdicts[0].is_ok(), "{verdicts:?}");
+    let refused = |verdict: &Verdict| matches!(verdict, Err(Failure::Refused(refusal)) if refusal.kind == RefusalKind::BadKey);
+    assert!(refused(&verdicts[1]), "{verdicts:?}");
+    assert_eq!(fleet.fakes.total(), 1);
+}
+
+#[test]
+fn a_queued_call_runs_while_its_key_stands() {
+    let fleet = narrow();
+    let verdicts = with_one_waiting(&fleet, keyed(), || {});
+    assert!(verdicts.iter().all(Verdict::is_ok), "{verdicts:?}");
+    assert_eq!(fleet.fakes.total(), 2);
+}
+
+#[test]
+fn a_call_with_a_key_that_is_newer_than_the_configuration_runs() {
+    let fleet = Fleet::open(&[("narrow", None)], smooth(), smooth());
+    let engine = Arc::clone(&fleet.engines[0]);
+    let verdict = smol::block_on(fleet.executor.run(async move { engine.run(keyed()).await }));
+    assert!(verdict.is_ok(), "{verdict:?}");
+}
+
+#[test]
+fn a_token_is_valid_only_while_its_call_runs() {
+    let fleet = Fleet::open(&[("desk", None)], smooth(), smooth());
+    assert!(fleet.enter(0, request("desk", None)).is_ok());
+    let token = lock(&fleet.fakes.tokens)[0].clone();
+    let nested = NestedRequest {
+        token,
+        particulars: particulars("desk".into(), None),
+        method: "GET".into(),
+        headers: Vec::new(),
+        body: Default::default(),
+    };
+    let engine = Arc::clone(&fleet.engines[0]);
+    let verdict = smol::block_on(fleet.executor.run(async move { engine.nest(nested).await }));
+    assert_eq!(verdict, Err(RefusalKind::BadToken.into()));
+    assert_eq!(fleet.fakes.total(), 1);
+}
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -6,8 +6,8 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use filbertwheel_core::{
-    Answer, Call, CallId, Criticality, Doubt, Failure, Header, Method, OrganisationId, Refusal,
-    RefusalKind, RequestId, ServiceId, Text, Verdict, message,
+    Answer, Call, CallId, Criticality, Doubt, Failure, Header, KeyHash, Method, Once,
+    OrganisationId, Refusal, RefusalKind, RequestId, ServiceId, Text, Verdict, message,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -20,10 +20,12 @@
 pub(crate) struct CallHead {
     id: CallId,
     organisation: Option<OrganisationId>,
+    key: Option<KeyHash>,
     request: Option<RequestId>,
     service: ServiceId,
     criticality: Criticality,
     idempotent: bool,
+    once: Option<Once>,
     rank: u32,
     time_left_us: u64,
     retries: u32,
@@ -61,10 +63,12 @@
     let head = CallHead {
         id: call.id,
         organisation: call.organisation.clone(),
+        key: call.key.clone(),
         request: call.request.clone(),
         service: call.service.clone(),
         criticality: call.criticality,
         idempotent: call.idempotent,
+        once: call.once,
         rank: call.rank,
         time_left_us: call.time_left(now).as_micros() as u64,
         retries: call.retries,
@@ -81,10 +85,12 @@
     Some(Call {
         id: head.id,
         organisation: head.organisation,
+        key: head.key,
         request: head.request,
         service: head.service,
         criticality: head.criticality,
         idempotent: head.idempotent,
+        once: head.once,
         rank: head.rank,
         deadline: now.checked_add(Duration::from_micros(head.time_left_us))?,
         retries: head.retries,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,19 +7,25 @@
 mod gate;
 mod lease;
 mod ledger;
+mod memory;
+mod owner;
 mod purse;
 mod retry;
 mod roster;
 mod routing;
+mod tenure;
 
 pub use bucket::Bucket;
 pub use gate::{Entry, Gate, Offer, Release, Ticket};
 pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch};
 pub use ledger::{Ledger, LedgerError, SHARE_LIFETIME};
+pub use memory::{Admission, CLOCK_ERROR, Memory, REPEAT_WINDOW};
+pub use owner::{RequestKey, owner};
 pub use purse::{Purse, Short};
 pub use retry::{RETRIES_PER_CALL, RetryRatio};
 pub use roster::Roster;
 pub use routing::{Candidate, choose};
+pub use tenure::Tenure;
 
 /// A whole rate and burst, in the portions that shares are counted in.
 pub const WHOLE: u64 = 1_000_000_000;
