Keep the bytes between messages out of the codec

Cause: the codec's read-ahead buffer was dropped with each message. Pipelined requests were lost, bytes after an answer vanished unseen and the connection was used again, and an answer of an unknown encoding came out empty and whole. The codec also made up dates (with a line break in them) and content types, and started a thread pool for `Expect: 100-continue`.

Ruled out: counting bytes in a wrapper around the stream (the length of the head isn't known there); refusing `Expect` with 417 (costs each upload by curl a second try).

Change: `Wire` reads heads and bodies of a known length itself; the codec sees a head, and for chunks the rest of the connection, which then ends. What the codec makes up is left out. TCP_NODELAY is set where a `Wire` is opened.

Conclusion: whole messages only, on both sides. TCP_NODELAY is asserted on `Wire`, through which both sides open their streams.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -11,17 +11,22 @@
 use derive_more::{Display, Error};
 use filbertwheel_core::{Clock, token};
 use futures_lite::future::poll_once;
-use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
+use futures_lite::{AsyncReadExt as _, FutureExt as _};
 use http_types::Url;
-use http_types::headers::CONTENT_LENGTH;
+use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use smol::net::TcpStream;
 
-use crate::message::{headers_from, is_framing, read_body, single_length};
+use crate::message::{Framing, framing, headers_from, is_framing, read_chunks};
+use crate::server::asks_close;
+use crate::wire::{Wire, has_line, made_up};
 use crate::{Fault, Limits, Request, Response};
 
 /// Connections that are kept open to one address.
 const IDLE_CONNECTIONS: usize = 256;
 
+/// Start of a head that says that the request is being worked on.
+const PROCESSING: &[u8] = b"HTTP/1.1 102 ";
+
 /// Why a request has no whole response.
 #[token]
 #[derive(Display, Error)]
@@ -61,7 +66,7 @@
 
 #[derive(Debug)]
 struct Idle {
-    stream: TcpStream,
+    wire: Wire,
     since: Instant,
 }
 
@@ -89,15 +94,15 @@
         deadline: Instant,
     ) -> Result<Response, SendError> {
         let (encoded, method) = self.encode(request).await?;
-        let stream = self.connection(deadline).await?;
-        let received = self.send_and_receive(&stream, &encoded, method);
+        let (mut wire, _used) = self.connection(deadline).await?;
+        let received = self.send_and_receive(&mut wire, &encoded, method);
         let late = async {
             self.sleep_until(deadline).await;
             Err(SendError::Late)
         };
         let (response, keep) = received.or(late).await?;
-        if keep {
-            self.put_back(stream);
+        if keep && !wire.has_unused() {
+            self.put_back(wire);
         }
         Ok(response)
     }
@@ -140,16 +145,16 @@
         Ok((bytes, method))
     }
 
-    async fn connection(&self, deadline: Instant) -> Result<TcpStream, SendError> {
-        while let Some(stream) = self.take_idle() {
-            if is_quiet(&stream).await {
-                return Ok(stream);
+    /// An open connection, and whether it was used before.
+    async fn connection(&self, deadline: Instant) -> Result<(Wire, bool), SendError> {
+        while let Some(wire) = self.take_idle() {
+            if is_quiet(wire.stream()).await {
+                return Ok((wire, true));
             }
         }
         let opened = async {
             let stream = TcpStream::connect(self.address).await?;
-            stream.set_nodelay(true)?;
-            Ok(stream)
+            Wire::open(stream)
         };
         let late = async {
             let now = self.clock.now();
@@ -160,63 +165,83 @@
             self.clock.sleep(wait).await;
             Err(io::Error::from(io::ErrorKind::TimedOut))
         };
-        opened.or(late).await.map_err(|_| SendError::NotSent)
+        let wire = opened.or(late).await.map_err(|_| SendError::NotSent)?;
+        Ok((wire, false))
     }
 
+    /// Sends a request and reads the whole response. Returns whether the connection can be used
+    /// again.
     async fn send_and_receive(
         &self,
-        stream: &TcpStream,
+        wire: &mut Wire,
         encoded: &[u8],
         method: http_types::Method,
     ) -> Result<(Response, bool), SendError> {
-        let mut writer = stream.clone();
-        let write = writer.write_all(encoded).await;
+        let written = wire.write(encoded).await.is_ok();
         // The other end may have answered and closed before it read the whole request.
-        let response = match (decode(stream.clone()).await, write) {
-            (Ok(response), _) => response,
-            (Err(error), Ok(())) if is_broken(&error) => return Err(SendError::Broken),
+        let head = match self.final_head(wire).await {
+            Ok(Some(head)) => head,
+            Err(_) if written => return Err(SendError::Broken),
             _ => return Err(SendError::Lost),
         };
-        self.check(response, method)
-            .await
-            .map_err(|_| SendError::Broken)
+        let received = self.receive(wire, head, method).await;
+        let (response, keep) = received.map_err(|_| SendError::Broken)?;
+        Ok((response, keep && written))
+    }
+
+    /// The first head that isn't an interim one of our own processes.
+    async fn final_head(&self, wire: &mut Wire) -> Result<Option<Vec<u8>>, Fault> {
+        loop {
+            let head = wire.head().await?;
+            let interim = head
+                .as_ref()
+                .is_some_and(|head| head.starts_with(PROCESSING));
+            if !interim || self.limits.pulse.is_none() {
+                return Ok(head);
+            }
+        }
     }
 
-    async fn check(
+    async fn receive(
         &self,
-        mut response: http_types::Response,
+        wire: &mut Wire,
+        head: Vec<u8>,
         method: http_types::Method,
     ) -> Result<(Response, bool), Fault> {
+        let chunked = has_line(&head, b"transfer-encoding:");
+        let made_up = made_up(&head);
+        let decoded = decode(wire.feed(head, chunked)).await;
+        let mut response = decoded.map_err(|_| Fault::Malformed)?;
         let status = u16::from(response.status());
         if status < 200 {
             return Err(Fault::Malformed);
         }
-        let length = single_length(response.header(CONTENT_LENGTH))?;
+        let framing = framing(
+            response.header(CONTENT_LENGTH),
+            response.header(TRANSFER_ENCODING),
+        )?;
         let bodiless = method == http_types::Method::Head || status == 204 || status == 304;
-        let chunked = response.header("transfer-encoding").is_some();
-        if !bodiless && length.is_none() && !chunked {
-            return Err(Fault::Ambiguous);
-        }
-        let body = if bodiless {
-            bytes::Bytes::new()
-        } else {
-            read_body(response.take_body(), length, self.limits.body).await?
+        let body = match framing {
+            _ if bodiless => bytes::Bytes::new(),
+            Framing::Length(None) => return Err(Fault::Ambiguous),
+            Framing::Length(Some(length)) if length > self.limits.body => {
+                return Err(Fault::BodyTooLarge);
+            }
+            Framing::Length(Some(length)) => wire.body(length).await?,
+            Framing::Chunks => read_chunks(response.take_body(), self.limits.body).await?,
+        };
+        let keep = !chunked && !asks_close(response.header("connection"));
+        let mut headers = headers_from(response.iter());
+        headers.retain(|header| {
+            let name = header.name.as_bytes();
+            !is_framing(name) && !made_up.contains(&name)
+        });
+        let response = Response {
+            status,
+            headers,
+            body,
         };
-        let keep = response
-            .header("connection")
-            .is_none_or(|value| value.as_str() != "close");
-        let headers = headers_from(response.iter())
-            .into_iter()
-            .filter(|header| !is_framing(header.name.as_bytes()))
-            .collect();
-        Ok((
-            Response {
-                status,
-                headers,
-                body,
-            },
-            keep,
-        ))
+        Ok((response, keep))
     }
 
     async fn sleep_until(&self, deadline: Instant) {
@@ -225,19 +250,19 @@
             .await;
     }
 
-    fn take_idle(&self) -> Option<TcpStream> {
+    fn take_idle(&self) -> Option<Wire> {
         let now = self.clock.now();
         let mut idle = self.lock();
         // Half of the server's own bound, so that both ends never close at the same moment.
         idle.retain(|entry| now.saturating_duration_since(entry.since) < self.limits.idle / 2);
-        idle.pop().map(|entry| entry.stream)
+        idle.pop().map(|entry| entry.wire)
     }
 
-    fn put_back(&self, stream: TcpStream) {
+    fn put_back(&self, wire: Wire) {
         let since = self.clock.now();
         let mut idle = self.lock();
         if idle.len() < IDLE_CONNECTIONS {
-            idle.push(Idle { stream, since });
+            idle.push(Idle { wire, since });
         }
     }
 
@@ -251,9 +276,3 @@
     let mut byte = [0];
     poll_once(stream.peek(&mut byte)).await.is_none()
 }
-
-/// Whether the other end answered, but not with valid HTTP.
-fn is_broken(error: &http_types::Error) -> bool {
-    let closed = ["connection closed", "empty response"].contains(&error.to_string().as_str());
-    !closed && error.downcast_ref::<io::Error>().is_none()
-}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,6 +11,7 @@
 mod server;
 mod stop;
 mod verdict;
+mod wire;
 
 pub use client::{Pool, SendError};
 pub use limits::Limits;
@@ -19,3 +20,4 @@
 pub use server::{Handler, Listener, LocalFuture};
 pub use stop::{Stop, Stopper};
 pub use verdict::{refusal_of, respond};
+pub use wire::Wire;
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -13,6 +13,9 @@
     pub arrival: Duration,
     /// How long a connection may take to open.
     pub connect: Duration,
+    /// How often a server says that it's still at work on a request, and a client expects to hear
+    /// of it. `None` where the other end isn't a process of ours.
+    pub pulse: Option<Duration>,
     /// How long a stopping server goes on answering on open connections.
     pub linger: Duration,
 }
@@ -24,6 +27,7 @@
             idle: Duration::from_secs(60),
             arrival: Duration::from_secs(10),
             connect: Duration::from_secs(1),
+            pulse: None,
             linger: Duration::from_millis(500),
         }
     }
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -141,7 +141,7 @@
 }
 
 /// The one length that a message gives, if it gives any.
-pub(crate) fn single_length(lengths: Option<&HeaderValues>) -> Result<Option<usize>, Fault> {
+fn single_length(lengths: Option<&HeaderValues>) -> Result<Option<usize>, Fault> {
     let Some(lengths) = lengths else {
         return Ok(None);
     };
@@ -160,16 +160,37 @@
     Ok(found)
 }
 
-/// Reads a body to its end and compares it with the length that was announced.
-pub(crate) async fn read_body(
-    body: http_types::Body,
-    length: Option<usize>,
-    limit: usize,
-) -> Result<Bytes, Fault> {
-    if length.is_some_and(|length| length > limit) {
-        return Err(Fault::BodyTooLarge);
+/// How the length of a body is given.
+#[token]
+pub(crate) enum Framing {
+    /// By a number of bytes, or not at all.
+    Length(Option<usize>),
+    /// By chunks.
+    Chunks,
+}
+
+/// The one framing that a message gives.
+pub(crate) fn framing(
+    lengths: Option<&HeaderValues>,
+    encodings: Option<&HeaderValues>,
+) -> Result<Framing, Fault> {
+    let length = single_length(lengths)?;
+    let Some(encodings) = encodings else {
+        return Ok(Framing::Length(length));
+    };
+    let mut encodings = encodings.iter();
+    let chunked = encodings
+        .next()
+        .is_some_and(|value| value.as_str() == "chunked");
+    if length.is_some() || !chunked || encodings.next().is_some() {
+        return Err(Fault::Ambiguous);
     }
-    let mut bytes = Vec::with_capacity(length.unwrap_or_default());
+    Ok(Framing::Chunks)
+}
+
+/// Reads a body of chunks to its end.
+pub(crate) async fn read_chunks(body: http_types::Body, limit: usize) -> Result<Bytes, Fault> {
+    let mut bytes = Vec::new();
     let mut bounded = body.take(limit as u64 + 1);
     bounded
         .read_to_end(&mut bytes)
@@ -178,9 +199,6 @@
     if bytes.len() > limit {
         return Err(Fault::BodyTooLarge);
     }
-    if length.is_some_and(|length| length != bytes.len()) {
-        return Err(Fault::Cut);
-    }
     Ok(bytes.into())
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -9,13 +9,14 @@
 
 use async_h1::server::Encoder;
 use filbertwheel_core::{Clock, Text};
-use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
+use futures_lite::{AsyncReadExt as _, FutureExt as _};
 use http_types::StatusCode;
-use http_types::headers::CONTENT_LENGTH;
+use http_types::headers::{CONTENT_LENGTH, HeaderValues, TRANSFER_ENCODING};
 use smol::LocalExecutor;
 use smol::net::{TcpListener, TcpStream};
 
-use crate::message::{headers_from, is_framing, read_body, single_length};
+use crate::message::{Framing, framing, headers_from, is_framing, read_chunks};
+use crate::wire::{Wire, has_line, made_up, without_line};
 use crate::{Fault, Limits, Request, Response, Stop};
 
 /// A future that stays on its traffic thread.
@@ -71,8 +72,11 @@
     pub async fn run(self, executor: Rc<LocalExecutor<'static>>, handler: Arc<dyn Handler>) {
         let mut tasks = Vec::new();
         while let Some(stream) = self.accept().await {
+            let Ok(wire) = Wire::open(stream) else {
+                continue;
+            };
             let connection = Connection {
-                stream,
+                wire,
                 limits: self.limits,
                 clock: Arc::clone(&self.clock),
                 stop: self.stop.clone(),
@@ -109,7 +113,7 @@
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
 struct Connection {
-    stream: TcpStream,
+    wire: Wire,
     limits: Limits,
     clock: Arc<dyn Clock>,
     stop: Stop,
@@ -118,11 +122,7 @@
 
 impl Connection {
     /// Serves requests until either end closes the connection.
-    async fn serve(self) {
-        // Nagle's algorithm together with delayed acknowledgements costs tens of milliseconds.
-        if self.stream.set_nodelay(true).is_err() {
-            return;
-        }
+    async fn serve(mut self) {
         while self.has_next().await {
             if !self.serve_one().await {
                 return;
@@ -131,9 +131,11 @@
     }
 
     /// Waits for the first byte of the next request.
-    async fn has_next(&self) -> bool {
-        let mut byte = [0];
-        let arrived = async { matches!(self.stream.peek(&mut byte).await, Ok(1)) };
+    async fn has_next(&mut self) -> bool {
+        if self.wire.has_unused() {
+            return true;
+        }
+        let arrived = async { matches!(self.wire.fill().await, Ok(true)) };
         let idle = async {
             self.clock.sleep(self.limits.idle).await;
             false
@@ -147,9 +149,10 @@
     }
 
     /// Serves one request. Returns whether the connection can be used again.
-    async fn serve_one(&self) -> bool {
-        let arrival = async {
-            self.clock.sleep(self.limits.arrival).await;
+    async fn serve_one(&mut self) -> bool {
+        let (clock, limit) = (Arc::clone(&self.clock), self.limits.arrival);
+        let arrival = async move {
+            clock.sleep(limit).await;
             Err(Fault::Cut)
         };
         match self.receive().or(arrival).await {
@@ -162,35 +165,47 @@
         }
     }
 
-    async fn receive(&self) -> Result<Option<(Request, bool)>, Fault> {
-        let decoded = async_h1::server::decode(self.stream.clone()).await;
-        let Some((mut request, _rest)) = decoded.map_err(|error| fault_of(&error))? else {
+    async fn receive(&mut self) -> Result<Option<(Request, bool)>, Fault> {
+        let Some(head) = self.wire.head().await? else {
             return Ok(None);
         };
-        let length = single_length(request.header(CONTENT_LENGTH))?;
-        let keep = request
-            .header("connection")
-            .is_none_or(|value| value.as_str() != "close");
-        let body = read_body(request.take_body(), length, self.limits.body).await?;
-        let headers = headers_from(request.iter());
-        let method = request.method().to_string();
-        let path = match request.url().query() {
-            Some(query) => format!("{}?{query}", request.url().path()),
-            None => request.url().path().to_owned(),
+        // The codec would answer on a thread pool of its own.
+        let expects = has_line(&head, EXPECT);
+        let head = if expects {
+            without_line(&head, EXPECT)
+        } else {
+            head
         };
-        let request = Request {
-            method: method.into(),
-            path: path.into(),
-            headers,
-            body,
+        let chunked = has_line(&head, TRANSFER);
+        let made_up = made_up(&head);
+        let feed = self.wire.feed(head, chunked);
+        let decoded = async_h1::server::decode(feed).await;
+        let decoded = decoded.map_err(|error| fault_of(&error))?;
+        let (mut request, _rest) = decoded.ok_or(Fault::Malformed)?;
+        let framing = framing(
+            request.header(CONTENT_LENGTH),
+            request.header(TRANSFER_ENCODING),
+        )?;
+        let body = match framing {
+            Framing::Length(Some(length)) if length > self.limits.body => {
+                return Err(Fault::BodyTooLarge);
+            }
+            _ if expects && self.wire.write(CONTINUE).await.is_err() => return Ok(None),
+            Framing::Length(length) => self.wire.body(length.unwrap_or(0)).await?,
+            Framing::Chunks => read_chunks(request.take_body(), self.limits.body).await?,
         };
+        let keep = !chunked && !asks_close(request.header("connection"));
+        let mut request = request_from(&request, body);
+        request
+            .headers
+            .retain(|header| !made_up.contains(&header.name.as_bytes()));
         Ok(Some((request, keep)))
     }
 
     async fn answer(&self, request: Request, keep: bool) -> bool {
         let method = method_of(&request.method);
         let answered = async { Some(self.handler.handle(request).await) };
-        let Some(response) = answered.or(self.hung_up()).await else {
+        let Some(response) = answered.or(self.hung_up()).or(self.pulses()).await else {
             return false;
         };
         self.send(response, method, keep && !self.stop.is_given())
@@ -200,12 +215,23 @@
     /// Completes once the other end has closed the connection.
     async fn hung_up(&self) -> Option<Response> {
         let mut byte = [0];
-        match self.stream.peek(&mut byte).await {
+        match self.wire.stream().peek(&mut byte).await {
             Ok(0) | Err(_) => None,
             Ok(_) => std::future::pending().await,
         }
     }
 
+    /// Says again and again that the request is being worked on. Completes when that fails.
+    async fn pulses(&self) -> Option<Response> {
+        let Some(pulse) = self.limits.pulse else {
+            return std::future::pending().await;
+        };
+        loop {
+            self.clock.sleep(pulse).await;
+            self.wire.write(PROCESSING).await.ok()?;
+        }
+    }
+
     /// Sends head and body in one write. Returns whether the connection can be used again.
     async fn send(&self, response: Response, method: http_types::Method, keep: bool) -> bool {
         let mut encoded = Vec::with_capacity(256 + response.body.len());
@@ -213,8 +239,7 @@
         if encoder.read_to_end(&mut encoded).await.is_err() {
             return false;
         }
-        let mut stream = self.stream.clone();
-        let sent = async { stream.write_all(&encoded).await.is_ok() };
+        let sent = async { self.wire.write(&encoded).await.is_ok() };
         let late = async {
             self.clock.sleep(self.limits.arrival).await;
             false
@@ -223,6 +248,28 @@
     }
 }
 
+fn request_from(request: &http_types::Request, body: bytes::Bytes) -> Request {
+    let path = match request.url().query() {
+        Some(query) => format!("{}?{query}", request.url().path()),
+        None => request.url().path().to_owned(),
+    };
+    Request {
+        method: request.method().to_string().into(),
+        path: path.into(),
+        headers: headers_from(request.iter()),
+        body,
+    }
+}
+
+/// Whether a message says that its connection ends with it.
+pub(crate) fn asks_close(connection: Option<&HeaderValues>) -> bool {
+    let mut values = connection.into_iter().flat_map(|values| values.iter());
+    values.any(|value| {
+        let mut options = value.as_str().split(',');
+        options.any(|option| option.trim().eq_ignore_ascii_case("close"))
+    })
+}
+
 fn encode(response: Response, keep: bool) -> http_types::Response {
     let status = StatusCode::try_from(response.status).unwrap_or(StatusCode::BadGateway);
     let mut encoded = http_types::Response::new(status);
@@ -236,6 +283,9 @@
         let (Some(name), Some(value)) = (header.name.as_str(), header.value.as_str()) else {
             continue;
         };
+        if value.bytes().any(|byte| byte == b'\r' || byte == b'\n') {
+            continue;
+        }
         encoded.append_header(name, value);
     }
     if !keep {
@@ -261,6 +311,14 @@
     }
 }
 
+/// Name of the line that asks for an interim response.
+const EXPECT: &[u8] = b"expect:";
+/// Name of the line that announces chunks.
+const TRANSFER: &[u8] = b"transfer-encoding:";
+/// Asks for the body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Says that the request is being worked on.
+const PROCESSING: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
 /// Start of the codec's message about a head over its limit.
 const HEAD_LENGTH_ERROR: &str = "Head byte length";
 
--- /dev/null
+++ b/crates/http/tests/raw.rs
@@ -0,0 +1,286 @@
+//! Raw bytes on loopback against both sides of the HTTP plumbing.
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{Clock, SystemClock};
+use filbertwheel_http::{
+    Handler, Limits, Listener, LocalFuture, Pool, Request, Response, SendError, Stopper, Wire,
+};
+use smol::LocalExecutor;
+
+const BODY_LIMIT: usize = 1_000;
+const PATIENCE: Duration = Duration::from_secs(5);
+
+fn limits() -> Limits {
+    Limits {
+        body: BODY_LIMIT,
+        arrival: Duration::from_millis(300),
+        linger: Duration::ZERO,
+        ..Limits::default()
+    }
+}
+
+fn clock() -> Arc<dyn Clock> {
+    Arc::new(SystemClock)
+}
+
+/// A server that takes as many connections as it's given scripts. On each it answers every
+/// request with the next bytes of its script, then closes.
+fn server(scripts: Vec<Vec<&'static [u8]>>) -> (SocketAddr, JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it's bound");
+    let thread = std::thread::spawn(move || {
+        let mut requests = 0;
+        for script in scripts {
+            let (mut stream, _) = listener.accept().expect("a client connects");
+            let mut bytes = [0; 4_096];
+            for answer in script {
+                if !matches!(stream.read(&mut bytes), Ok(1..)) {
+                    break;
+                }
+                requests += 1;
+                stream.write_all(answer).expect("the client reads");
+            }
+        }
+        requests
+    });
+    (address, thread)
+}
+
+fn get(pool: &Pool) -> Result<Response, SendError> {
+    smol::block_on(pool.exchange(Request::get("/"), Instant::now() + PATIENCE))
+}
+
+/// The outcome of one exchange with a server that answers with these bytes and closes.
+fn outcome(answer: &'static [u8]) -> Result<Response, SendError> {
+    let (address, thread) = server(vec![vec![answer]]);
+    let outcome = get(&Pool::open(address, limits(), clock()));
+    thread.join().expect("the server ends");
+    outcome
+}
+
+const ODD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nodd";
+const WHOLE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+
+#[test]
+fn a_whole_answer_arrives() {
+    let response = outcome(WHOLE).expect("it's whole");
+    assert_eq!((response.status, &response.body[..]), (200, &b"one"[..]));
+    assert_eq!(response.headers, vec![]);
+    let chunked =
+        outcome(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n");
+    assert_eq!(chunked.map(|response| response.body), Ok("one".into()));
+}
+
+#[test]
+fn answers_that_are_not_whole_are_broken() {
+    let answers: [&[u8]; 11] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\none",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 1\r\n\r\none",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3, 1\r\n\r\none",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\none",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\none",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\non",
+        b"HTTP/1.1 200 OK\r\n\r\none",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"it's broken glass\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n",
+    ];
+    for answer in answers {
+        let text = String::from_utf8_lossy(answer);
+        assert_eq!(outcome(answer), Err(SendError::Broken), "{text}");
+    }
+}
+
+#[test]
+fn a_close_without_an_answer_is_a_loss() {
+    assert_eq!(outcome(b""), Err(SendError::Lost));
+}
+
+#[test]
+fn an_unreachable_server_was_sent_nothing() {
+    let (address, thread) = server(vec![]);
+    thread.join().expect("the server ends");
+    let outcome = get(&Pool::open(address, limits(), clock()));
+    assert_eq!(outcome, Err(SendError::NotSent));
+}
+
+#[test]
+fn extra_bytes_after_an_answer_reach_nobody() {
+    let twice: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none\
+        HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nodd";
+    let (address, thread) = server(vec![vec![twice, ODD], vec![WHOLE]]);
+    let pool = Pool::open(address, limits(), clock());
+    for _ in 0..2 {
+        assert_eq!(get(&pool).map(|response| response.body), Ok("one".into()));
+    }
+    assert_eq!(thread.join().expect("the server ends"), 2);
+}
+
+#[test]
+fn a_late_answer_reaches_nobody() {
+    let (address, thread) = server(vec![vec![b"", WHOLE], vec![WHOLE]]);
+    let pool = Pool::open(address, limits(), clock());
+    let soon = Instant::now() + Duration::from_millis(50);
+    let late = smol::block_on(pool.exchange(Request::get("/"), soon));
+    assert_eq!(late, Err(SendError::Late));
+    assert_eq!(get(&pool).map(|response| response.body), Ok("one".into()));
+    assert_eq!(thread.join().expect("the server ends"), 2);
+}
+
+#[test]
+fn a_connection_that_was_closed_while_idle_is_replaced() {
+    let (address, thread) = server(vec![vec![WHOLE], vec![WHOLE]]);
+    let pool = Pool::open(address, limits(), clock());
+    assert!(get(&pool).is_ok());
+    // The server closes the first connection, then waits for the second.
+    std::thread::sleep(Duration::from_millis(50));
+    assert!(get(&pool).is_ok());
+    assert_eq!(thread.join().expect("the server ends"), 2);
+}
+
+#[test]
+fn a_connection_is_used_again_after_a_whole_answer() {
+    let (address, thread) = server(vec![vec![WHOLE, WHOLE, WHOLE]]);
+    let pool = Pool::open(address, limits(), clock());
+    for _ in 0..3 {
+        assert!(get(&pool).is_ok());
+    }
+    assert_eq!(thread.join().expect("the server ends"), 3);
+}
+
+/// Answers with what it was asked, and counts.
+#[derive(Debug, Default)]
+struct Echo {
+    paths: Mutex<Vec<String>>,
+}
+
+impl Handler for Echo {
+    fn handle(&self, request: Request) -> LocalFuture<'_, Response> {
+        Box::pin(async move {
+            let path = request.path.to_string();
+            self.paths.lock().expect("not poisoned").push(path);
+            Response::new(200, request.body)
+        })
+    }
+}
+
+/// Sends raw bytes to a server of ours. Returns what came back until it closed, or until the
+/// client's half-closed connection was done with, and the paths that were handled.
+fn sent(bytes: &[u8]) -> (String, Vec<String>) {
+    let (ports, port) = std::sync::mpsc::channel();
+    let (stopper, stop) = Stopper::open();
+    let echo = Arc::new(Echo::default());
+    let handler = Arc::clone(&echo) as Arc<dyn Handler>;
+    let serving = std::thread::spawn(move || {
+        let executor = Rc::new(LocalExecutor::new());
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        smol::block_on(executor.run(async {
+            let listener = Listener::bind(address, limits(), clock(), stop).await;
+            let listener = listener.expect("a port is free");
+            ports.send(listener.address()).expect("the test waits");
+            listener.run(Rc::clone(&executor), handler).await;
+        }));
+    });
+    let address = port.recv().expect("the server starts");
+    let mut stream = TcpStream::connect(address).expect("the server listens");
+    stream.write_all(bytes).expect("the server reads");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(1)))
+        .expect("a timeout can be set");
+    let mut answer = Vec::new();
+    // A connection that stays open for the next request ends in the timeout.
+    let _timeout = stream.read_to_end(&mut answer);
+    drop(stream);
+    stopper.close();
+    serving.join().expect("the server ends");
+    let paths = echo.paths.lock().expect("not poisoned").clone();
+    (String::from_utf8_lossy(&answer).into_owned(), paths)
+}
+
+#[test]
+fn requests_that_are_not_whole_are_refused_and_never_handled() {
+    let long = format!("GET /{} HTTP/1.1\r\nHost: a\r\n\r\n", "x".repeat(9_000));
+    let requests: [(&[u8], &str); 11] = [
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\none", "400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 1\r\n\r\none", "400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\none", "400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\none", "400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -3\r\n\r\none", "400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n", "413"),
+        (b"it's broken glass\r\n\r\n", "400"),
+        (b"GET / HTTP/1.0\r\nHost: a\r\n\r\n", "400"),
+        (b"GET / HTTP/1.1\r\n\r\n", "400"),
+        (long.as_bytes(), "431"),
+    ];
+    for (request, status) in requests {
+        let text = String::from_utf8_lossy(request);
+        let (answer, paths) = sent(request);
+        let expected = format!("HTTP/1.1 {status} ");
+        assert!(answer.starts_with(&expected), "{text} got {answer}");
+        assert_eq!(
+            answer.matches("HTTP/1.1 4").count(),
+            1,
+            "{text} got {answer}"
+        );
+        assert!(paths.is_empty(), "{text} was handled");
+    }
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    let (answer, paths) = sent(
+        b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none\
+        POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\ntwo",
+    );
+    assert_eq!(paths, ["/a", "/b"]);
+    let one = answer.find("one").expect("the first is answered");
+    let two = answer.find("two").expect("the second is answered");
+    assert!(one < two, "{answer}");
+}
+
+#[test]
+fn a_body_that_waits_for_leave_is_asked_for_without_a_thread_pool() {
+    let (answer, paths) = sent(
+        b"POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\none",
+    );
+    assert!(
+        answer.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"),
+        "{answer}"
+    );
+    assert_eq!(paths, ["/a"]);
+    assert_eq!(global_threads(), 0);
+}
+
+/// Threads of the codec's own executor.
+fn global_threads() -> usize {
+    let tasks = std::fs::read_dir("/proc/self/task").expect("threads can be listed");
+    let names =
+        tasks.filter_map(|task| std::fs::read_to_string(task.ok()?.path().join("comm")).ok());
+    names
+        .filter(|name| name.starts_with("async-global"))
+        .count()
+}
+
+#[test]
+fn both_ends_send_at_once() {
+    smol::block_on(async {
+        let listener = smol::net::TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a port is free");
+        let address = listener.local_addr().expect("it's bound");
+        let opened = smol::net::TcpStream::connect(address).await;
+        let (accepted, _) = listener.accept().await.expect("a client connects");
+        for stream in [opened.expect("the server listens"), accepted] {
+            assert!(!stream.nodelay().expect("the option can be read"));
+            let wire = Wire::open(stream).expect("the option can be set");
+            assert!(wire.stream().nodelay().expect("the option can be read"));
+        }
+    });
+}
