Refuse requests that show their key beyond the front door

Cause: the key was left out of headers only. In an escaped path, a request id or a body it went on to the backend server; with two keys the second one could stand in another header.

Ruled out: cutting the key out of a body, which would change the request.

Change: such a request, or one with two keys, is malformed. A raw-byte test asserts what a backend server sees: neither the key nor its hash.

Conclusion: holds for the key as it's written and percent-encoded in a path. Other encodings of it, such as base64, aren't looked for.

--- /dev/null
+++ b/crates/backend/tests/raw.rs
@@ -0,0 +1,60 @@
+//! What a backend server gets to see, on raw bytes.
+
+use std::io::{Read as _, Write as _};
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertwheel_backend::{Connect as _, HttpConnect};
+use filbertwheel_core::{Call, Clock, Criticality, Header, SystemClock, hash_key};
+use filbertwheel_http::Limits;
+
+const KEY: &str = "k-3f9a-77";
+
+fn call() -> Call {
+    Call {
+        id: 7,
+        organisation: Some("wardoffice".into()),
+        key: Some(hash_key(KEY.as_bytes())),
+        request: Some("complaint-1".into()),
+        service: "desk".into(),
+        criticality: Criticality::Normal,
+        idempotent: true,
+        once: None,
+        rank: 0,
+        deadline: Instant::now() + Duration::from_secs(5),
+        retries: 3,
+        depth: 0,
+        method: "GET".into(),
+        path: "/today".into(),
+        headers: vec![Header {
+            name: "accept".into(),
+            value: "text/plain".into(),
+        }],
+        body: Default::default(),
+    }
+}
+
+#[test]
+fn a_backend_server_sees_neither_key_nor_hash() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it's bound");
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the node connects");
+        let mut bytes = [0; 4_096];
+        let count = stream.read(&mut bytes).expect("a request comes");
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(answer).expect("the node reads");
+        String::from_utf8_lossy(&bytes[..count]).to_lowercase()
+    });
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let backend = HttpConnect::open(Limits::default(), clock).connect(address);
+    let reply = smol::block_on(backend.run(&call(), "a-token".into()));
+    assert_eq!(reply.map(|reply| reply.answer.status), Ok(200));
+    let request = server.join().expect("the server ends");
+    assert!(!request.contains(KEY), "{request}");
+    assert!(!request.contains(hash_key(KEY.as_bytes()).as_str().unwrap_or_default()));
+    assert!(!request.contains("filbertwheel-key"), "{request}");
+    assert!(request.contains("filbertwheel-token: a-token"), "{request}");
+    assert!(request.contains("accept: text/plain"), "{request}");
+}
--- a/crates/caller/src/front.rs
+++ b/crates/caller/src/front.rs
@@ -64,12 +64,9 @@
 impl EntryRequest {
     /// Reads a request's path and headers.
     pub fn decode(request: Request) -> Result<Self, Refusal> {
-        let key = request.header(names::KEY).cloned();
+        let key = single_key(&request)?;
         let particulars = Particulars::read(&request)?;
-        if key
-            .as_ref()
-            .is_some_and(|key| contains(request.path.as_bytes(), key.as_bytes()))
-        {
+        if key.as_ref().is_some_and(|key| shows(&request, key)) {
             return Err(RefusalKind::Malformed.into());
         }
         let headers = without_key(passed_headers(request.headers), key.as_ref());
@@ -84,6 +81,46 @@
     }
 }
 
+fn single_key(request: &Request) -> Result<Option<Text>, Refusal> {
+    let lines = request.headers.iter();
+    let mut keys = lines.filter(|line| line.name.as_bytes() == names::KEY.as_bytes());
+    let key = keys.next().map(|line| line.value.clone());
+    match keys.next() {
+        Some(_) => Err(RefusalKind::Malformed.into()),
+        None => Ok(key),
+    }
+}
+
+/// Whether a part of a request that's passed on shows its key.
+fn shows(request: &Request, key: &Text) -> bool {
+    let path = request.path.as_bytes();
+    let id = request
+        .header(names::REQUEST)
+        .map_or(&[][..], Text::as_bytes);
+    let parts = [path, &percent_decoded(path), id, &request.body];
+    parts.iter().any(|part| contains(part, key.as_bytes()))
+}
+
+fn percent_decoded(path: &[u8]) -> Vec<u8> {
+    let mut decoded = Vec::with_capacity(path.len());
+    let mut rest = path;
+    while let Some((byte, after)) = rest.split_first() {
+        let escape = after.get(..2).filter(|_| *byte == b'%');
+        let escape = escape.and_then(|digits| std::str::from_utf8(digits).ok());
+        match escape.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
+            Some(escaped) => {
+                decoded.push(escaped);
+                rest = &after[2..];
+            }
+            None => {
+                decoded.push(*byte);
+                rest = after;
+            }
+        }
+    }
+    decoded
+}
+
 /// Leaves out every header that repeats the key.
 fn without_key(headers: Vec<Header>, key: Option<&Text>) -> Vec<Header> {
     let Some(key) = key else { return headers };
--- /dev/null
+++ b/crates/caller/tests/keys.rs
@@ -0,0 +1,51 @@
+//! A caller's key goes no further than the front door.
+
+use filbertwheel_caller::EntryRequest;
+use filbertwheel_core::{Refusal, RefusalKind, hash_key};
+use filbertwheel_http::Request;
+
+const KEY: &str = "k-3f9a/77";
+
+fn keyed(path: &str) -> Request {
+    Request::get(path).with("filbertwheel-key", KEY)
+}
+
+fn decode(request: Request) -> Result<EntryRequest, Refusal> {
+    EntryRequest::decode(request)
+}
+
+#[test]
+fn the_key_is_left_out_of_every_header() {
+    let request = keyed("/desk/today")
+        .with("authorization", format!("Bearer {KEY}"))
+        .with("x-debug", KEY)
+        .with("cookie", format!("a=b; key={KEY}; c=d"))
+        .with("accept", "text/plain");
+    let entry = decode(request).expect("it's well formed");
+    let names: Vec<_> = entry
+        .headers
+        .iter()
+        .map(|line| line.name.to_string())
+        .collect();
+    assert_eq!(names, ["accept"]);
+    assert_eq!(entry.key, Some(hash_key(KEY.as_bytes())));
+    assert!(!format!("{entry:?}").contains(KEY));
+}
+
+#[test]
+fn a_request_that_shows_its_key_elsewhere_is_malformed() {
+    let body = Request::post("/desk/today", format!("key={KEY}"));
+    let requests = [
+        keyed(&format!("/desk/{KEY}")),
+        keyed(&format!("/desk/today?key={KEY}")),
+        keyed("/desk/today?key=k%2d3f9a%2F77"),
+        keyed("/desk/today").with("filbertwheel-request", format!("id-{KEY}")),
+        body.with("filbertwheel-key", KEY),
+        keyed("/desk/today").with("filbertwheel-key", "another"),
+    ];
+    for request in requests {
+        let shown = format!("{request:?}");
+        let refused = decode(request).expect_err(&shown);
+        assert_eq!(refused.kind, RefusalKind::Malformed, "{shown}");
+    }
+}
