--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -12,7 +12,9 @@
 };
 use filbertwheel_peer::{Controls, SinkError};
 use filbertwheel_platform::Table;
-use filbertwheel_policy::{LeaseRow, Link, Purse, Root, RootError, Roster, SHARE_LIFETIME, Voter};
+use filbertwheel_policy::{
+    LeaseRow, Link, Purse, Root, RootError, Roster, SHARE_LIFETIME, Tenure, Voter,
+};
 
 use crate::control::children::Children;
 use crate::metrics::Metrics;
@@ -43,6 +45,7 @@
     pub parts: Parts,
     me: Member,
     roster: Roster,
+    tenure: Arc<Tenure>,
     config: Configuration,
     changes: VecDeque<Change>,
     lease: Option<Instant>,
@@ -79,6 +82,7 @@
     pub fn open(parts: Parts, me: Member) -> Self {
         Self {
             parts,
+            tenure: Arc::new(Tenure::open(me.vm.clone(), SERVING_LEASE)),
             me,
             roster: Roster::default(),
             config: Configuration::default(),
@@ -193,6 +197,7 @@
             return;
         }
         tracing::info!("control: This node is now the root with fence {fence}.");
+        self.seen = 0;
         let now = self.parts.clock.now();
         let own = Voter {
             vm: self.me.vm.clone(),
@@ -267,6 +272,8 @@
         };
         let now = self.parts.clock.now();
         self.apply(pulse.delta);
+        let lease = sent + pulse.lease;
+        Arc::make_mut(&mut self.tenure).observe(pulse.fence, &pulse.members, lease, now);
         for member in pulse.members {
             self.roster.merge(member);
         }
@@ -442,6 +449,7 @@
         self.parts.board.store(Arc::new(Snapshot {
             config: Arc::new(self.config.clone()),
             roster: Arc::new(self.roster.clone()),
+            tenure: Arc::clone(&self.tenure),
             me: self.me.clone(),
             lease: self.lease,
         }));
--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -43,6 +43,7 @@
     Beat {
         member: member(number),
         number: 1,
+        heard: 0,
         fence: 1,
         config: 1,
         roster: 0,
--- a/crates/slopes/src/growth.rs
+++ b/crates/slopes/src/growth.rs
@@ -120,13 +120,14 @@
         .map(|index| (organisation(index), limit))
         .collect();
     let now = Instant::now();
-    let mut ledger = Ledger::open("root".into(), None);
+    let mut ledger = Ledger::open("root".into());
     let beats: Vec<Beat> = (0..children)
         .map(|number| idle(beat(number, organisations)))
         .collect();
     for beat in &beats {
-        let settled = ledger.settle(beat, &limits, now);
-        assert!(settled.is_ok(), "a first beat is in order");
+        let noted = ledger.note(beat, now);
+        assert!(noted.is_ok(), "a first beat is in order");
+        drop(black_box(ledger.settle(beat, &limits, now, now)));
     }
     let rounds = (ROUNDS as usize / children).max(2);
     let start = Instant::now();
@@ -137,7 +138,8 @@
                 number,
                 ..beat.clone()
             };
-            drop(black_box(ledger.settle(&next, &limits, now)));
+            drop(black_box(ledger.note(&next, now).is_ok()));
+            drop(black_box(ledger.settle(&next, &limits, now, now)));
         }
     }
     micros(start.elapsed()) / (rounds * children) as f64
