Admit by a limit that follows latency, and queue in turns of organisations

Cause: the gate had fixed slots and one order by criticality and rank, so an organisation at 8x took the queue; cancel and expire scanned it. Ruled out: smallest queue first (an organisation that keeps its queue short on purpose wins); a limit from the reported load (it may mislead). Change: Limit trait object (fixed, AIMD, gradient); Queue with turns for each criticality (start-time fair queueing), indexes for expiry and shedding, all O(log n). The limit counts a call's own time, without its nested calls. A decrease that doesn't shorten latency lifts the baseline. Cut-off levels per organisation and criticality; nothing sends them yet. A baseline that drifts up by 1% a window was tried: the limit stayed at its ceiling (test limit_falls_... failed), so the drift is gone. Conclusion: order and fairness hold in the model of one gate.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -37,6 +37,33 @@
     Critical,
 }
 
+/// Says which of an organisation's calls are shed somewhere.
+#[message]
+#[derive(Copy, Eq)]
+pub struct CutOff {
+    /// Everything less critical is shed as well.
+    pub criticality: Criticality,
+    /// Largest rank that's kept at this criticality.
+    pub rank: u32,
+}
+
+impl CutOff {
+    /// Whether it sheds a call.
+    pub fn sheds(&self, criticality: Criticality, rank: u32) -> bool {
+        criticality < self.criticality || criticality == self.criticality && rank > self.rank
+    }
+
+    /// The one of two that sheds more.
+    pub fn stricter(self, other: Self) -> Self {
+        let order = |cut: &Self| (cut.criticality, std::cmp::Reverse(cut.rank));
+        if order(&other) > order(&self) {
+            other
+        } else {
+            self
+        }
+    }
+}
+
 /// A request on its way through the fleet.
 #[value]
 pub struct Call {
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -264,9 +264,10 @@
             Ok(call) => self.dispatch(call).await,
             Err(refusal) => Err(refusal.with_retries(pass.retries).into()),
         };
+        let took = self.clock.now().saturating_duration_since(now);
         self.runner
             .passes()
-            .give_back(&token, pass.retries, returned(&verdict));
+            .give_back(&token, pass.retries, returned(&verdict), took);
         verdict
     }
 
--- a/crates/node/src/passes.rs
+++ b/crates/node/src/passes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use filbertwheel_core::{Call, Text, invariant};
 
@@ -18,6 +19,8 @@
     pub call: Call,
     /// Retries that are left for it and everything below.
     pub retries: u32,
+    /// Time spent on nested calls so far.
+    pub nested: Duration,
 }
 
 impl Passes {
@@ -30,13 +33,18 @@
             headers: Vec::new(),
             ..call.clone()
         };
-        self.lock().insert(token.clone(), Pass { call, retries });
+        let pass = Pass {
+            call,
+            retries,
+            nested: Duration::ZERO,
+        };
+        self.lock().insert(token.clone(), pass);
         token
     }
 
-    /// Ends a call. Returns the retries that are left.
-    pub fn end(&self, token: &Text) -> u32 {
-        self.lock().remove(token).map_or(0, |pass| pass.retries)
+    /// Ends a call. Returns what's left of it.
+    pub fn end(&self, token: &Text) -> Option<Pass> {
+        self.lock().remove(token)
     }
 
     /// Looks up a token, and takes half of the retries that are left for a nested call.
@@ -48,11 +56,13 @@
         Some(Pass {
             call: pass.call.clone(),
             retries: given,
+            nested: Duration::ZERO,
         })
     }
 
-    /// Gives back what a nested call hasn't spent of the retries that it was given.
-    pub fn give_back(&self, token: &Text, given: u32, left: u32) {
+    /// Gives back what a nested call that took `nested` hasn't spent of the retries that it was
+    /// given.
+    pub fn give_back(&self, token: &Text, given: u32, left: u32, nested: Duration) {
         invariant!(
             "retries-bounded",
             left <= given,
@@ -60,6 +70,7 @@
         );
         if let Some(pass) = self.lock().get_mut(token) {
             pass.retries += left.min(given);
+            pass.nested += nested;
         }
     }
 
--- a/crates/node/src/runner.rs
+++ b/crates/node/src/runner.rs
@@ -2,13 +2,13 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use filbertwheel_backend::{Announcement, Backend, BackendError, BackendReply, HttpBackend};
 use filbertwheel_core::{Call, Clock, Doubt, Failure, Refusal, RefusalKind, Text, Verdict};
 use filbertwheel_http::Limits;
-use filbertwheel_policy::{Entry, Gate, Offer, Release, Ticket};
+use filbertwheel_policy::{Entry, Gate, Offer, Release, Spent, Ticket};
 use futures_lite::FutureExt as _;
 
 use crate::metrics::Metrics;
@@ -172,10 +172,21 @@
         }
     }
 
-    fn finish(&self, began: Instant) {
+    /// Ends a running call that spent `nested` on calls to other services.
+    fn finish(&self, began: Instant, nested: Duration) {
         let now = self.clock.now();
+        let elapsed = now.saturating_duration_since(began);
+        let own = elapsed.saturating_sub(nested);
         let mut state = self.lock();
-        let releases = state.gate.finish(now.saturating_duration_since(began), now);
+        let releases = state.gate.finish(&Spent { elapsed, own }, now);
+        state.release(releases);
+        self.gauge(&state);
+    }
+
+    /// Gives back the place of a call that was let through but never ran.
+    fn abandon(&self) {
+        let mut state = self.lock();
+        let releases = state.gate.abandon(self.clock.now());
         state.release(releases);
         self.gauge(&state);
     }
@@ -191,7 +202,7 @@
 }
 
 /// How often a waiting call looks whether it has waited too long.
-const EXPIRY_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 
 enum Admitted {
     Now,
@@ -231,7 +242,7 @@
         drop(state);
         if let Ok(Ok(())) = self.released.try_recv() {
             // It was let through, but nobody is left to run it.
-            self.runner.finish(self.runner.clock.now());
+            self.runner.abandon();
         }
     }
 }
@@ -252,8 +263,10 @@
 
     fn end(&mut self) -> u32 {
         self.ended = true;
-        self.runner.finish(self.began);
-        self.runner.passes.end(&self.token)
+        let pass = self.runner.passes.end(&self.token);
+        let nested = pass.as_ref().map_or(Duration::ZERO, |pass| pass.nested);
+        self.runner.finish(self.began, nested);
+        pass.map_or(0, |pass| pass.retries)
     }
 }
 
--- /dev/null
+++ b/crates/policy/src/cutoff.rs
@@ -0,0 +1,204 @@
+//! Cut-offs: which calls a gate sheds, by rank, so that they can be refused before work is done.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{Criticality, CutOff, OrganisationId};
+
+/// How often a level moves.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Age at which a cut-off no longer counts.
+pub const CUT_OFF_LIFETIME: Duration = Duration::from_secs(1);
+/// Part of the calls that's asked for beyond what was admitted, so that the queue never runs dry.
+const HEADROOM: f64 = 1.01;
+/// Least part that's left of a level in one interval.
+const STEEPEST: f64 = 0.3;
+/// Growth of a level in an interval without a refusal and without a queue.
+const GROWTH: f64 = 1.1;
+/// Least level, so that a few calls always find out how things stand.
+const LEAST: f64 = 0.001;
+
+/// The levels of one gate.
+#[derive(Debug, Default)]
+pub(crate) struct Levels {
+    levels: HashMap<(Option<OrganisationId>, Criticality), Level>,
+    pruned: Option<Instant>,
+}
+
+/// Part of one organisation's calls of one criticality that's let through.
+#[derive(Debug)]
+struct Level {
+    part: f64,
+    offered: u32,
+    refused: u32,
+    queued: bool,
+    began: Instant,
+}
+
+impl Levels {
+    /// Takes note of a call that asked to run. `queued` says whether others of its kind wait.
+    pub fn offer(
+        &mut self,
+        owner: &Option<OrganisationId>,
+        criticality: Criticality,
+        queued: bool,
+        now: Instant,
+    ) {
+        self.prune(now);
+        let level = self.level(owner, criticality, now);
+        level.offered += 1;
+        level.queued |= queued;
+    }
+
+    /// Takes note of a call that was shed.
+    pub fn refuse(
+        &mut self,
+        owner: &Option<OrganisationId>,
+        criticality: Criticality,
+        now: Instant,
+    ) {
+        self.level(owner, criticality, now).refused += 1;
+    }
+
+    /// What's shed of an organisation's calls, if anything is.
+    pub fn cut_off(
+        &self,
+        owner: &Option<OrganisationId>,
+        criticality: Criticality,
+    ) -> Option<CutOff> {
+        let level = self.levels.get(&(owner.clone(), criticality))?;
+        (level.part < 1.0).then(|| CutOff {
+            criticality,
+            rank: (level.part * f64::from(u32::MAX)) as u32,
+        })
+    }
+
+    fn level(
+        &mut self,
+        owner: &Option<OrganisationId>,
+        criticality: Criticality,
+        now: Instant,
+    ) -> &mut Level {
+        let level = self.levels.entry((owner.clone(), criticality));
+        let level = level.or_insert_with(|| Level::full(now));
+        level.roll(now);
+        level
+    }
+
+    fn prune(&mut self, now: Instant) {
+        let pruned = *self.pruned.get_or_insert(now);
+        if now.saturating_duration_since(pruned) < CUT_OFF_LIFETIME {
+            return;
+        }
+        self.pruned = Some(now);
+        self.levels
+            .retain(|_, level| now.saturating_duration_since(level.began) < CUT_OFF_LIFETIME);
+    }
+}
+
+impl Level {
+    fn full(now: Instant) -> Self {
+        Self {
+            part: 1.0,
+            offered: 0,
+            refused: 0,
+            queued: false,
+            began: now,
+        }
+    }
+
+    fn roll(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.began) < INTERVAL {
+            return;
+        }
+        if self.refused > 0 {
+            let offered = self.offered.max(self.refused);
+            let admitted = f64::from(offered - self.refused) / f64::from(offered);
+            self.part *= (admitted * HEADROOM).clamp(STEEPEST, 1.0);
+        } else if !self.queued {
+            self.part *= GROWTH;
+        }
+        self.part = self.part.clamp(LEAST, 1.0);
+        *self = Self {
+            part: self.part,
+            ..Self::full(now)
+        };
+    }
+}
+
+/// Cut-offs that were heard from elsewhere, by what they apply to.
+#[derive(Debug)]
+pub struct CutOffs<K> {
+    heard: HashMap<K, [Option<(u32, Instant)>; CLASSES]>,
+    pruned: Option<Instant>,
+}
+
+/// Number of criticalities.
+const CLASSES: usize = 3;
+
+impl<K> Default for CutOffs<K> {
+    fn default() -> Self {
+        Self {
+            heard: HashMap::new(),
+            pruned: None,
+        }
+    }
+}
+
+impl<K: std::hash::Hash + Eq> CutOffs<K> {
+    /// Takes note of a cut-off, or of there being none for calls of `criticality`.
+    pub fn hear(&mut self, key: K, criticality: Criticality, cut: Option<CutOff>, now: Instant) {
+        self.prune(now);
+        let expires = now + CUT_OFF_LIFETIME;
+        match cut {
+            Some(cut) => {
+                let slots = self.heard.entry(key).or_default();
+                slots[cut.criticality as usize] = Some((cut.rank, expires));
+            }
+            None => {
+                if let Some(slots) = self.heard.get_mut(&key) {
+                    slots[criticality as usize] = None;
+                }
+            }
+        }
+    }
+
+    /// The cut-off that a call falls under, if there's one.
+    pub fn sheds(
+        &self,
+        key: &K,
+        criticality: Criticality,
+        rank: u32,
+        now: Instant,
+    ) -> Option<CutOff> {
+        self.heard
+            .get(key)?
+            .iter()
+            .zip(CRITICALITIES)
+            .find_map(|(slot, class)| {
+                let (limit, expires) = (*slot)?;
+                let cut = CutOff {
+                    criticality: class,
+                    rank: limit,
+                };
+                (expires > now && cut.sheds(criticality, rank)).then_some(cut)
+            })
+    }
+
+    fn prune(&mut self, now: Instant) {
+        let pruned = *self.pruned.get_or_insert(now);
+        if now.saturating_duration_since(pruned) < CUT_OFF_LIFETIME {
+            return;
+        }
+        self.pruned = Some(now);
+        self.heard
+            .retain(|_, slots| slots.iter().flatten().any(|(_, expires)| *expires > now));
+    }
+}
+
+/// All criticalities, the least first.
+const CRITICALITIES: [Criticality; CLASSES] = [
+    Criticality::Sheddable,
+    Criticality::Normal,
+    Criticality::Critical,
+];
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -1,10 +1,12 @@
 //! Admission to one backend server: how many calls run, and which of the others wait.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use filbertwheel_core::{Criticality, OrganisationId, RefusalKind, invariant, value};
+use filbertwheel_core::{Criticality, CutOff, OrganisationId, RefusalKind, invariant, value};
+
+use crate::cutoff::Levels;
+use crate::limit::{Answering, LatencyLimit, Limit, Spent};
+use crate::queue::Queue;
 
 /// Stands for a call at the gate.
 pub type Ticket = u64;
@@ -52,28 +54,30 @@
 /// The gate before one backend server.
 #[derive(Debug)]
 pub struct Gate {
-    slots: usize,
+    limit: Box<dyn Limit>,
+    levels: Levels,
     running: usize,
-    queue: BTreeMap<Place, Waiting>,
+    queue: Queue,
     next: Ticket,
     service: f64,
 }
 
-/// Order in the queue: the first runs next, the last is shed first.
-type Place = (Reverse<Criticality>, u32, Ticket);
-
-#[derive(Debug)]
-struct Waiting {
-    expires: Instant,
-}
-
 impl Gate {
-    /// A gate before a backend server that runs `slots` calls at once.
+    /// A gate before a backend server that runs at most `slots` calls at once.
     pub fn open(slots: u32) -> Self {
+        Self::with_limit(Box::new(LatencyLimit::open(
+            Answering::Aimd,
+            slots as usize,
+        )))
+    }
+
+    /// A gate with a limit of its own.
+    pub fn with_limit(limit: Box<dyn Limit>) -> Self {
         Self {
-            slots: slots as usize,
+            limit,
+            levels: Levels::default(),
             running: 0,
-            queue: BTreeMap::new(),
+            queue: Queue::default(),
             next: 0,
             service: 0.0,
         }
@@ -81,7 +85,7 @@
 
     /// Takes over a new number of slots.
     pub fn resize(&mut self, slots: u32) {
-        self.slots = slots as usize;
+        self.limit.resize(slots as usize);
     }
 
     /// Calls that are running.
@@ -94,10 +98,30 @@
         self.queue.len()
     }
 
+    /// Calls that may run at once at present.
+    pub fn limit(&self) -> usize {
+        self.limit.current()
+    }
+
     /// How long a new call would wait.
     pub fn wait(&self) -> Duration {
-        let ahead = (self.running + self.queue.len()) as f64 / self.slots.max(1) as f64;
-        Duration::from_secs_f64(self.service * ahead)
+        self.wait_of(Criticality::Sheddable)
+    }
+
+    /// How long a new call of some criticality would wait.
+    pub fn wait_of(&self, criticality: Criticality) -> Duration {
+        let limit = self.limit.current().max(1);
+        let ahead = self.running + self.queue.ahead_of(criticality);
+        Duration::from_secs_f64(self.service * ahead as f64 / limit as f64)
+    }
+
+    /// Which calls of an organisation are shed here, as seen by one of `criticality`.
+    pub fn cut_off(
+        &self,
+        organisation: &Option<OrganisationId>,
+        criticality: Criticality,
+    ) -> Option<CutOff> {
+        self.levels.cut_off(organisation, criticality)
     }
 
     /// Takes a call. The releases are calls that were shed to make room for it.
@@ -108,64 +132,95 @@
         }
         self.next += 1;
         let ticket = self.next;
-        if self.running < self.slots && self.queue.is_empty() {
+        let queued = self.queue.has(&entry.organisation, entry.criticality);
+        self.levels
+            .offer(&entry.organisation, entry.criticality, queued, now);
+        if self.running < self.limit.current() && self.queue.is_empty() {
             self.running += 1;
             return (Offer::Run(ticket), releases);
         }
-        let place = (Reverse(entry.criticality), entry.rank, ticket);
-        if self.queue.len() >= self.slots * QUEUE_FACTOR {
-            match self.queue.last_key_value().map(|(last, _)| *last) {
-                Some(last) if place < last => {
-                    self.queue.remove(&last);
-                    releases.push(Release::Refuse(last.2, RefusalKind::Overloaded));
-                }
-                _ => return (Offer::Refuse(RefusalKind::Overloaded), releases),
+        self.queue.push(ticket, entry, self.expiry(entry, now));
+        let mut offer = Offer::Wait(ticket);
+        let mut changes = self.refill(now);
+        changes.extend(self.trim(now));
+        for release in changes {
+            match release {
+                Release::Run(run) if run == ticket => offer = Offer::Run(ticket),
+                Release::Refuse(shed, kind) if shed == ticket => offer = Offer::Refuse(kind),
+                other => releases.push(other),
             }
         }
-        let expires = entry.deadline.min(now + LONGEST_WAIT);
-        self.queue.insert(place, Waiting { expires });
-        (Offer::Wait(ticket), releases)
+        (offer, releases)
     }
 
-    /// Ends a running call, which took `elapsed`, and lets others run in its place.
-    pub fn finish(&mut self, elapsed: Duration, now: Instant) -> Vec<Release> {
+    /// Ends a running call and lets others run in its place.
+    pub fn finish(&mut self, spent: &Spent, now: Instant) -> Vec<Release> {
         invariant!(
             "gate-counts-running",
             self.running > 0,
             "a call ended that never ran"
         );
+        self.limit.observe(spent, self.running, now);
+        self.running = self.running.saturating_sub(1);
+        self.service += (spent.elapsed.as_secs_f64() - self.service) * SERVICE_WEIGHT;
+        self.refill(now)
+    }
+
+    /// Gives back the place of a call that was let through but didn't run.
+    pub fn abandon(&mut self, now: Instant) -> Vec<Release> {
+        invariant!(
+            "gate-counts-running",
+            self.running > 0,
+            "a call was abandoned that was never let through"
+        );
         self.running = self.running.saturating_sub(1);
-        self.service += (elapsed.as_secs_f64() - self.service) * SERVICE_WEIGHT;
+        self.refill(now)
+    }
+
+    /// Takes a waiting call out. Returns whether it was still waiting.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        self.queue.remove(ticket).is_some()
+    }
+
+    /// Refuses calls that have waited too long.
+    pub fn expire(&mut self, now: Instant) -> Vec<Release> {
+        let mut releases = Vec::new();
+        while let Some(late) = self.queue.expired(now) {
+            self.levels.refuse(&late.owner, late.criticality, now);
+            releases.push(Release::Refuse(late.ticket, RefusalKind::Overloaded));
+        }
+        releases
+    }
+
+    fn refill(&mut self, now: Instant) -> Vec<Release> {
         let mut releases = self.expire(now);
-        while self.running < self.slots {
-            let Some((place, _)) = self.queue.pop_first() else {
+        while self.running < self.limit.current() {
+            let Some(next) = self.queue.pop() else {
                 break;
             };
             self.running += 1;
-            releases.push(Release::Run(place.2));
+            releases.push(Release::Run(next.ticket));
         }
         releases
     }
 
-    /// Takes a waiting call out. Returns whether it was still waiting.
-    pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        let place = self.queue.keys().find(|place| place.2 == ticket).copied();
-        place.is_some_and(|place| self.queue.remove(&place).is_some())
+    /// Sheds what's over the length of the queue.
+    fn trim(&mut self, now: Instant) -> Vec<Release> {
+        let mut releases = Vec::new();
+        while self.queue.len() > self.limit.current() * QUEUE_FACTOR {
+            let Some(shed) = self.queue.shed() else {
+                break;
+            };
+            self.levels.refuse(&shed.owner, shed.criticality, now);
+            releases.push(Release::Refuse(shed.ticket, RefusalKind::Overloaded));
+        }
+        releases
     }
 
-    /// Refuses calls that have waited too long.
-    pub fn expire(&mut self, now: Instant) -> Vec<Release> {
-        let late: Vec<Place> = self
-            .queue
-            .iter()
-            .filter(|(_, waiting)| waiting.expires <= now)
-            .map(|(place, _)| *place)
-            .collect();
-        late.into_iter()
-            .map(|place| {
-                self.queue.remove(&place);
-                Release::Refuse(place.2, RefusalKind::Overloaded)
-            })
-            .collect()
+    /// When a call has waited too long: it could no longer end before its deadline.
+    fn expiry(&self, entry: &Entry, now: Instant) -> Instant {
+        let left = entry.deadline.saturating_duration_since(now);
+        let needed = Duration::from_secs_f64(self.service).min(left / 2);
+        now + (left - needed).min(LONGEST_WAIT)
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,18 +4,23 @@
 //! `filbertwheel-core`, so that tests drive it with a clock of their own.
 
 mod bucket;
+mod cutoff;
 mod gate;
 mod lease;
 mod ledger;
+mod limit;
 mod purse;
+mod queue;
 mod retry;
 mod roster;
 mod routing;
 
 pub use bucket::Bucket;
+pub use cutoff::{CUT_OFF_LIFETIME, CutOffs};
 pub use gate::{Entry, Gate, Offer, Release, Ticket};
 pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch};
 pub use ledger::{Ledger, LedgerError, SHARE_LIFETIME};
+pub use limit::{Answering, FixedLimit, LatencyLimit, Limit, Spent};
 pub use purse::{Purse, Short};
 pub use retry::{RETRIES_PER_CALL, RetryRatio};
 pub use roster::Roster;
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,252 @@
+//! Calls that wait at a gate.
+//!
+//! They leave in the order of criticality, then by turns of the organisations, then by rank and
+//! deadline. Each organisation advances a virtual clock by one for each call that it runs, and the
+//! one that is furthest behind is next (start-time fair queueing with unit costs).
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Instant;
+
+use filbertwheel_core::{Criticality, OrganisationId, invariant, value};
+
+use crate::Ticket;
+use crate::gate::Entry;
+
+/// Whose calls they are: an organisation, or callers of open routes.
+type Owner = Option<OrganisationId>;
+/// Position of an organisation on the virtual clock of its class.
+type Turn = u64;
+
+/// Order among the calls of one organisation.
+#[value]
+#[derive(PartialOrd, Ord, Copy)]
+struct Place {
+    rank: u32,
+    deadline: Instant,
+    ticket: Ticket,
+}
+
+/// A call that waits.
+#[value]
+pub(crate) struct Waiting {
+    pub ticket: Ticket,
+    pub criticality: Criticality,
+    pub owner: Owner,
+    place: Place,
+    expires: Instant,
+}
+
+/// The waiting calls.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    classes: BTreeMap<Criticality, Class>,
+    calls: HashMap<Ticket, Waiting>,
+    expiry: BTreeSet<(Instant, Ticket)>,
+}
+
+/// The waiting calls of one criticality.
+#[derive(Debug, Default)]
+struct Class {
+    lanes: HashMap<Owner, Lane>,
+    /// Lanes with calls, the one that's furthest behind first.
+    turns: BTreeSet<(Turn, Owner)>,
+    /// Lanes with calls, the longest last.
+    sizes: BTreeSet<(usize, Owner)>,
+    /// Lanes without calls whose turn hasn't come yet.
+    idle: BTreeSet<(Turn, Owner)>,
+    clock: Turn,
+    len: usize,
+}
+
+/// The waiting calls of one organisation.
+#[derive(Debug, Default)]
+struct Lane {
+    turn: Turn,
+    places: BTreeSet<Place>,
+}
+
+impl Queue {
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Calls that a new one would wait for.
+    pub fn ahead_of(&self, criticality: Criticality) -> usize {
+        let classes = self.classes.range(criticality..);
+        classes.map(|(_, class)| class.len).sum()
+    }
+
+    /// Whether calls of one organisation wait in a class.
+    pub fn has(&self, owner: &Owner, criticality: Criticality) -> bool {
+        let class = self.classes.get(&criticality);
+        let lane = class.and_then(|class| class.lanes.get(owner));
+        lane.is_some_and(|lane| !lane.places.is_empty())
+    }
+
+    pub fn push(&mut self, ticket: Ticket, entry: &Entry, expires: Instant) {
+        let place = Place {
+            rank: entry.rank,
+            deadline: entry.deadline,
+            ticket,
+        };
+        let class = self.classes.entry(entry.criticality).or_default();
+        class.insert(&entry.organisation, place);
+        self.expiry.insert((expires, ticket));
+        let waiting = Waiting {
+            ticket,
+            criticality: entry.criticality,
+            owner: entry.organisation.clone(),
+            place,
+            expires,
+        };
+        self.calls.insert(ticket, waiting);
+    }
+
+    /// Takes out the call that runs next.
+    pub fn pop(&mut self) -> Option<Waiting> {
+        let (criticality, class) = self
+            .classes
+            .iter_mut()
+            .rev()
+            .find(|(_, class)| !class.is_empty())?;
+        let criticality = *criticality;
+        let ticket = class.next()?;
+        let waiting = self.remove(ticket)?;
+        let class = self.classes.get_mut(&criticality)?;
+        class.charge(&waiting.owner);
+        let above = self.classes.range(criticality..).skip(1);
+        let passed_over: usize = above.map(|(_, class)| class.len).sum();
+        invariant!(
+            "critical-runs-first",
+            passed_over == 0,
+            "{passed_over} more critical calls wait behind one that runs"
+        );
+        Some(waiting)
+    }
+
+    /// Takes out the call that's missed least: of the least criticality, of the organisation with
+    /// most calls in it, the last one.
+    pub fn shed(&mut self) -> Option<Waiting> {
+        let (_, class) = self.classes.iter().find(|(_, class)| !class.is_empty())?;
+        let ticket = class.last()?;
+        let shed = self.remove(ticket)?;
+        let below: usize = self
+            .classes
+            .range(..shed.criticality)
+            .map(|(_, class)| class.len)
+            .sum();
+        invariant!(
+            "critical-shed-last",
+            below == 0,
+            "{below} less critical calls wait on"
+        );
+        Some(shed)
+    }
+
+    /// Takes out one call.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.calls.remove(&ticket)?;
+        self.expiry.remove(&(waiting.expires, ticket));
+        if let Some(class) = self.classes.get_mut(&waiting.criticality) {
+            class.remove(&waiting.owner, waiting.place);
+        }
+        Some(waiting)
+    }
+
+    /// Takes out one call that has waited too long.
+    pub fn expired(&mut self, now: Instant) -> Option<Waiting> {
+        let (expires, ticket) = *self.expiry.first()?;
+        (expires <= now).then(|| self.remove(ticket)).flatten()
+    }
+}
+
+impl Class {
+    fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    fn next(&self) -> Option<Ticket> {
+        let (_, owner) = self.turns.first()?;
+        let place = self.lanes.get(owner)?.places.first()?;
+        Some(place.ticket)
+    }
+
+    fn last(&self) -> Option<Ticket> {
+        let (_, owner) = self.sizes.last()?;
+        let place = self.lanes.get(owner)?.places.last()?;
+        Some(place.ticket)
+    }
+
+    fn insert(&mut self, owner: &Owner, place: Place) {
+        let lane = self.lanes.entry(owner.clone()).or_default();
+        let size = lane.places.len();
+        if size == 0 {
+            self.idle.remove(&(lane.turn, owner.clone()));
+            // A lane that was empty for a while saves nothing up.
+            lane.turn = lane.turn.max(self.clock);
+            self.turns.insert((lane.turn, owner.clone()));
+        } else {
+            self.sizes.remove(&(size, owner.clone()));
+        }
+        lane.places.insert(place);
+        self.len += 1;
+        self.sizes.insert((size + 1, owner.clone()));
+    }
+
+    fn remove(&mut self, owner: &Owner, place: Place) {
+        let Some(lane) = self.lanes.get_mut(owner) else {
+            return;
+        };
+        let size = lane.places.len();
+        if !lane.places.remove(&place) {
+            return;
+        }
+        self.len -= 1;
+        self.sizes.remove(&(size, owner.clone()));
+        if size > 1 {
+            self.sizes.insert((size - 1, owner.clone()));
+        } else {
+            self.turns.remove(&(lane.turn, owner.clone()));
+            self.idle.insert((lane.turn, owner.clone()));
+        }
+    }
+
+    /// Moves an organisation's turn on by one call.
+    fn charge(&mut self, owner: &Owner) {
+        let Some(lane) = self.lanes.get_mut(owner) else {
+            return;
+        };
+        let set = if lane.places.is_empty() {
+            &mut self.idle
+        } else {
+            &mut self.turns
+        };
+        set.remove(&(lane.turn, owner.clone()));
+        self.clock = self.clock.max(lane.turn);
+        lane.turn += 1;
+        set.insert((lane.turn, owner.clone()));
+        invariant!(
+            "fair-turns",
+            self.turns
+                .first()
+                .is_none_or(|(turn, _)| *turn >= self.clock),
+            "a waiting organisation is behind the clock"
+        );
+        self.forget_idle();
+    }
+
+    /// Drops empty lanes whose turn has come, as they start at the clock anyway.
+    fn forget_idle(&mut self) {
+        while let Some((turn, owner)) = self.idle.first() {
+            if *turn > self.clock {
+                return;
+            }
+            self.lanes.remove(owner);
+            self.idle.pop_first();
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/gate.rs
@@ -0,0 +1,285 @@
+//! The gate: who runs, who waits, who is shed.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{Criticality, RefusalKind};
+use filbertwheel_policy::{
+    Answering, Entry, FixedLimit, Gate, LatencyLimit, Limit, Offer, Release, Spent, Ticket,
+};
+use proptest::collection::vec;
+use proptest::prelude::{Strategy, any, prop_oneof};
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SLOTS: usize = 4;
+const SERVICE: Duration = Duration::from_millis(10);
+const CLASSES: [Criticality; 3] = [
+    Criticality::Sheddable,
+    Criticality::Normal,
+    Criticality::Critical,
+];
+
+#[derive(Debug, Clone)]
+enum Step {
+    Offer {
+        class: usize,
+        owner: u8,
+        rank: u32,
+        patience: u64,
+    },
+    Finish,
+    Cancel(usize),
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let offer = (0..3_usize, 0..4_u8, any::<u32>(), 1..2_000_u64);
+    prop_oneof![
+        4 => offer.prop_map(|(class, owner, rank, patience)| Step::Offer { class, owner, rank, patience }),
+        2 => proptest::strategy::Just(Step::Finish),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        1 => (1..200_u64).prop_map(Step::Pass),
+    ]
+}
+
+fn fixed_gate(slots: usize) -> Gate {
+    Gate::with_limit(Box::new(FixedLimit(slots)))
+}
+
+fn entry(class: Criticality, owner: &str, rank: u32, deadline: Instant) -> Entry {
+    Entry {
+        criticality: class,
+        organisation: Some(owner.into()),
+        rank,
+        deadline,
+    }
+}
+
+fn spent() -> Spent {
+    Spent {
+        elapsed: SERVICE,
+        own: SERVICE,
+    }
+}
+
+/// What the test expects of the gate.
+struct Model {
+    gate: Gate,
+    now: Instant,
+    running: usize,
+    waiting: HashMap<Ticket, (Criticality, Instant)>,
+}
+
+impl Model {
+    fn apply(&mut self, step: &Step) {
+        match *step {
+            Step::Offer {
+                class,
+                owner,
+                rank,
+                patience,
+            } => self.offer(CLASSES[class], owner, rank, patience),
+            Step::Finish if self.running > 0 => {
+                self.running -= 1;
+                let releases = self.gate.finish(&spent(), self.now);
+                self.take(releases);
+            }
+            Step::Finish => {}
+            Step::Cancel(index) => {
+                let mut tickets: Vec<_> = self.waiting.keys().copied().collect();
+                tickets.sort_unstable();
+                if let Some(ticket) = tickets.get(index % tickets.len().max(1)) {
+                    assert!(self.gate.cancel(*ticket));
+                    self.waiting.remove(ticket);
+                }
+            }
+            Step::Pass(millis) => {
+                self.now += Duration::from_millis(millis);
+                let releases = self.gate.expire(self.now);
+                self.take(releases);
+            }
+        }
+        assert_eq!(self.gate.running(), self.running);
+        assert_eq!(self.gate.queued(), self.waiting.len());
+        assert!(self.running <= SLOTS);
+    }
+
+    fn offer(&mut self, class: Criticality, owner: u8, rank: u32, patience: u64) {
+        let deadline = self.now + Duration::from_millis(patience);
+        let entry = entry(class, &owner.to_string(), rank, deadline);
+        let (offer, releases) = self.gate.offer(&entry, self.now);
+        if let Offer::Wait(ticket) = offer {
+            self.waiting.insert(ticket, (class, deadline));
+        }
+        match offer {
+            Offer::Run(_) => self.running += 1,
+            Offer::Wait(_) => {}
+            Offer::Refuse(_) => self.shed(class),
+        }
+        self.take(releases);
+    }
+
+    fn take(&mut self, releases: Vec<Release>) {
+        for release in releases {
+            match release {
+                Release::Run(ticket) => {
+                    let (class, deadline) = self.waiting.remove(&ticket).expect("it waits");
+                    let above = self.waiting.values().filter(|(other, _)| *other > class);
+                    assert_eq!(above.count(), 0, "a more critical call waits on");
+                    assert!(deadline > self.now, "an expired call runs");
+                    self.running += 1;
+                }
+                Release::Refuse(ticket, kind) => {
+                    assert_eq!(kind, RefusalKind::Overloaded);
+                    let (class, _) = self.waiting.remove(&ticket).expect("it waits");
+                    if self.gate.queued() == SLOTS * 2 {
+                        self.shed(class);
+                    }
+                }
+            }
+        }
+    }
+
+    fn shed(&self, class: Criticality) {
+        let below = self.waiting.values().filter(|(other, _)| *other < class);
+        assert_eq!(below.count(), 0, "a less critical call waits on");
+    }
+}
+
+#[test]
+fn random_steps_keep_order_and_count() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]);
+    let config = Config {
+        cases: 500,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let outcome = runner.run(&vec(step(), 1..200), |steps| {
+        let mut model = Model {
+            gate: fixed_gate(SLOTS),
+            now: Instant::now(),
+            running: 0,
+            waiting: HashMap::new(),
+        };
+        steps.iter().for_each(|step| model.apply(step));
+        Ok(())
+    });
+    outcome.expect("the gate keeps order and count");
+}
+
+/// Runs `small` and `large` calls a tick against a gate that ends `SLOTS` calls a tick. Returns
+/// how many of each ran, and how many were offered.
+fn contest(small: usize, large: usize, ticks: usize) -> [(usize, usize); 2] {
+    let mut gate = fixed_gate(SLOTS);
+    let mut now = Instant::now();
+    let mut tally = [(0, 0); 2];
+    let mut owners = HashMap::new();
+    let mut running = 0;
+    for tick in 0..ticks {
+        let calls = std::iter::repeat_n(1, large).chain(std::iter::repeat_n(0, small));
+        for (index, owner) in calls.enumerate() {
+            let rank = ((tick * 31 + index) as u32).wrapping_mul(2_654_435_761);
+            let name = ["small", "large"][owner];
+            let entry = entry(Criticality::Normal, name, rank, now + SERVICE * 20);
+            let (offer, releases) = gate.offer(&entry, now);
+            assert!(
+                releases
+                    .iter()
+                    .all(|release| matches!(release, Release::Refuse(..)))
+            );
+            tally[owner].1 += 1;
+            match offer {
+                Offer::Run(_) => {
+                    tally[owner].0 += 1;
+                    running += 1;
+                }
+                Offer::Wait(ticket) => {
+                    owners.insert(ticket, owner);
+                }
+                Offer::Refuse(_) => {}
+            }
+        }
+        now += SERVICE;
+        for _ in 0..std::mem::take(&mut running) {
+            for release in gate.finish(&spent(), now) {
+                if let Release::Run(ticket) = release {
+                    tally[owners[&ticket]].0 += 1;
+                    running += 1;
+                }
+            }
+        }
+    }
+    tally
+}
+
+#[test]
+fn small_organisation_is_served_beside_one_at_eight_times() {
+    let [(ran, asked), (large, _)] = contest(1, 8 * SLOTS, 1_000);
+    assert!(asked - ran <= 1, "{ran} of {asked} calls ran");
+    assert!(large >= 2_900, "only {large} calls of the large one ran");
+}
+
+#[test]
+fn full_queue_sheds_the_organisation_with_most_in_it() {
+    let mut gate = fixed_gate(1);
+    let now = Instant::now();
+    let deadline = now + SERVICE * 10;
+    let offers = [("a", 0), ("a", 1), ("b", 9)];
+    for (owner, rank) in offers {
+        gate.offer(&entry(Criticality::Normal, owner, rank, deadline), now);
+    }
+    let (offer, releases) = gate.offer(&entry(Criticality::Normal, "b", 5, deadline), now);
+    assert_eq!(offer, Offer::Wait(4));
+    assert_eq!(releases, [Release::Refuse(3, RefusalKind::Overloaded)]);
+}
+
+#[test]
+fn a_place_that_was_given_back_runs_the_next_call() {
+    let mut gate = fixed_gate(1);
+    let now = Instant::now();
+    let call = entry(Criticality::Normal, "a", 0, now + SERVICE * 10);
+    assert_eq!(gate.offer(&call, now).0, Offer::Run(1));
+    assert_eq!(gate.offer(&call, now).0, Offer::Wait(2));
+    assert_eq!(gate.abandon(now), [Release::Run(2)]);
+}
+
+/// Feeds a limit with the latency that `latency` gives for its current value.
+fn feed(limit: &mut dyn Limit, now: &mut Instant, latency: impl Fn(usize) -> f64) {
+    for _ in 0..4_000 {
+        *now += Duration::from_millis(10);
+        let running = limit.current();
+        let elapsed = Duration::from_secs_f64(latency(running));
+        let spent = Spent {
+            elapsed,
+            own: elapsed,
+        };
+        limit.observe(&spent, running, *now);
+    }
+}
+
+#[test]
+fn limit_falls_where_concurrency_slows_the_backend_server() {
+    for answering in [Answering::Aimd, Answering::Gradient] {
+        let mut limit = LatencyLimit::open(answering, 100);
+        let mut now = Instant::now();
+        feed(&mut limit, &mut now, |_| 0.01);
+        assert_eq!(limit.current(), 100);
+        // It can run 20 at once without delay.
+        feed(&mut limit, &mut now, |running| {
+            0.01 * (running as f64 / 20.0).max(1.0)
+        });
+        assert!((15..=60).contains(&limit.current()), "{limit:?}");
+    }
+}
+
+#[test]
+fn limit_stays_where_concurrency_is_not_the_cause() {
+    for answering in [Answering::Aimd, Answering::Gradient] {
+        let mut limit = LatencyLimit::open(answering, 100);
+        let mut now = Instant::now();
+        feed(&mut limit, &mut now, |_| 0.01);
+        feed(&mut limit, &mut now, |_| 0.1);
+        assert!(limit.current() >= 90, "{limit:?}");
+    }
+}
