Add the model bench, and wire routing, cut-offs and retry ratios into the node

Cause: the policy had no measure, rank was carried but not used for refusing early, RetryRatio wasn't wired, waits never went stale. Ruled out: a bench over sockets first (noise of the machine would hide the policy); cut-offs that early refusals pass on (they'd refresh themselves and outlive their second); one cut-off for all organisations (it would refuse the small ones for the large one's load). Change: filbertwheel-load model, a discrete-event run over the real gate, router, ratios and cut-offs; Outlook at the node (two choices on wait with decay, avoidance, slow start, near domain); load and cut-off travel back with each verdict; OverloadedDeep isn't retried above; Retry-After with jitter; rank from the request id. The limit's baseline is smoothed: as a minimum it fell with noise and the limit with it. Longest wait 500 -> 100 ms. Retry and cut-off wiring in the node is compiled and covered by no test yet.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -108,13 +108,11 @@
         .header(names::OUTCOME)
         .is_some_and(|outcome| outcome.as_bytes() == NOT_RUN)
     {
-        let draining = response
-            .header(names::REASON)
-            .is_some_and(|r| r.as_bytes() == b"draining");
-        let kind = if draining {
-            RefusalKind::Draining
-        } else {
-            RefusalKind::Overloaded
+        let reason = response.header(names::REASON).map(Text::as_bytes);
+        let kind = match reason {
+            Some(b"draining") => RefusalKind::Draining,
+            Some(b"overloaded-deep") => RefusalKind::OverloadedDeep,
+            _ => RefusalKind::Overloaded,
         };
         return Err(BackendError::Refused(kind));
     }
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -211,6 +211,9 @@
     /// There's no capacity for the request.
     #[display("the service is overloaded")]
     Overloaded,
+    /// A service that the request needs further down has no capacity for it.
+    #[display("a service further down is overloaded")]
+    OverloadedDeep,
     /// The deadline passed before the request ran.
     #[display("the deadline passed before the request ran")]
     Expired,
@@ -232,6 +235,14 @@
 }
 
 impl RefusalKind {
+    /// What it means one hop further up, where another backend server doesn't help.
+    pub fn from_below(self) -> Self {
+        match self {
+            Self::Overloaded => Self::OverloadedDeep,
+            other => other,
+        }
+    }
+
     /// Whether another backend server may be tried instead.
     pub fn may_retry(self) -> bool {
         matches!(self, Self::Overloaded | Self::Draining | Self::Unavailable)
--- a/crates/http/src/verdict.rs
+++ b/crates/http/src/verdict.rs
@@ -84,6 +84,7 @@
         RefusalKind::Quarantined => 422,
         RefusalKind::Repeated => 409,
         RefusalKind::Overloaded
+        | RefusalKind::OverloadedDeep
         | RefusalKind::Draining
         | RefusalKind::Unavailable
         | RefusalKind::Stale => 503,
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,7 +1,10 @@
 //! `filbertwheel-load`: an open-loop load generator.
 //!
 //! Requests are sent at a fixed rate whatever becomes of them, and their latency is counted from
-//! the moment at which they were meant to be sent.
+//! the moment at which they were meant to be sent. `filbertwheel-load model` runs a model of a
+//! whole deployment instead.
+
+mod bench;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -73,6 +76,9 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if let Some(("model", rest)) = arguments.split_first().map(|(a, b)| (a.as_str(), b)) {
+        return ended(bench::model(rest));
+    }
     match plan(&arguments).and_then(run) {
         Ok(summary) => {
             println!("{}", serde_json::json!(summary));
@@ -85,6 +91,16 @@
     }
 }
 
+fn ended(outcome: Result<(), bench::ModelFault>) -> ExitCode {
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("filbertwheel-load: {fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 fn plan(arguments: &[String]) -> Result<Plan, Fault> {
     let mut options = Options::new();
     options.optopt("t", "target", "where to send", "IP:PORT");
--- /dev/null
+++ b/crates/load/src/model/profile.rs
@@ -0,0 +1,207 @@
+//! The brief's two deployments, scaled down.
+
+use std::str::FromStr;
+
+use derive_more::{Display, Error};
+use filbertwheel_core::{Criticality, token};
+
+/// By how much slots are scaled down; the numbers of backend servers stay.
+pub const SCALE: u32 = 5;
+/// Parts of the demand that the organisations send, the large ones first.
+pub const ORGANISATIONS: [f64; 8] = [0.30, 0.25, 0.20, 0.10, 0.06, 0.04, 0.03, 0.02];
+/// Number of failure domains.
+pub const DOMAINS: usize = 3;
+
+/// A deployment.
+#[token]
+#[derive(Display)]
+pub enum Profile {
+    /// Punjab Glass Recovery Authority.
+    #[display("lahore")]
+    Lahore,
+    /// Kalnins Pludmales Rezervacijas.
+    #[display("riga-gulf")]
+    RigaGulf,
+}
+
+/// There's no such profile.
+#[token]
+#[derive(Display, Error)]
+#[display("the profiles are lahore and riga-gulf")]
+pub struct NoProfile;
+
+/// A service of a deployment.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceSpec {
+    /// Its name.
+    pub name: &'static str,
+    /// Number of backend servers.
+    pub servers: usize,
+    /// Slots of each, not scaled.
+    pub slots: u32,
+}
+
+/// One kind of request and the chain of services that it needs.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteSpec {
+    /// Its name.
+    pub name: &'static str,
+    /// How much it matters.
+    pub criticality: Criticality,
+    /// Whether it may run twice.
+    pub idempotent: bool,
+    /// Its part of the demand.
+    pub part: f64,
+    /// Index of each service on the chain, with the mean time of its own work in milliseconds.
+    pub chain: &'static [(usize, f64)],
+}
+
+impl FromStr for Profile {
+    type Err = NoProfile;
+
+    fn from_str(text: &str) -> Result<Self, NoProfile> {
+        match text {
+            "lahore" => Ok(Self::Lahore),
+            "riga-gulf" => Ok(Self::RigaGulf),
+            _ => Err(NoProfile),
+        }
+    }
+}
+
+impl Profile {
+    /// Its services.
+    pub fn services(self) -> &'static [ServiceSpec] {
+        match self {
+            Self::Lahore => &LAHORE,
+            Self::RigaGulf => &RIGA_GULF,
+        }
+    }
+
+    /// Its kinds of request.
+    pub fn routes(self) -> &'static [RouteSpec] {
+        match self {
+            Self::Lahore => &LAHORE_ROUTES,
+            Self::RigaGulf => &RIGA_GULF_ROUTES,
+        }
+    }
+
+    /// Index of the service at the end of most chains.
+    pub fn deepest(self) -> usize {
+        3
+    }
+
+    /// Slots of all backend servers of a service, scaled.
+    pub fn capacity(self, service: usize) -> f64 {
+        let spec = &self.services()[service];
+        f64::from(spec.slots / SCALE) * spec.servers as f64
+    }
+}
+
+impl RouteSpec {
+    /// Seconds for which a request holds a slot of each service. A slot is held while the call
+    /// that it makes runs.
+    pub fn holds(&self) -> impl Iterator<Item = (usize, f64)> + '_ {
+        self.chain.iter().enumerate().map(|(hop, (service, _))| {
+            let millis: f64 = self.chain[hop..].iter().map(|(_, mean)| mean).sum();
+            (*service, millis / 1_000.0)
+        })
+    }
+}
+
+const fn service(name: &'static str, servers: usize, slots: u32) -> ServiceSpec {
+    ServiceSpec {
+        name,
+        servers,
+        slots,
+    }
+}
+
+const LAHORE: [ServiceSpec; 4] = [
+    service("round-sheets", 6, 50),
+    service("weighbridge", 4, 80),
+    service("depot-media", 3, 100),
+    service("ward-desk", 3, 20),
+];
+
+const RIGA_GULF: [ServiceSpec; 4] = [
+    service("availability", 6, 180),
+    service("payments", 3, 360),
+    service("documents", 3, 360),
+    service("staffing", 3, 50),
+];
+
+const LAHORE_ROUTES: [RouteSpec; 5] = [
+    RouteSpec {
+        name: "round-check",
+        criticality: Criticality::Normal,
+        idempotent: true,
+        part: 0.45,
+        chain: &[(0, 60.0), (3, 15.0)],
+    },
+    RouteSpec {
+        name: "ticket",
+        criticality: Criticality::Normal,
+        idempotent: false,
+        part: 0.25,
+        chain: &[(1, 100.0), (0, 40.0)],
+    },
+    RouteSpec {
+        name: "settlement",
+        criticality: Criticality::Critical,
+        idempotent: false,
+        part: 0.05,
+        chain: &[(1, 80.0), (0, 40.0), (3, 15.0)],
+    },
+    RouteSpec {
+        name: "photos",
+        criticality: Criticality::Sheddable,
+        idempotent: true,
+        part: 0.1,
+        chain: &[(2, 300.0), (0, 20.0)],
+    },
+    RouteSpec {
+        name: "complaint",
+        criticality: Criticality::Normal,
+        idempotent: false,
+        part: 0.15,
+        chain: &[(3, 25.0)],
+    },
+];
+
+const RIGA_GULF_ROUTES: [RouteSpec; 5] = [
+    RouteSpec {
+        name: "availability-check",
+        criticality: Criticality::Normal,
+        idempotent: true,
+        part: 0.55,
+        chain: &[(0, 60.0), (3, 12.0)],
+    },
+    RouteSpec {
+        name: "booking",
+        criticality: Criticality::Normal,
+        idempotent: false,
+        part: 0.2,
+        chain: &[(0, 40.0), (1, 100.0), (2, 50.0)],
+    },
+    RouteSpec {
+        name: "deposit",
+        criticality: Criticality::Critical,
+        idempotent: false,
+        part: 0.05,
+        chain: &[(1, 120.0), (0, 40.0), (3, 12.0)],
+    },
+    RouteSpec {
+        name: "roster-change",
+        criticality: Criticality::Critical,
+        idempotent: false,
+        part: 0.05,
+        chain: &[(3, 25.0)],
+    },
+    RouteSpec {
+        name: "photo-ids",
+        criticality: Criticality::Sheddable,
+        idempotent: true,
+        part: 0.15,
+        chain: &[(2, 400.0), (1, 40.0)],
+    },
+];
--- /dev/null
+++ b/crates/load/src/model/report.rs
@@ -0,0 +1,289 @@
+//! The result of a run, for machines and for people.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use filbertwheel_core::Criticality;
+use serde::Serialize;
+
+use super::arrivals::{GREEDY, best_rate, full_rate, steady_rate};
+use super::plot::{Line, plot};
+use super::profile::{ORGANISATIONS, SCALE};
+use super::situation::{BEGIN, END, LENGTH, Situation};
+use super::tally::{BIN, Bin, Miss, Tally};
+use super::world::{RATE_MARGIN, Setup};
+
+/// Part of the requests that has to be answered again for the overload to be over.
+const RECOVERED: f64 = 0.95;
+/// Bins in which it has to be.
+const RECOVERED_BINS: usize = 4;
+/// Time after the cause begins that isn't counted as goodput under it.
+const SETTLING: Duration = Duration::from_secs(2);
+/// Time before the end of the run whose requests may still be on their way.
+const TAIL: Duration = Duration::from_secs(4);
+
+/// The result of a run.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// The deployment.
+    pub profile: String,
+    /// The policy.
+    pub policy: String,
+    /// What happened.
+    pub situation: String,
+    /// Seed of the run.
+    pub seed: u64,
+    /// By how much slots are scaled down.
+    pub scale: u32,
+    /// Requests a second at which the busiest service is full.
+    pub full_rate: f64,
+    /// Whole requests a second while the cause is at work.
+    pub goodput: f64,
+    /// Goodput as a part of the best that the undisturbed capacity allows.
+    pub goodput_of_best: f64,
+    /// Seconds from the end of the cause until requests are answered again, if ever.
+    pub recovery_s: Option<f64>,
+    /// Least part of the requests of an organisation within its rate that was answered.
+    pub worst_organisation: f64,
+    /// Refusals of a gate, cut-off or rate over attempts, in the whole run.
+    pub refused_part: f64,
+    /// Part of the work that was done for calls that failed.
+    pub wasted_part: f64,
+    /// Most retries inside the fleet for one attempt of a caller.
+    pub most_retries: u32,
+    /// Attempts of callers for each request.
+    pub attempts_per_request: f64,
+    /// Part of the requests answered while the cause is at work, by criticality.
+    pub classes: BTreeMap<Criticality, f64>,
+    /// The figures by time.
+    pub samples: Vec<Sample>,
+}
+
+/// The figures of one bin.
+#[derive(Debug, Serialize)]
+pub struct Sample {
+    /// Seconds from the start of the run.
+    pub at_s: f64,
+    /// Requests meant to be sent, a second.
+    pub asked: f64,
+    /// Whole requests a second.
+    pub goodput: f64,
+    /// Latency of whole requests in seconds, from when they were meant to be sent.
+    pub p50_s: f64,
+    /// The same for 99 in 100.
+    pub p99_s: f64,
+    /// Attempts of callers for each request meant to be sent.
+    pub attempts: f64,
+    /// Misses a second by kind.
+    pub misses: BTreeMap<Miss, f64>,
+    /// Part of each organisation's requests that was answered.
+    pub organisations: Vec<f64>,
+}
+
+impl Report {
+    /// Sums up a run.
+    pub fn new(setup: Setup, tally: &Tally) -> Self {
+        let profile = setup.profile;
+        let cause = bins(tally, BEGIN, END);
+        let settled = bins(tally, BEGIN + SETTLING, END);
+        let seconds = settled.len() as f64 * BIN.as_secs_f64();
+        let completed: u64 = settled.iter().map(|bin| bin.completed).sum();
+        let goodput = completed as f64 / seconds;
+        let best = best_rate(profile, demanded(setup));
+        let attempts: u64 = tally.bins.iter().map(|bin| bin.attempts).sum();
+        let asked: u64 = tally.bins.iter().map(|bin| bin.asked).sum();
+        let refused: u64 = tally.bins.iter().map(refusals).sum();
+        let classes = tally.classes.iter();
+        Self {
+            profile: profile.to_string(),
+            policy: setup.rule.to_string(),
+            situation: setup.situation.to_string(),
+            seed: setup.seed,
+            scale: SCALE,
+            full_rate: full_rate(profile),
+            goodput,
+            goodput_of_best: goodput / best,
+            recovery_s: recovery(tally),
+            worst_organisation: worst(setup.situation, cause),
+            refused_part: part(refused, attempts),
+            wasted_part: tally.wasted / (tally.wasted + tally.useful),
+            most_retries: tally.most_retries,
+            attempts_per_request: part(attempts, asked),
+            classes: classes
+                .map(|(class, (asked, whole))| (*class, part(*whole, *asked)))
+                .collect(),
+            samples: tally.bins.iter().enumerate().map(sample).collect(),
+        }
+    }
+}
+
+/// Requests a second within the organisations' rates while the cause is at work.
+fn demanded(setup: Setup) -> f64 {
+    let parts = ORGANISATIONS.iter().enumerate();
+    let factor: f64 = parts
+        .map(|(index, part)| {
+            let limit = RATE_MARGIN * setup.situation.allowance();
+            part * setup.situation.demand(BEGIN, index == GREEDY).min(limit)
+        })
+        .sum();
+    steady_rate(setup.profile) * factor
+}
+
+fn bins(tally: &Tally, from: Duration, to: Duration) -> &[Bin] {
+    let index = |at: Duration| (at.as_nanos() / BIN.as_nanos()) as usize;
+    let end = index(to).min(tally.bins.len());
+    &tally.bins[index(from).min(end)..end]
+}
+
+fn recovery(tally: &Tally) -> Option<f64> {
+    let after = bins(tally, END, LENGTH - TAIL);
+    let well = |bin: &Bin| bin.whole as f64 >= bin.asked as f64 * RECOVERED;
+    let first = after
+        .windows(RECOVERED_BINS)
+        .position(|window| window.iter().all(well))?;
+    Some(first as f64 * BIN.as_secs_f64())
+}
+
+fn worst(situation: Situation, bins: &[Bin]) -> f64 {
+    let organisations = 0..ORGANISATIONS.len();
+    organisations
+        .filter(|index| situation != Situation::Greedy || *index != GREEDY)
+        .map(|index| {
+            let asked = bins.iter().map(|bin| bin.organisations[index].0).sum();
+            let whole = bins.iter().map(|bin| bin.organisations[index].1).sum();
+            part(whole, asked)
+        })
+        .fold(1.0, f64::min)
+}
+
+fn refusals(bin: &Bin) -> u64 {
+    let kinds = [Miss::Overloaded, Miss::CutOff, Miss::OverRate];
+    kinds.iter().filter_map(|kind| bin.misses.get(kind)).sum()
+}
+
+fn part(count: u64, of: u64) -> f64 {
+    if of == 0 {
+        return 1.0;
+    }
+    count as f64 / of as f64
+}
+
+fn sample((index, bin): (usize, &Bin)) -> Sample {
+    let second = |count: u64| count as f64 / BIN.as_secs_f64();
+    let mut latencies = bin.latencies.clone();
+    latencies.sort_by(f64::total_cmp);
+    let at = |quantile: f64| {
+        let last = latencies.len().saturating_sub(1) as f64;
+        let index = (last * quantile) as usize;
+        latencies.get(index).copied().unwrap_or_default()
+    };
+    let misses = bin.misses.iter();
+    Sample {
+        at_s: index as f64 * BIN.as_secs_f64(),
+        asked: second(bin.asked),
+        goodput: second(bin.completed),
+        p50_s: at(0.5),
+        p99_s: at(0.99),
+        attempts: part(bin.attempts, bin.asked),
+        misses: misses
+            .map(|(kind, count)| (*kind, second(*count)))
+            .collect(),
+        organisations: bin
+            .organisations
+            .iter()
+            .map(|(a, w)| part(*w, *a))
+            .collect(),
+    }
+}
+
+/// A page with plots of reports on the same trace.
+pub fn html(reports: &[Report]) -> String {
+    let mut page = String::from("<!doctype html><meta charset=\"utf-8\"><title>Model runs</title>");
+    page.push_str(
+        "<style>body{font-family:sans-serif}td,th{padding:2px 8px;text-align:right}</style>",
+    );
+    page.push_str(&table(reports));
+    page.push_str(&compared(reports, "Whole requests a second", |s| s.goodput));
+    page.push_str(&compared(reports, "Latency of 99 in 100, seconds", |s| {
+        s.p99_s
+    }));
+    page.push_str(&compared(
+        reports,
+        "Attempts of callers for each request",
+        |s| s.attempts,
+    ));
+    for report in reports {
+        page.push_str(&misses(report));
+        page.push_str(&organisations(report));
+    }
+    page
+}
+
+fn table(reports: &[Report]) -> String {
+    let mut rows = String::from(
+        "<table><tr><th>profile<th>situation<th>policy<th>seed<th>goodput/s<th>of best\
+         <th>recovery s<th>worst organisation<th>refused<th>wasted<th>most retries</tr>",
+    );
+    for r in reports {
+        let recovery = r.recovery_s.map_or("none".into(), |s| format!("{s:.2}"));
+        let _infallible = write!(
+            rows,
+            "<tr><td>{}<td>{}<td>{}<td>{}<td>{:.0}<td>{:.3}<td>{recovery}<td>{:.3}<td>{:.4}<td>{:.4}<td>{}</tr>",
+            r.profile,
+            r.situation,
+            r.policy,
+            r.seed,
+            r.goodput,
+            r.goodput_of_best,
+            r.worst_organisation,
+            r.refused_part,
+            r.wasted_part,
+            r.most_retries,
+        );
+    }
+    rows + "</table>"
+}
+
+fn compared(reports: &[Report], title: &str, value: impl Fn(&Sample) -> f64) -> String {
+    let lines = reports.iter().map(|report| {
+        let points = report.samples.iter().map(|s| (s.at_s, value(s))).collect();
+        Line {
+            name: report.policy.clone(),
+            points,
+        }
+    });
+    plot(title, &lines.collect::<Vec<_>>())
+}
+
+fn misses(report: &Report) -> String {
+    let kinds = [
+        Miss::Overloaded,
+        Miss::CutOff,
+        Miss::OverRate,
+        Miss::TimedOut,
+        Miss::Lost,
+    ];
+    let lines = kinds.map(|kind| {
+        let samples = report.samples.iter();
+        let value = |s: &Sample| s.misses.get(&kind).copied().unwrap_or_default();
+        Line {
+            name: format!("{kind:?}"),
+            points: samples.map(|s| (s.at_s, value(s))).collect(),
+        }
+    });
+    plot(&format!("Misses a second, {}", report.policy), &lines)
+}
+
+fn organisations(report: &Report) -> String {
+    let lines = (0..ORGANISATIONS.len()).map(|index| Line {
+        name: format!("organisation {index}"),
+        points: report
+            .samples
+            .iter()
+            .map(|s| (s.at_s, s.organisations[index]))
+            .collect(),
+    });
+    let title = format!("Part answered by organisation, {}", report.policy);
+    plot(&title, &lines.collect::<Vec<_>>())
+}
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -1,6 +1,5 @@
 //! The path of a call: entry, routing, retries, verdict.
 
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -8,15 +7,16 @@
 use filbertwheel_backend::{Announcement, Neighbour, NestedRequest};
 use filbertwheel_caller::{Entry, EntryRequest};
 use filbertwheel_core::{
-    Call, Clock, Criticality, Doubt, Failure, OrganisationId, Rate, Refusal, RefusalKind, Route,
-    Verdict, VmId, invariant,
+    Call, Clock, Criticality, CutOff, Doubt, Failure, OrganisationId, Rate, Refusal, RefusalKind,
+    Route, Verdict, VmId, invariant,
 };
 use filbertwheel_http::{LocalFuture, Particulars};
-use filbertwheel_peer::{CallSink, Forward, ForwardError};
-use filbertwheel_policy::{Candidate, Purse, RETRIES_PER_CALL, choose};
+use filbertwheel_peer::{CallSink, Forward, ForwardError, Load};
+use filbertwheel_policy::{Purse, RETRIES_PER_CALL, rank_of, retry_after};
 
 use crate::control::{ClaimReply, Message};
 use crate::metrics::Metrics;
+use crate::outlook::{Outlook, Target};
 use crate::runner::Runner;
 use crate::snapshot::{Board, Snapshot};
 
@@ -28,8 +28,8 @@
 const DEPTH_LIMIT: u8 = 16;
 /// Longest pause before a retry.
 const BACKOFF: Duration = Duration::from_millis(20);
-/// Wait that's assumed of a node that wasn't reached, in microseconds.
-const UNREACHED_WAIT_US: u64 = 1_000_000;
+/// Pause that a caller is asked for after a refusal under overload, before jitter.
+const CALLER_PAUSE: Duration = Duration::from_secs(1);
 
 /// The path of calls through this node. Shared by the traffic threads.
 #[derive(Debug)]
@@ -41,21 +41,7 @@
     forward: Arc<dyn Forward>,
     control: Sender<Message>,
     metrics: Arc<Metrics>,
-    loads: Mutex<HashMap<VmId, Load>>,
-}
-
-/// What this node knows of another one's load.
-#[derive(Debug, Default, Clone, Copy)]
-struct Load {
-    wait_us: u64,
-    pending: u32,
-}
-
-/// Where a call can run.
-#[derive(Debug, Clone)]
-struct Target {
-    vm: VmId,
-    address: std::net::SocketAddr,
+    outlook: Outlook,
 }
 
 impl Engine {
@@ -69,7 +55,6 @@
         control: Sender<Message>,
         metrics: Arc<Metrics>,
     ) -> Self {
-        let loads = Mutex::default();
         Self {
             clock,
             board,
@@ -78,7 +63,7 @@
             forward,
             control,
             metrics,
-            loads,
+            outlook: Outlook::default(),
         }
     }
 
@@ -158,18 +143,31 @@
 
     /// Runs a call at some backend server, with retries as far as they're given.
     async fn dispatch(&self, call: Call) -> Verdict {
+        self.dispatched(call, &mut None).await
+    }
+
+    /// Runs a call as `dispatch` does. `cut` becomes the cut-off that came back last.
+    async fn dispatched(&self, call: Call, cut: &mut Option<CutOff>) -> Verdict {
         let given = call.retries;
         let mut left = given;
         let mut tried = Vec::new();
         loop {
-            let verdict = self.attempt(&call, &mut left, &mut tried).await;
+            if self.outlook.sheds(&call, self.clock.now()).is_some() {
+                let refusal = Refusal::new(RefusalKind::OverloadedDeep);
+                return Err(refusal.with_retries(left).into());
+            }
+            let verdict = self.attempt(&call, &mut left, &mut tried, cut).await;
+            if verdict.is_ok() {
+                self.outlook.earn(&call.service);
+            }
             invariant!(
                 "retries-bounded",
                 left <= given,
                 "{left} retries are left of {given}"
             );
             let again = may_retry(&call, &verdict) && left > 0;
-            if !again || self.clock.now() + BACKOFF >= call.deadline {
+            let late = self.clock.now() + BACKOFF >= call.deadline;
+            if !again || late || !self.outlook.spend(&call.service) {
                 return with_retries(verdict, left);
             }
             left -= 1;
@@ -179,9 +177,18 @@
     }
 
     /// Tries one backend server. Takes from `left` what that one spends.
-    async fn attempt(&self, call: &Call, left: &mut u32, tried: &mut Vec<VmId>) -> Verdict {
+    async fn attempt(
+        &self,
+        call: &Call,
+        left: &mut u32,
+        tried: &mut Vec<VmId>,
+        cut: &mut Option<CutOff>,
+    ) -> Verdict {
         let snapshot = self.board.load_full();
-        let Some(target) = self.pick(&snapshot, call, tried) else {
+        let now = self.clock.now();
+        let own_wait = self.runner.wait();
+        let picked = self.outlook.pick(&snapshot, call, tried, own_wait, now);
+        let Some(target) = picked else {
             return Err(RefusalKind::Unavailable.into());
         };
         tried.push(target.vm.clone());
@@ -193,25 +200,30 @@
         };
         *left = kept;
         let verdict = if target.vm == snapshot.me.vm {
-            self.runner.run(&call).await
+            let (verdict, load) = self.runner.run(&call).await;
+            self.outlook
+                .hear(&target.vm, &call, &load, self.clock.now());
+            *cut = load.cut;
+            verdict
         } else {
-            self.send(&target, &call).await
+            self.send(&target, &call, cut).await
         };
         *left += returned(&verdict).min(call.retries);
         verdict
     }
 
-    async fn send(&self, target: &Target, call: &Call) -> Verdict {
-        let pending = Pending::begin(self, &target.vm);
+    async fn send(&self, target: &Target, call: &Call, cut: &mut Option<CutOff>) -> Verdict {
+        let pending = self.outlook.begin(&target.vm, self.clock.now());
         let reply = self.forward.forward(target.address, call).await;
         drop(pending);
         match reply {
             Ok((verdict, load)) => {
-                self.note_wait(&target.vm, (load * 1e6) as u64);
+                self.outlook.hear(&target.vm, call, &load, self.clock.now());
+                *cut = load.cut;
                 verdict
             }
             Err(ForwardError::NotSent) => {
-                self.note_wait(&target.vm, UNREACHED_WAIT_US);
+                self.outlook.miss(&target.vm, self.clock.now());
                 Err(Refusal::new(RefusalKind::Unavailable)
                     .with_retries(call.retries)
                     .into())
@@ -222,37 +234,6 @@
         }
     }
 
-    fn pick(&self, snapshot: &Snapshot, call: &Call, tried: &[VmId]) -> Option<Target> {
-        let members: Vec<_> = snapshot
-            .roster
-            .serving(&call.service)
-            .filter(|member| !tried.contains(&member.vm))
-            .collect();
-        let loads = self.loads();
-        let own_wait = (self.runner.wait() * 1e6) as u64;
-        let candidates: Vec<Candidate> = members
-            .iter()
-            .map(|member| {
-                let load = loads.get(&member.vm).copied().unwrap_or_default();
-                let own = member.vm == snapshot.me.vm;
-                let wait_us = if own { own_wait } else { load.wait_us };
-                let near = member.domain == snapshot.me.domain;
-                Candidate {
-                    wait_us,
-                    pending: load.pending,
-                    near,
-                }
-            })
-            .collect();
-        drop(loads);
-        let index = choose(&candidates, |count| rand::random_range(0..count))?;
-        let member = members.get(index)?;
-        Some(Target {
-            vm: member.vm.clone(),
-            address: member.address,
-        })
-    }
-
     async fn nested(&self, request: NestedRequest) -> Verdict {
         let now = self.clock.now();
         let pass = self.runner.passes().borrow(&request.token);
@@ -261,7 +242,14 @@
         };
         let token = request.token.clone();
         let verdict = match self.nested_call(&pass.call, pass.retries, request, now) {
-            Ok(call) => self.dispatch(call).await,
+            Ok(call) => {
+                let mut cut = None;
+                let verdict = self.dispatched(call, &mut cut).await;
+                if let Some(cut) = cut {
+                    self.runner.passes().hear(&token, cut);
+                }
+                verdict.map_err(failed_below)
+            }
             Err(refusal) => Err(refusal.with_retries(pass.retries).into()),
         };
         let took = self.clock.now().saturating_duration_since(now);
@@ -304,17 +292,9 @@
         })
     }
 
-    fn note_wait(&self, vm: &VmId, wait_us: u64) {
-        self.loads().entry(vm.clone()).or_default().wait_us = wait_us;
-    }
-
     fn purse(&self) -> MutexGuard<'_, Purse> {
         self.purse.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn loads(&self) -> MutexGuard<'_, HashMap<VmId, Load>> {
-        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 impl Entry for Engine {
@@ -323,6 +303,7 @@
             let began = self.clock.now();
             let service = request.particulars.service.clone();
             let (organisation, verdict) = self.entered(request).await;
+            let verdict = verdict.map_err(paced);
             let took = self.clock.now().saturating_duration_since(began);
             let name = organisation
                 .as_ref()
@@ -342,10 +323,13 @@
 }
 
 impl CallSink for Engine {
-    fn run(&self, call: Call) -> LocalFuture<'_, Verdict> {
+    fn run(&self, call: Call) -> LocalFuture<'_, (Verdict, Load)> {
         Box::pin(async move {
             let snapshot = self.board.load_full();
-            let refuse = |kind| Err(Refusal::new(kind).with_retries(call.retries).into());
+            let refuse = |kind| {
+                let refusal = Refusal::new(kind).with_retries(call.retries);
+                (Err(refusal.into()), Load::default())
+            };
             if snapshot.me.service.as_ref() != Some(&call.service) {
                 return refuse(RefusalKind::Unavailable);
             }
@@ -355,10 +339,6 @@
             self.runner.run(&call).await
         })
     }
-
-    fn load(&self) -> f64 {
-        self.runner.wait()
-    }
 }
 
 impl Neighbour for Engine {
@@ -378,27 +358,6 @@
     }
 }
 
-/// Counts a forwarded call as pending while it lives.
-struct Pending<'a> {
-    engine: &'a Engine,
-    vm: &'a VmId,
-}
-
-impl<'a> Pending<'a> {
-    fn begin(engine: &'a Engine, vm: &'a VmId) -> Self {
-        engine.loads().entry(vm.clone()).or_default().pending += 1;
-        Self { engine, vm }
-    }
-}
-
-impl Drop for Pending<'_> {
-    fn drop(&mut self) {
-        if let Some(load) = self.engine.loads().get_mut(self.vm) {
-            load.pending = load.pending.saturating_sub(1);
-        }
-    }
-}
-
 /// Finds out for whom a request runs, or refuses it.
 fn identify(
     snapshot: &Snapshot,
@@ -453,6 +412,10 @@
         .patience
         .unwrap_or(DEFAULT_PATIENCE)
         .min(LONGEST_PATIENCE);
+    let rank = match &particulars.request {
+        Some(request) => rank_of(&organisation, request),
+        None => rand::random(),
+    };
     Call {
         id: rand::random(),
         organisation,
@@ -460,7 +423,7 @@
         service: particulars.service,
         criticality: lowered(route.criticality, particulars.criticality),
         idempotent: route.idempotent,
-        rank: rand::random(),
+        rank,
         deadline: now + patience,
         retries: RETRIES_PER_CALL,
         depth: 0,
@@ -476,6 +439,32 @@
     asked.map_or(allowed, |asked| asked.min(allowed))
 }
 
+/// A failure as the caller of the next hop up sees it.
+fn failed_below(failure: Failure) -> Failure {
+    match failure {
+        Failure::Refused(refusal) => Failure::Refused(Refusal {
+            kind: refusal.kind.from_below(),
+            ..refusal
+        }),
+        unknown @ Failure::Unknown(_) => unknown,
+    }
+}
+
+/// Asks the caller for a pause after a refusal under overload.
+fn paced(failure: Failure) -> Failure {
+    match failure {
+        Failure::Refused(refusal) if is_overload(refusal.kind) => Failure::Refused(Refusal {
+            retry_after: Some(retry_after(CALLER_PAUSE, rand::random())),
+            ..refusal
+        }),
+        other => other,
+    }
+}
+
+fn is_overload(kind: RefusalKind) -> bool {
+    matches!(kind, RefusalKind::Overloaded | RefusalKind::OverloadedDeep)
+}
+
 fn may_retry(call: &Call, verdict: &Verdict) -> bool {
     match verdict {
         Ok(_) => false,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod metrics;
 mod node;
+mod outlook;
 mod passes;
 mod runner;
 mod settings;
--- /dev/null
+++ b/crates/node/src/outlook.rs
@@ -0,0 +1,148 @@
+//! What this node knows of the others from its own calls: load, cut-offs, retries left.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{Call, CutOff, Method, OrganisationId, ServiceId, Text, VmId};
+use filbertwheel_peer::Load;
+use filbertwheel_policy::{Candidate, CutOffs, Loads, RetryRatios, choose};
+
+use crate::snapshot::Snapshot;
+
+/// Where a call can run.
+#[derive(Debug, Clone)]
+pub(crate) struct Target {
+    pub vm: VmId,
+    pub address: SocketAddr,
+}
+
+/// The node's view of the others. Shared by the traffic threads.
+#[derive(Debug, Default)]
+pub(crate) struct Outlook {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    loads: Loads,
+    ratios: RetryRatios,
+    cuts: CutOffs<Kind>,
+    /// Whether the first roster was seen. Its members aren't new.
+    settled: bool,
+}
+
+/// Calls that are expected to take the same way through the fleet.
+#[derive(Debug, PartialEq, Eq, Hash)]
+struct Kind {
+    organisation: Option<OrganisationId>,
+    service: ServiceId,
+    method: Method,
+    segment: Text,
+}
+
+impl Outlook {
+    /// Chooses where a call runs. `own_wait` is the wait at this node's own backend server.
+    pub fn pick(
+        &self,
+        snapshot: &Snapshot,
+        call: &Call,
+        tried: &[VmId],
+        own_wait: Duration,
+        now: Instant,
+    ) -> Option<Target> {
+        let members: Vec<_> = snapshot
+            .roster
+            .serving(&call.service)
+            .filter(|member| !tried.contains(&member.vm))
+            .collect();
+        let mut state = self.lock();
+        let new = state.settled;
+        state.settled |= !members.is_empty();
+        let candidates: Vec<Candidate> = members
+            .iter()
+            .map(|member| {
+                if !state.loads.knows(&member.vm) {
+                    state.loads.join(&member.vm, new, now);
+                }
+                if member.vm == snapshot.me.vm {
+                    state.loads.hear(&member.vm, own_wait, now);
+                }
+                let near = member.domain == snapshot.me.domain;
+                state.loads.candidate(&member.vm, near, now)
+            })
+            .collect();
+        drop(state);
+        let index = choose(&candidates, |count| rand::random_range(0..count))?;
+        let member = members.get(index)?;
+        Some(Target {
+            vm: member.vm.clone(),
+            address: member.address,
+        })
+    }
+
+    /// Counts a call as pending while the result lives.
+    pub fn begin<'a>(&'a self, vm: &'a VmId, now: Instant) -> Pending<'a> {
+        self.lock().loads.begin(vm, now);
+        Pending { outlook: self, vm }
+    }
+
+    /// Takes note of what came back with a verdict.
+    pub fn hear(&self, vm: &VmId, call: &Call, load: &Load, now: Instant) {
+        let mut state = self.lock();
+        state.loads.hear(vm, load.wait, now);
+        state
+            .cuts
+            .hear(kind_of(call), call.criticality, load.cut, now);
+    }
+
+    /// Takes note of a member that wasn't reached.
+    pub fn miss(&self, vm: &VmId, now: Instant) {
+        self.lock().loads.miss(vm, now);
+    }
+
+    /// Whether a call would be shed further down.
+    pub fn sheds(&self, call: &Call, now: Instant) -> Option<CutOff> {
+        let kind = kind_of(call);
+        let state = self.lock();
+        state.cuts.sheds(&kind, call.criticality, call.rank, now)
+    }
+
+    /// Takes note of a success.
+    pub fn earn(&self, service: &ServiceId) {
+        self.lock().ratios.earn(service);
+    }
+
+    /// Spends a retry towards a service, if there's one.
+    pub fn spend(&self, service: &ServiceId) -> bool {
+        self.lock().ratios.spend(service)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A call that was sent and hasn't ended.
+pub(crate) struct Pending<'a> {
+    outlook: &'a Outlook,
+    vm: &'a VmId,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        self.outlook.lock().loads.end(self.vm);
+    }
+}
+
+fn kind_of(call: &Call) -> Kind {
+    let mut segments = call.path.as_bytes().split(|byte| b"/?".contains(byte));
+    let segment = segments.find(|segment| !segment.is_empty());
+    let segment = std::str::from_utf8(segment.unwrap_or_default());
+    Kind {
+        organisation: call.organisation.clone(),
+        service: call.service.clone(),
+        method: call.method.clone(),
+        segment: segment.unwrap_or_default().into(),
+    }
+}
--- a/crates/node/src/passes.rs
+++ b/crates/node/src/passes.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use filbertwheel_core::{Call, Text, invariant};
+use filbertwheel_core::{Call, CutOff, Text, invariant};
 
 /// The calls that are running at this node's backend server, by token.
 #[derive(Debug, Default)]
@@ -21,6 +21,8 @@
     pub retries: u32,
     /// Time spent on nested calls so far.
     pub nested: Duration,
+    /// Which calls like it are shed further down, as far as it's known.
+    pub cut: Option<CutOff>,
 }
 
 impl Passes {
@@ -37,6 +39,7 @@
             call,
             retries,
             nested: Duration::ZERO,
+            cut: None,
         };
         self.lock().insert(token.clone(), pass);
         token
@@ -57,6 +60,7 @@
             call: pass.call.clone(),
             retries: given,
             nested: Duration::ZERO,
+            cut: None,
         })
     }
 
@@ -74,6 +78,13 @@
         }
     }
 
+    /// Takes note of a cut-off that came back to a running call.
+    pub fn hear(&self, token: &Text, cut: CutOff) {
+        if let Some(pass) = self.lock().get_mut(token) {
+            pass.cut = Some(pass.cut.map_or(cut, |known| known.stricter(cut)));
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<Text, Pass>> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/node/src/runner.rs
+++ b/crates/node/src/runner.rs
@@ -6,8 +6,9 @@
 
 use async_channel::{Receiver, Sender};
 use filbertwheel_backend::{Announcement, Backend, BackendError, BackendReply, HttpBackend};
-use filbertwheel_core::{Call, Clock, Doubt, Failure, Refusal, RefusalKind, Text, Verdict};
+use filbertwheel_core::{Call, Clock, CutOff, Doubt, Failure, Refusal, RefusalKind, Text, Verdict};
 use filbertwheel_http::Limits;
+use filbertwheel_peer::Load;
 use filbertwheel_policy::{Entry, Gate, Offer, Release, Spent, Ticket};
 use futures_lite::FutureExt as _;
 
@@ -78,9 +79,9 @@
         state.gate.resize(announcement.slots);
     }
 
-    /// How long a new call would wait, in seconds.
-    pub fn wait(&self) -> f64 {
-        self.lock().gate.wait().as_secs_f64()
+    /// How long a new call would wait.
+    pub fn wait(&self) -> Duration {
+        self.lock().gate.wait()
     }
 
     /// Calls that run or wait.
@@ -89,8 +90,22 @@
         state.gate.running() + state.gate.queued()
     }
 
-    /// Runs a call once the gate lets it through.
-    pub async fn run(&self, call: &Call) -> Verdict {
+    /// Runs a call once the gate lets it through. The load comes with the verdict.
+    pub async fn run(&self, call: &Call) -> (Verdict, Load) {
+        let mut below = None;
+        let verdict = self.verdict(call, &mut below).await;
+        let state = self.lock();
+        let own = state.gate.cut_off(&call.organisation, call.criticality);
+        let cut = match (own, below) {
+            (Some(own), Some(below)) => Some(own.stricter(below)),
+            (own, below) => own.or(below),
+        };
+        let wait = state.gate.wait();
+        (verdict, Load { wait, cut })
+    }
+
+    /// Runs a call. `below` becomes the cut-off that its nested calls heard of.
+    async fn verdict(&self, call: &Call, below: &mut Option<CutOff>) -> Verdict {
         let Some(target) = self.lock().backend.clone() else {
             return Err(Refusal::new(RefusalKind::Unavailable)
                 .with_retries(call.retries)
@@ -100,7 +115,8 @@
         let slot = self.admit(call).await.map_err(refuse)?;
         let token = slot.token.clone();
         let reply = target.backend.run(call, token).await;
-        let retries = slot.close();
+        let (retries, cut) = slot.close();
+        *below = cut;
         verdict_of(reply, retries)
     }
 
@@ -256,17 +272,17 @@
 }
 
 impl Slot<'_> {
-    /// Ends the call. Returns the retries that are left.
-    fn close(mut self) -> u32 {
+    /// Ends the call. Returns the retries that are left, and the cut-off that it heard of.
+    fn close(mut self) -> (u32, Option<CutOff>) {
         self.end()
     }
 
-    fn end(&mut self) -> u32 {
+    fn end(&mut self) -> (u32, Option<CutOff>) {
         self.ended = true;
         let pass = self.runner.passes.end(&self.token);
         let nested = pass.as_ref().map_or(Duration::ZERO, |pass| pass.nested);
         self.runner.finish(self.began, nested);
-        pass.map_or(0, |pass| pass.retries)
+        pass.map_or((0, None), |pass| (pass.retries, pass.cut))
     }
 }
 
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -14,7 +14,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::wire::{decode_verdict, encode_call};
+use crate::wire::{Load, decode_verdict, encode_call};
 use crate::{BEAT_METHOD, CALL_PATH, CLAIM_METHOD};
 
 /// How long one control message may take.
@@ -23,8 +23,8 @@
 /// Forwards calls to the nodes beside other backend servers.
 #[async_trait]
 pub trait Forward: Debug + Send + Sync {
-    /// Forwards a call. Returns the verdict and the load of the other backend server in seconds.
-    async fn forward(&self, to: SocketAddr, call: &Call) -> Result<(Verdict, f64), ForwardError>;
+    /// Forwards a call. Returns the verdict and the load of the other backend server.
+    async fn forward(&self, to: SocketAddr, call: &Call) -> Result<(Verdict, Load), ForwardError>;
 }
 
 /// Sends control messages to other nodes.
@@ -96,7 +96,7 @@
 
 #[async_trait]
 impl Forward for PeerClient {
-    async fn forward(&self, to: SocketAddr, call: &Call) -> Result<(Verdict, f64), ForwardError> {
+    async fn forward(&self, to: SocketAddr, call: &Call) -> Result<(Verdict, Load), ForwardError> {
         let frame = encode_call(call, self.clock.now()).ok_or(ForwardError::NotSent)?;
         let request = Request::post(CALL_PATH, frame);
         let reply = self.rpc.send(&self.pool(to), request, call.deadline).await;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub use client::{Controls, Forward, ForwardError, PeerClient};
 pub use server::{CallSink, ControlSink, PeerDoor, SinkError};
+pub use wire::Load;
 
 /// Path of forwarded calls.
 const CALL_PATH: &str = "/call";
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -13,17 +13,13 @@
 use jsonrpsee_core::RegisterMethodError;
 use jsonrpsee_core::server::RpcModule;
 
-use crate::wire::{decode_call, encode_verdict};
+use crate::wire::{Load, decode_call, encode_verdict};
 use crate::{BEAT_METHOD, CALL_PATH, CLAIM_METHOD};
 
 /// Decides about forwarded calls.
 pub trait CallSink: Debug + Send + Sync {
-    /// Runs a call at this node's own backend server.
-    fn run(&self, call: Call) -> LocalFuture<'_, Verdict>;
-
-    /// Load of this node's backend server, which travels back with each verdict: the time that
-    /// a new call would wait, in seconds.
-    fn load(&self) -> f64;
+    /// Runs a call at this node's own backend server. The load travels back with the verdict.
+    fn run(&self, call: Call) -> LocalFuture<'_, (Verdict, Load)>;
 }
 
 /// Decides about control messages.
@@ -87,11 +83,14 @@
     }
 
     async fn call(&self, request: Request) -> Response {
-        let verdict = match decode_call(&request.body, self.clock.now()) {
+        let (verdict, load) = match decode_call(&request.body, self.clock.now()) {
             Some(call) => self.calls.run(call).await,
-            None => Err(Failure::Refused(Refusal::new(RefusalKind::Malformed))),
+            None => {
+                let refusal = Refusal::new(RefusalKind::Malformed);
+                (Err(Failure::Refused(refusal)), Load::default())
+            }
         };
-        match encode_verdict(verdict, self.calls.load()) {
+        match encode_verdict(verdict, &load) {
             Some(frame) => Response::new(200, frame),
             None => Response::new(500, ""),
         }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -6,8 +6,8 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use filbertwheel_core::{
-    Answer, Call, CallId, Criticality, Doubt, Failure, Header, Method, OrganisationId, Refusal,
-    RefusalKind, RequestId, ServiceId, Text, Verdict, message,
+    Answer, Call, CallId, Criticality, CutOff, Doubt, Failure, Header, Method, OrganisationId,
+    Refusal, RefusalKind, RequestId, ServiceId, Text, Verdict, message, value,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -15,6 +15,16 @@
 /// Bytes of the length before the head.
 const LENGTH_BYTES: usize = 4;
 
+/// What a node says about its backend server with each verdict.
+#[value]
+#[derive(Default)]
+pub struct Load {
+    /// How long a new call would wait.
+    pub wait: Duration,
+    /// Which calls like this one are shed here or further down.
+    pub cut: Option<CutOff>,
+}
+
 /// The head of a forwarded call.
 #[message]
 pub(crate) struct CallHead {
@@ -37,7 +47,8 @@
 #[message]
 pub(crate) struct VerdictHead {
     outcome: OutcomeHead,
-    load: f64,
+    wait_us: u64,
+    cut: Option<CutOff>,
 }
 
 #[message]
@@ -96,7 +107,7 @@
     })
 }
 
-pub(crate) fn encode_verdict(verdict: Verdict, load: f64) -> Option<Bytes> {
+pub(crate) fn encode_verdict(verdict: Verdict, load: &Load) -> Option<Bytes> {
     let (outcome, body) = match verdict {
         Ok(Answer {
             status,
@@ -128,10 +139,15 @@
         }
         Err(Failure::Unknown(doubt)) => (OutcomeHead::Unknown { doubt }, Bytes::new()),
     };
-    join(&VerdictHead { outcome, load }, &body)
+    let head = VerdictHead {
+        outcome,
+        wait_us: load.wait.as_micros() as u64,
+        cut: load.cut,
+    };
+    join(&head, &body)
 }
 
-pub(crate) fn decode_verdict(frame: &Bytes) -> Option<(Verdict, f64)> {
+pub(crate) fn decode_verdict(frame: &Bytes) -> Option<(Verdict, Load)> {
     let (head, body) = split::<VerdictHead>(frame)?;
     let verdict = match head.outcome {
         OutcomeHead::Answer {
@@ -158,7 +174,11 @@
         }
         OutcomeHead::Unknown { doubt } => Err(Failure::Unknown(doubt)),
     };
-    Some((verdict, head.load))
+    let load = Load {
+        wait: Duration::from_micros(head.wait_us),
+        cut: head.cut,
+    };
+    Some((verdict, load))
 }
 
 fn join<T: Serialize>(head: &T, body: &[u8]) -> Option<Bytes> {
--- a/crates/policy/src/cutoff.rs
+++ b/crates/policy/src/cutoff.rs
@@ -13,6 +13,8 @@
 const HEADROOM: f64 = 1.01;
 /// Least part that's left of a level in one interval.
 const STEEPEST: f64 = 0.3;
+/// Admitted calls that are counted in beforehand, so that a single refusal says little.
+const PRIOR: f64 = 10.0;
 /// Growth of a level in an interval without a refusal and without a queue.
 const GROWTH: f64 = 1.1;
 /// Least level, so that a few calls always find out how things stand.
@@ -108,15 +110,18 @@
     }
 
     fn roll(&mut self, now: Instant) {
-        if now.saturating_duration_since(self.began) < INTERVAL {
+        let elapsed = now.saturating_duration_since(self.began);
+        if elapsed < INTERVAL {
             return;
         }
         if self.refused > 0 {
-            let offered = self.offered.max(self.refused);
-            let admitted = f64::from(offered - self.refused) / f64::from(offered);
-            self.part *= (admitted * HEADROOM).clamp(STEEPEST, 1.0);
+            let offered = f64::from(self.offered.max(self.refused));
+            let admitted = offered - f64::from(self.refused);
+            let part = (admitted + PRIOR) / (offered + PRIOR);
+            self.part *= (part * HEADROOM).clamp(STEEPEST, 1.0);
         } else if !self.queued {
-            self.part *= GROWTH;
+            let intervals = elapsed.as_secs_f64() / INTERVAL.as_secs_f64();
+            self.part *= GROWTH.powf(intervals);
         }
         self.part = self.part.clamp(LEAST, 1.0);
         *self = Self {
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -14,7 +14,7 @@
 /// Waiting calls for each running one, at most.
 const QUEUE_FACTOR: usize = 2;
 /// Longest wait in the queue.
-const LONGEST_WAIT: Duration = Duration::from_millis(500);
+const LONGEST_WAIT: Duration = Duration::from_millis(100);
 /// Weight of the newest call in the smoothed service time.
 const SERVICE_WEIGHT: f64 = 0.1;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 mod limit;
 mod purse;
 mod queue;
+mod rank;
 mod retry;
 mod roster;
 mod routing;
@@ -22,9 +23,10 @@
 pub use ledger::{Ledger, LedgerError, SHARE_LIFETIME};
 pub use limit::{Answering, FixedLimit, LatencyLimit, Limit, Spent};
 pub use purse::{Purse, Short};
-pub use retry::{RETRIES_PER_CALL, RetryRatio};
+pub use rank::rank_of;
+pub use retry::{RETRIES_PER_CALL, RetryRatio, RetryRatios, retry_after};
 pub use roster::Roster;
-pub use routing::{Candidate, choose};
+pub use routing::{Candidate, Loads, choose};
 
 /// A whole rate and burst, in the portions that shares are counted in.
 pub const WHOLE: u64 = 1_000_000_000;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -6,7 +6,7 @@
 use filbertwheel_core::value;
 
 /// Samples that make a window.
-const WINDOW_SAMPLES: u32 = 20;
+const WINDOW_SAMPLES: u32 = 50;
 /// Shortest window.
 const WINDOW: Duration = Duration::from_millis(100);
 /// Latency over the baseline at which there are too many calls.
@@ -17,6 +17,8 @@
 const GRADIENT_FLOOR: f64 = 0.5;
 /// Latency after a decrease, as a part of that before, above which the decrease was in vain.
 const IN_VAIN: f64 = 0.9;
+/// Weight of the newest window in the baseline.
+const BASELINE_WEIGHT: f64 = 0.1;
 
 /// A call that has ended.
 #[value]
@@ -112,7 +114,10 @@
             .is_some_and(|before| latency > before * IN_VAIN);
         let baseline = match self.baseline {
             Some(baseline) if vain => baseline.max(latency),
-            Some(baseline) => latency.min(baseline),
+            Some(baseline) if latency < baseline || window.peak < self.current() => {
+                baseline + (latency - baseline) * BASELINE_WEIGHT
+            }
+            Some(baseline) => baseline,
             None => latency,
         };
         self.baseline = Some(baseline);
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,5 +1,10 @@
 //! Bounds on retries.
 
+use std::collections::HashMap;
+use std::time::Duration;
+
+use filbertwheel_core::ServiceId;
+
 /// Retries that a call and everything below it may spend together.
 pub const RETRIES_PER_CALL: u32 = 3;
 
@@ -7,6 +12,10 @@
 const EARNED: f64 = 0.1;
 /// Retries that can be saved up.
 const SAVED: f64 = 10.0;
+/// Shortest pause that a refused caller is asked for.
+const SHORTEST_PAUSE: Duration = Duration::from_secs(1);
+/// Longest pause before jitter that a refused caller is asked for.
+const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 
 /// Keeps retries towards one service to a ratio of its successes.
 #[derive(Debug, Clone)]
@@ -34,3 +43,38 @@
         enough
     }
 }
+
+/// The ratios of all services that one node sends to.
+#[derive(Debug, Default)]
+pub struct RetryRatios {
+    ratios: HashMap<ServiceId, RetryRatio>,
+}
+
+impl RetryRatios {
+    /// Takes note of a success.
+    pub fn earn(&mut self, service: &ServiceId) {
+        self.ratio(service).earn();
+    }
+
+    /// Spends a retry towards a service, if there's one.
+    pub fn spend(&mut self, service: &ServiceId) -> bool {
+        self.ratio(service).spend()
+    }
+
+    /// Drops services that `keep` doesn't hold.
+    pub fn retain(&mut self, mut keep: impl FnMut(&ServiceId) -> bool) {
+        self.ratios.retain(|service, _| keep(service));
+    }
+
+    fn ratio(&mut self, service: &ServiceId) -> &mut RetryRatio {
+        let ratio = self.ratios.entry(service.clone());
+        ratio.or_insert_with(RetryRatio::full)
+    }
+}
+
+/// When a refused call may come again: `wait` and up to as much again, so that callers spread out.
+/// `jitter` is from 0 to 1.
+pub fn retry_after(wait: Duration, jitter: f64) -> Duration {
+    let wait = wait.clamp(SHORTEST_PAUSE, LONGEST_PAUSE);
+    wait + wait.mul_f64(jitter.clamp(0.0, 1.0))
+}
