Let a cut-off keep its end wherever it's passed on

Cause: a call that was refused early at a deeper hop told its sender that there's no cut-off, which cleared the one that the sender had. Ruled out: passing the cut-off on with a new lifetime (it would refresh itself). Change: CutOff carries its end; early refusals pass it on unchanged.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -38,13 +38,14 @@
 }
 
 /// Says which of an organisation's calls are shed somewhere.
-#[message]
-#[derive(Copy, Eq)]
+#[token]
 pub struct CutOff {
     /// Everything less critical is shed as well.
     pub criticality: Criticality,
     /// Largest rank that's kept at this criticality.
     pub rank: u32,
+    /// When it no longer counts, wherever it was passed on to.
+    pub expires: Instant,
 }
 
 impl CutOff {
--- a/crates/load/src/model/profile.rs
+++ b/crates/load/src/model/profile.rs
@@ -6,7 +6,7 @@
 use filbertwheel_core::{Criticality, token};
 
 /// By how much slots are scaled down; the numbers of backend servers stay.
-pub const SCALE: u32 = 5;
+pub const SCALE: u32 = 1;
 /// Parts of the demand that the organisations send, the large ones first.
 pub const ORGANISATIONS: [f64; 8] = [0.30, 0.25, 0.20, 0.10, 0.06, 0.04, 0.03, 0.02];
 /// Number of failure domains.
--- a/crates/load/src/model/site.rs
+++ b/crates/load/src/model/site.rs
@@ -81,10 +81,11 @@
         &self,
         owner: &Option<OrganisationId>,
         criticality: Criticality,
+        now: Instant,
     ) -> Option<CutOff> {
         match &self.door {
             Door::Plain { .. } => None,
-            Door::Gated(gate) => gate.cut_off(owner, criticality),
+            Door::Gated(gate) => gate.cut_off(owner, criticality, now),
         }
     }
 
--- a/crates/load/src/model/world/chain.rs
+++ b/crates/load/src/model/world/chain.rs
@@ -41,7 +41,10 @@
             .fleet
             .sheds(from, key, route.criticality, rank, now)
             .filter(|_| full);
-        if cut.is_some() {
+        if let Some(cut) = cut {
+            if let Some(attempt) = self.attempts.get_mut(&id) {
+                attempt.cut = Some(cut);
+            }
             self.hop_failed(id, Miss::CutOff, false);
             return;
         }
@@ -211,7 +214,7 @@
         let class = self.route(attempt.root).criticality;
         let owner = Some(owner(self.roots[attempt.root].arrival.organisation));
         let site = &self.fleet.sites[site];
-        let own = site.cut_off(&owner, class);
+        let own = site.cut_off(&owner, class, now);
         let cut = stricter(attempt.cut, own);
         let wait = site.wait();
         let node = &mut self.fleet.nodes[from];
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -152,7 +152,8 @@
         let mut left = given;
         let mut tried = Vec::new();
         loop {
-            if self.outlook.sheds(&call, self.clock.now()).is_some() {
+            if let Some(shed) = self.outlook.sheds(&call, self.clock.now()) {
+                *cut = Some(shed);
                 let refusal = Refusal::new(RefusalKind::OverloadedDeep);
                 return Err(refusal.with_retries(left).into());
             }
--- a/crates/node/src/runner.rs
+++ b/crates/node/src/runner.rs
@@ -95,7 +95,10 @@
         let mut below = None;
         let verdict = self.verdict(call, &mut below).await;
         let state = self.lock();
-        let own = state.gate.cut_off(&call.organisation, call.criticality);
+        let now = self.clock.now();
+        let own = state
+            .gate
+            .cut_off(&call.organisation, call.criticality, now);
         let cut = match (own, below) {
             (Some(own), Some(below)) => Some(own.stricter(below)),
             (own, below) => own.or(below),
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -106,7 +106,7 @@
             SendError::Late => ForwardError::Late,
             SendError::Broken => ForwardError::Broken,
         })?;
-        decode_verdict(&reply.body).ok_or(ForwardError::Broken)
+        decode_verdict(&reply.body, self.clock.now()).ok_or(ForwardError::Broken)
     }
 }
 
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -90,7 +90,7 @@
                 (Err(Failure::Refused(refusal)), Load::default())
             }
         };
-        match encode_verdict(verdict, &load) {
+        match encode_verdict(verdict, &load, self.clock.now()) {
             Some(frame) => Response::new(200, frame),
             None => Response::new(500, ""),
         }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -48,7 +48,14 @@
 pub(crate) struct VerdictHead {
     outcome: OutcomeHead,
     wait_us: u64,
-    cut: Option<CutOff>,
+    cut: Option<CutHead>,
+}
+
+#[message]
+struct CutHead {
+    criticality: Criticality,
+    rank: u32,
+    left_us: u64,
 }
 
 #[message]
@@ -107,7 +114,7 @@
     })
 }
 
-pub(crate) fn encode_verdict(verdict: Verdict, load: &Load) -> Option<Bytes> {
+pub(crate) fn encode_verdict(verdict: Verdict, load: &Load, now: Instant) -> Option<Bytes> {
     let (outcome, body) = match verdict {
         Ok(Answer {
             status,
@@ -142,12 +149,16 @@
     let head = VerdictHead {
         outcome,
         wait_us: load.wait.as_micros() as u64,
-        cut: load.cut,
+        cut: load.cut.map(|cut| CutHead {
+            criticality: cut.criticality,
+            rank: cut.rank,
+            left_us: cut.expires.saturating_duration_since(now).as_micros() as u64,
+        }),
     };
     join(&head, &body)
 }
 
-pub(crate) fn decode_verdict(frame: &Bytes) -> Option<(Verdict, Load)> {
+pub(crate) fn decode_verdict(frame: &Bytes, now: Instant) -> Option<(Verdict, Load)> {
     let (head, body) = split::<VerdictHead>(frame)?;
     let verdict = match head.outcome {
         OutcomeHead::Answer {
@@ -176,11 +187,21 @@
     };
     let load = Load {
         wait: Duration::from_micros(head.wait_us),
-        cut: head.cut,
+        cut: head.cut.and_then(|cut| cut.decode(now)),
     };
     Some((verdict, load))
 }
 
+impl CutHead {
+    fn decode(self, now: Instant) -> Option<CutOff> {
+        Some(CutOff {
+            criticality: self.criticality,
+            rank: self.rank,
+            expires: now.checked_add(Duration::from_micros(self.left_us))?,
+        })
+    }
+}
+
 fn join<T: Serialize>(head: &T, body: &[u8]) -> Option<Bytes> {
     let head = serde_json::to_vec(head).ok()?;
     let mut frame = BytesMut::with_capacity(LENGTH_BYTES + head.len() + body.len());
--- a/crates/policy/src/cutoff.rs
+++ b/crates/policy/src/cutoff.rs
@@ -1,6 +1,7 @@
 //! Cut-offs: which calls a gate sheds, by rank, so that they can be refused before work is done.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::{Criticality, CutOff, OrganisationId};
@@ -67,11 +68,13 @@
         &self,
         owner: &Option<OrganisationId>,
         criticality: Criticality,
+        now: Instant,
     ) -> Option<CutOff> {
         let level = self.levels.get(&(owner.clone(), criticality))?;
         (level.part < 1.0).then(|| CutOff {
             criticality,
             rank: (level.part * f64::from(u32::MAX)) as u32,
+            expires: now + CUT_OFF_LIFETIME,
         })
     }
 
@@ -134,7 +137,7 @@
 /// Cut-offs that were heard from elsewhere, by what they apply to.
 #[derive(Debug)]
 pub struct CutOffs<K> {
-    heard: HashMap<K, [Option<(u32, Instant)>; CLASSES]>,
+    heard: HashMap<K, [Option<CutOff>; CLASSES]>,
     pruned: Option<Instant>,
 }
 
@@ -150,21 +153,15 @@
     }
 }
 
-impl<K: std::hash::Hash + Eq> CutOffs<K> {
+impl<K: Hash + Eq> CutOffs<K> {
     /// Takes note of a cut-off, or of there being none for calls of `criticality`.
     pub fn hear(&mut self, key: K, criticality: Criticality, cut: Option<CutOff>, now: Instant) {
         self.prune(now);
-        let expires = now + CUT_OFF_LIFETIME;
-        match cut {
-            Some(cut) => {
-                let slots = self.heard.entry(key).or_default();
-                slots[cut.criticality as usize] = Some((cut.rank, expires));
-            }
-            None => {
-                if let Some(slots) = self.heard.get_mut(&key) {
-                    slots[criticality as usize] = None;
-                }
-            }
+        if let Some(cut) = cut {
+            let slots = self.heard.entry(key).or_default();
+            slots[cut.criticality as usize] = Some(cut);
+        } else if let Some(slots) = self.heard.get_mut(&key) {
+            slots[criticality as usize] = None;
         }
     }
 
@@ -176,18 +173,9 @@
         rank: u32,
         now: Instant,
     ) -> Option<CutOff> {
-        self.heard
-            .get(key)?
-            .iter()
-            .zip(CRITICALITIES)
-            .find_map(|(slot, class)| {
-                let (limit, expires) = (*slot)?;
-                let cut = CutOff {
-                    criticality: class,
-                    rank: limit,
-                };
-                (expires > now && cut.sheds(criticality, rank)).then_some(cut)
-            })
+        let slots = self.heard.get(key)?.iter().flatten();
+        let mut live = slots.filter(|cut| cut.expires > now);
+        live.find(|cut| cut.sheds(criticality, rank)).copied()
     }
 
     fn prune(&mut self, now: Instant) {
@@ -196,14 +184,9 @@
             return;
         }
         self.pruned = Some(now);
-        self.heard
-            .retain(|_, slots| slots.iter().flatten().any(|(_, expires)| *expires > now));
+        self.heard.retain(|_, slots| {
+            let mut live = slots.iter().flatten();
+            live.any(|cut| cut.expires > now)
+        });
     }
 }
-
-/// All criticalities, the least first.
-const CRITICALITIES: [Criticality; CLASSES] = [
-    Criticality::Sheddable,
-    Criticality::Normal,
-    Criticality::Critical,
-];
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -120,8 +120,9 @@
         &self,
         organisation: &Option<OrganisationId>,
         criticality: Criticality,
+        now: Instant,
     ) -> Option<CutOff> {
-        self.levels.cut_off(organisation, criticality)
+        self.levels.cut_off(organisation, criticality, now)
     }
 
     /// Takes a call. The releases are calls that were shed to make room for it.
