--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -6,7 +6,7 @@
 use filbertwheel_caller::EntryRequest;
 use filbertwheel_core::{Call, Criticality, Once, OrganisationId, Refusal, RefusalKind, Route};
 use filbertwheel_http::Particulars;
-use filbertwheel_policy::{CLOCK_ERROR, REPEAT_WINDOW, RETRIES_PER_CALL};
+use filbertwheel_policy::{CLOCK_ERROR, REPEAT_WINDOW, RETRIES_PER_CALL, rank_of};
 
 use crate::passes::Pass;
 use crate::snapshot::Snapshot;
@@ -74,6 +74,10 @@
         .patience
         .unwrap_or(DEFAULT_PATIENCE)
         .min(LONGEST_PATIENCE);
+    let rank = match &particulars.request {
+        Some(request) => rank_of(&organisation, request),
+        None => rand::random(),
+    };
     Call {
         id: rand::random(),
         once: once_of(&particulars, route, wall),
@@ -83,7 +87,7 @@
         service: particulars.service,
         criticality: lowered(route.criticality, particulars.criticality),
         idempotent: route.idempotent,
-        rank: rand::random(),
+        rank,
         deadline: now + patience,
         retries: RETRIES_PER_CALL,
         depth: 0,
--- a/crates/node/src/once.rs
+++ b/crates/node/src/once.rs
@@ -3,26 +3,24 @@
 use std::sync::{MutexGuard, PoisonError};
 use std::time::Instant;
 
-use filbertwheel_core::{Answer, Call, Doubt, Once, Refusal, RefusalKind, Verdict};
+use filbertwheel_core::{Answer, Call, CutOff, Doubt, Once, Refusal, RefusalKind, Verdict};
 use filbertwheel_policy::{Admission, Memory, RequestKey};
 
 use crate::engine::Engine;
 
 impl Engine {
     /// Runs a call unless its request id was let run before, or may have been.
-    pub(super) async fn run_owned(&self, call: &Call, once: Once) -> Verdict {
-        let refuse = |kind| Refusal::new(kind).with_retries(call.retries);
+    pub(super) async fn run_owned(&self, call: &Call, once: Once) -> (Verdict, Option<CutOff>) {
+        let refuse = |kind| Refusal::new(kind).with_retries(call.retries).into();
         let Some(key) = RequestKey::of(call) else {
-            return Err(refuse(RefusalKind::Malformed).into());
+            return (Err(refuse(RefusalKind::Malformed)), None);
         };
+        let retries = call.retries;
         match self.admit(&key, once) {
             Admission::Run => {}
-            Admission::Refuse(kind) => return Err(refuse(kind).into()),
-            Admission::Doubt(doubt) => return Err(doubt.into()),
-            Admission::Replay(answer) => {
-                let retries = call.retries;
-                return Ok(Answer { retries, ..answer });
-            }
+            Admission::Refuse(kind) => return (Err(refuse(kind)), None),
+            Admission::Doubt(doubt) => return (Err(doubt.into()), None),
+            Admission::Replay(answer) => return (Ok(Answer { retries, ..answer }), None),
         }
         let taken = Taken {
             engine: self,
@@ -36,9 +34,9 @@
             once: Some(admitted),
             ..call.clone()
         };
-        let verdict = self.dispatch(call).await;
+        let (verdict, cut) = self.dispatch(call).await;
         taken.close(&verdict);
-        verdict
+        (verdict, cut)
     }
 
     fn admit(&self, key: &RequestKey, once: Once) -> Admission {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -6,8 +6,8 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use filbertwheel_core::{
-    Answer, Call, CallId, Criticality, Doubt, Failure, Header, KeyHash, Method, Once,
-    OrganisationId, Refusal, RefusalKind, RequestId, ServiceId, Text, Verdict, message,
+    Answer, Call, CallId, Criticality, CutOff, Doubt, Failure, Header, KeyHash, Method, Once,
+    OrganisationId, Refusal, RefusalKind, RequestId, ServiceId, Text, Verdict, message, value,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -15,6 +15,16 @@
 /// Bytes of the length before the head.
 const LENGTH_BYTES: usize = 4;
 
+/// What a node says about its backend server with each verdict.
+#[value]
+#[derive(Default)]
+pub struct Load {
+    /// How long a new call would wait.
+    pub wait: Duration,
+    /// Which calls like this one are shed here or further down.
+    pub cut: Option<CutOff>,
+}
+
 /// The head of a forwarded call.
 #[message]
 pub(crate) struct CallHead {
@@ -39,7 +49,15 @@
 #[message]
 pub(crate) struct VerdictHead {
     outcome: OutcomeHead,
-    load: f64,
+    wait_us: u64,
+    cut: Option<CutHead>,
+}
+
+#[message]
+struct CutHead {
+    criticality: Criticality,
+    rank: u32,
+    left_us: u64,
 }
 
 #[message]
@@ -102,7 +120,7 @@
     })
 }
 
-pub(crate) fn encode_verdict(verdict: Verdict, load: f64) -> Option<Bytes> {
+pub(crate) fn encode_verdict(verdict: Verdict, load: &Load, now: Instant) -> Option<Bytes> {
     let (outcome, body) = match verdict {
         Ok(Answer {
             status,
@@ -134,10 +152,19 @@
         }
         Err(Failure::Unknown(doubt)) => (OutcomeHead::Unknown { doubt }, Bytes::new()),
     };
-    join(&VerdictHead { outcome, load }, &body)
+    let head = VerdictHead {
+        outcome,
+        wait_us: load.wait.as_micros() as u64,
+        cut: load.cut.map(|cut| CutHead {
+            criticality: cut.criticality,
+            rank: cut.rank,
+            left_us: cut.expires.saturating_duration_since(now).as_micros() as u64,
+        }),
+    };
+    join(&head, &body)
 }
 
-pub(crate) fn decode_verdict(frame: &Bytes) -> Option<(Verdict, f64)> {
+pub(crate) fn decode_verdict(frame: &Bytes, now: Instant) -> Option<(Verdict, Load)> {
     let (head, body) = split::<VerdictHead>(frame)?;
     let verdict = match head.outcome {
         OutcomeHead::Answer {
@@ -164,7 +191,21 @@
         }
         OutcomeHead::Unknown { doubt } => Err(Failure::Unknown(doubt)),
     };
-    Some((verdict, head.load))
+    let load = Load {
+        wait: Duration::from_micros(head.wait_us),
+        cut: head.cut.and_then(|cut| cut.decode(now)),
+    };
+    Some((verdict, load))
+}
+
+impl CutHead {
+    fn decode(self, now: Instant) -> Option<CutOff> {
+        Some(CutOff {
+            criticality: self.criticality,
+            rank: self.rank,
+            expires: now.checked_add(Duration::from_micros(self.left_us))?,
+        })
+    }
 }
 
 fn join<T: Serialize>(head: &T, body: &[u8]) -> Option<Bytes> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,14 +4,18 @@
 //! `filbertwheel-core`, so that tests drive it with a clock of their own.
 
 mod bucket;
+mod cutoff;
 mod divide;
 mod gate;
 mod lease;
 mod ledger;
+mod limit;
 mod link;
 mod memory;
 mod owner;
 mod purse;
+mod queue;
+mod rank;
 mod reign;
 mod retry;
 mod root;
@@ -20,18 +24,21 @@
 mod tenure;
 
 pub use bucket::{Bucket, Receipt};
+pub use cutoff::{CUT_OFF_LIFETIME, CutOffs};
 pub use gate::{Entry, Gate, Offer, Release, Ticket};
 pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch, Voter};
 pub use ledger::{Ledger, LedgerError, SHARE_LIFETIME};
+pub use limit::{Answering, FixedLimit, LatencyLimit, Limit, Spent};
 pub use link::Link;
 pub use memory::{Admission, CLOCK_ERROR, Memory, REPEAT_WINDOW};
 pub use owner::{RequestKey, owner};
 pub use purse::{CLAIM_LIFETIME, Purse, Short};
+pub use rank::rank_of;
 pub use reign::{OUTAGE_LIMIT, Reign, SUPPORT_TIME};
-pub use retry::{RETRIES_PER_CALL, RetryRatio};
+pub use retry::{RETRIES_PER_CALL, RetryRatio, RetryRatios, retry_after};
 pub use root::{Root, RootError};
 pub use roster::Roster;
-pub use routing::{Candidate, choose};
+pub use routing::{Candidate, Loads, choose};
 pub use tenure::Tenure;
 
 /// A whole rate and burst, in the portions that shares are counted in.
