--- /dev/null
+++ b/crates/core/src/config_log.rs
@@ -0,0 +1,73 @@
+//! The configuration in force at one node, with the changes that led to it.
+
+use std::collections::VecDeque;
+
+use crate::{Change, ConfigError, Configuration, Delta, Version, invariant};
+
+/// Changes that are kept at hand for nodes that lag.
+const CHANGES_KEPT: usize = 1_000;
+
+/// The configuration in force. Its version never goes back.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigLog {
+    current: Configuration,
+    recent: VecDeque<Change>,
+}
+
+impl ConfigLog {
+    /// The configuration in force.
+    pub fn current(&self) -> &Configuration {
+        &self.current
+    }
+
+    /// What a node at `version` needs to catch up.
+    pub fn since(&self, version: Version) -> Delta {
+        let first = self.recent.front().map(|change| change.version);
+        let at_hand = first.is_some_and(|first| first <= version + 1);
+        if version >= self.current.version || at_hand {
+            let newer = self.recent.iter().filter(|change| change.version > version);
+            return Delta::Changes(newer.cloned().collect());
+        }
+        Delta::Whole(self.current.clone())
+    }
+
+    /// Takes over what's newer. Returns whether the version grew.
+    pub fn apply(&mut self, delta: Delta) -> Result<bool, ConfigError> {
+        let before = self.current.version;
+        let outcome = match delta {
+            Delta::Changes(changes) => changes
+                .into_iter()
+                .try_for_each(|change| self.follow(change)),
+            Delta::Whole(config) => {
+                self.replace(config);
+                Ok(())
+            }
+        };
+        let after = self.current.version;
+        invariant!(
+            "config-never-reverts",
+            after >= before,
+            "{before} became {after}"
+        );
+        outcome.map(|()| after > before)
+    }
+
+    fn follow(&mut self, change: Change) -> Result<(), ConfigError> {
+        if change.version <= self.current.version {
+            return Ok(());
+        }
+        self.current.apply(&change)?;
+        self.recent.push_back(change);
+        if self.recent.len() > CHANGES_KEPT {
+            self.recent.pop_front();
+        }
+        Ok(())
+    }
+
+    fn replace(&mut self, config: Configuration) {
+        if config.version > self.current.version {
+            self.current = config;
+            self.recent.clear();
+        }
+    }
+}
--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -1,18 +1,16 @@
-//! The configuration in the table: a row for each change.
+//! The configuration's way from the platform into force.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbertwheel_core::{Change, CommandId, Delta, Edit, Text, Version};
+use filbertwheel_core::{CommandId, Delta, Edit, Version};
 use filbertwheel_operator::{CommandError, Reply};
-use filbertwheel_platform::{PlatformError, Row, Table, Write};
+use filbertwheel_platform::{Commit, CommitError, ConfigStore, PlatformError};
 
 use crate::control::Control;
 
-/// Start of the keys of changes.
-const CHANGE_PREFIX: Text = Text::from_static("change/");
 /// Time between the root's looks at the table.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
 /// How long an operator's command waits for the nodes to confirm it.
@@ -23,11 +21,11 @@
 /// Brings new changes from the table into force, while this node is the root.
 pub(crate) async fn watch_changes(control: Rc<RefCell<Control>>) {
     let clock = Arc::clone(&control.borrow().parts.clock);
+    let store = store(&control);
+    let mut compacted = 0;
     loop {
-        if control.borrow().is_root()
-            && let Err(error) = refresh(&control).await
-        {
-            tracing::warn!("control: Changes can't be read: {error}.");
+        if control.borrow().is_root() {
+            watch_once(&control, &store, &mut compacted).await;
         }
         clock.sleep(CHANGE_INTERVAL).await;
     }
@@ -39,58 +37,37 @@
     command: CommandId,
     edit: Edit,
 ) -> Result<Reply, CommandError> {
-    refresh(control)
+    let store = store(control);
+    refresh(control, &store)
         .await
         .map_err(|_| CommandError::Unavailable)?;
-    let table = Arc::clone(&control.borrow().parts.table);
-    let version = match find(table.as_ref(), &command).await? {
-        Some(version) => version,
-        None => write(control, table.as_ref(), command, edit).await?,
+    let config = control.borrow().config().clone();
+    let version = match store.commit(&config, command, edit).await {
+        Ok(Commit::Made(change)) => {
+            let version = change.version;
+            let delta = Delta::Changes(vec![change]);
+            control.borrow_mut().apply(delta);
+            version
+        }
+        Ok(Commit::Known(version)) => version,
+        Err(error) => return Err(refusal(error)),
     };
-    refresh(control).await.map_err(|_| CommandError::Unknown)?;
     confirm(control, version).await
 }
 
-async fn write(
-    control: &Rc<RefCell<Control>>,
-    table: &dyn Table,
-    command: CommandId,
-    edit: Edit,
-) -> Result<Version, CommandError> {
+async fn watch_once(control: &Rc<RefCell<Control>>, store: &ConfigStore, compacted: &mut Version) {
+    if let Err(error) = refresh(control, store).await {
+        tracing::warn!("control: Changes can't be read: {error}.");
+        return;
+    }
     let config = control.borrow().config().clone();
-    config.check(&edit).map_err(|error| CommandError::Invalid {
-        detail: error.to_string().into(),
-    })?;
-    let version = config.version + 1;
-    let change = Change {
-        version,
-        command,
-        edit,
-    };
-    let value = serde_json::to_string(&change).map_err(|error| CommandError::Invalid {
-        detail: error.to_string().into(),
-    })?;
-    let write = Write {
-        key: key_of(version),
-        expect: None,
-        value: Some(value.into()),
-    };
-    match table.commit(vec![write]).await {
-        Ok(()) => Ok(version),
-        Err(PlatformError::Conflict { .. }) => Err(CommandError::Conflict { winner: version }),
-        Err(PlatformError::Unreachable) => Err(CommandError::Unavailable),
-        Err(PlatformError::Unknown | PlatformError::Malformed) => Err(CommandError::Unknown),
+    if config.version == *compacted {
+        return;
+    }
+    match store.compact(&config).await {
+        Ok(()) => *compacted = config.version,
+        Err(error) => tracing::warn!("control: The snapshot wasn't written: {error}."),
     }
-}
-
-/// The version that a command has made already, when its answer was lost.
-async fn find(table: &dyn Table, command: &CommandId) -> Result<Option<Version>, CommandError> {
-    let rows = table.scan(&CHANGE_PREFIX, &Text::default()).await;
-    let rows = rows.map_err(|_| CommandError::Unavailable)?;
-    let mut changes = rows.iter().filter_map(|row| parse(row).ok());
-    Ok(changes
-        .find(|change| change.command == *command)
-        .map(|change| change.version))
 }
 
 async fn confirm(control: &Rc<RefCell<Control>>, version: Version) -> Result<Reply, CommandError> {
@@ -108,21 +85,30 @@
     }
 }
 
-async fn refresh(control: &Rc<RefCell<Control>>) -> Result<(), PlatformError> {
-    let (table, version) = {
-        let control = control.borrow();
-        (Arc::clone(&control.parts.table), control.config().version)
-    };
-    let rows = table.scan(&CHANGE_PREFIX, &key_of(version)).await?;
-    let changes: Result<Vec<Change>, PlatformError> = rows.iter().map(parse).collect();
-    control.borrow_mut().apply(Delta::Changes(changes?));
+async fn refresh(control: &Rc<RefCell<Control>>, store: &ConfigStore) -> Result<(), PlatformError> {
+    let version = control.borrow().config().version;
+    let delta = store.load(version).await?;
+    control.borrow_mut().apply(delta);
     Ok(())
 }
 
-fn parse(row: &Row) -> Result<Change, PlatformError> {
-    serde_json::from_slice(row.value.as_bytes()).map_err(|_| PlatformError::Malformed)
+fn store(control: &Rc<RefCell<Control>>) -> ConfigStore {
+    let control = control.borrow();
+    let parts = &control.parts;
+    ConfigStore::open(
+        Arc::clone(&parts.table),
+        Arc::clone(&parts.objects),
+        Arc::clone(&parts.clock),
+    )
 }
 
-fn key_of(version: Version) -> Text {
-    format!("change/{version:012}").into()
+fn refusal(error: CommitError) -> CommandError {
+    match error {
+        CommitError::Invalid(error) => CommandError::Invalid {
+            detail: error.to_string().into(),
+        },
+        CommitError::Conflict { winner } => CommandError::Conflict { winner },
+        CommitError::Unavailable => CommandError::Unavailable,
+        CommitError::Unknown => CommandError::Unknown,
+    }
 }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,17 +1,17 @@
 //! The control state.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use filbertwheel_backend::Announcement;
 use filbertwheel_core::{
-    Beat, Change, Claim, Clock, Configuration, Delta, Fence, Member, OrganisationId, Pulse, Rate,
-    Status, Tokens, Version, VmId, invariant,
+    Beat, Claim, Clock, ConfigLog, Configuration, Delta, Fence, Member, OrganisationId, Pulse,
+    Rate, Status, Tokens, Version, VmId, invariant,
 };
 use filbertwheel_peer::{Controls, SinkError};
-use filbertwheel_platform::Table;
+use filbertwheel_platform::{Objects, Table};
 use filbertwheel_policy::{Ledger, Purse, Roster, SHARE_LIFETIME};
 
 use crate::metrics::Metrics;
@@ -21,14 +21,13 @@
 pub(crate) const SERVING_LEASE: Duration = Duration::from_secs(5);
 /// Silence after which a child is gone.
 const CHILD_SILENCE: Duration = Duration::from_secs(6);
-/// Changes that are kept at hand for nodes that lag.
-const CHANGES_KEPT: usize = 1_000;
 
 /// What the control state works with.
 #[derive(Debug)]
 pub(crate) struct Parts {
     pub clock: Arc<dyn Clock>,
     pub table: Arc<dyn Table>,
+    pub objects: Arc<dyn Objects>,
     pub controls: Arc<dyn Controls>,
     pub purse: Arc<Mutex<Purse>>,
     pub board: Board,
@@ -42,8 +41,7 @@
     pub parts: Parts,
     me: Member,
     roster: Roster,
-    config: Configuration,
-    changes: VecDeque<Change>,
+    config: ConfigLog,
     lease: Option<Instant>,
     beats: u64,
     /// Position of this node's view in its parent's sequence.
@@ -84,8 +82,7 @@
             parts,
             me,
             roster: Roster::default(),
-            config: Configuration::default(),
-            changes: VecDeque::new(),
+            config: ConfigLog::default(),
             lease: None,
             beats: 0,
             seen: 0,
@@ -106,7 +103,7 @@
 
     /// The configuration in force.
     pub fn config(&self) -> &Configuration {
-        &self.config
+        self.config.current()
     }
 
     /// Whether this node is the root.
@@ -195,7 +192,7 @@
             member: self.me.clone(),
             number: self.beats,
             fence: self.fence(),
-            config: self.config.version,
+            config: self.config().version,
             roster: self.seen,
             demands,
         }
@@ -229,7 +226,7 @@
             lease: SERVING_LEASE,
             lifetime: SHARE_LIFETIME,
             confirmed: self.confirmed(),
-            delta: self.delta_since(beat.config),
+            delta: self.config.since(beat.config),
             roster: self.roster.position(),
             members: self.roster.since(known),
             shares,
@@ -269,7 +266,7 @@
         }
         let now = self.parts.clock.now();
         let organisation = &claim.organisation;
-        let Some(known) = self.config.organisations.get(organisation) else {
+        let Some(known) = self.config().organisations.get(organisation) else {
             return Ok(Tokens {
                 count: 0,
                 retry_after: SERVING_LEASE,
@@ -285,26 +282,15 @@
 
     /// Brings the configuration up to date. Versions never go back.
     pub fn apply(&mut self, delta: Delta) {
-        let before = self.config.version;
-        match delta {
-            Delta::Changes(changes) => changes.into_iter().for_each(|change| self.change(change)),
-            Delta::Whole(config) if config.version > before => {
-                self.config = config;
-                self.changes.clear();
-            }
-            Delta::Whole(_) => {}
-        }
-        let after = self.config.version;
-        invariant!(
-            "config-never-reverts",
-            after >= before,
-            "{before} became {after}"
-        );
-        if after > before {
-            tracing::info!("control: Configuration {after} is in force.");
-            self.parts.metrics.config.set(after as i64);
-            self.publish();
+        match self.config.apply(delta) {
+            Ok(false) => return,
+            Ok(true) => {}
+            Err(error) => tracing::error!("control: A change does not fit: {error}."),
         }
+        let version = self.config().version;
+        tracing::info!("control: Configuration {version} is in force.");
+        self.parts.metrics.config.set(version as i64);
+        self.publish();
     }
 
     /// The configuration's version that every live member has confirmed.
@@ -313,7 +299,7 @@
             return self.confirmed;
         };
         let versions = root.children.values().map(|heard| heard.config);
-        versions.min().unwrap_or(0).min(self.config.version)
+        versions.min().unwrap_or(0).min(self.config().version)
     }
 
     /// Children that haven't confirmed a version.
@@ -361,35 +347,8 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn change(&mut self, change: Change) {
-        if change.version <= self.config.version {
-            return;
-        }
-        if let Err(error) = self.config.apply(&change) {
-            tracing::error!("control: Change {} does not fit: {error}.", change.version);
-            return;
-        }
-        self.changes.push_back(change);
-        if self.changes.len() > CHANGES_KEPT {
-            self.changes.pop_front();
-        }
-    }
-
-    fn delta_since(&self, version: Version) -> Delta {
-        let first = self.changes.front().map(|change| change.version);
-        let at_hand = first.is_some_and(|first| first <= version + 1);
-        if version >= self.config.version || at_hand {
-            let newer = self
-                .changes
-                .iter()
-                .filter(|change| change.version > version);
-            return Delta::Changes(newer.cloned().collect());
-        }
-        Delta::Whole(self.config.clone())
-    }
-
     fn limits(&self) -> BTreeMap<OrganisationId, Rate> {
-        let organisations = self.config.organisations.iter();
+        let organisations = self.config().organisations.iter();
         organisations
             .map(|(name, organisation)| (name.clone(), organisation.limit))
             .collect()
@@ -397,7 +356,7 @@
 
     fn publish(&self) {
         self.parts.board.store(Arc::new(Snapshot {
-            config: Arc::new(self.config.clone()),
+            config: Arc::new(self.config().clone()),
             roster: Arc::new(self.roster.clone()),
             me: self.me.clone(),
             lease: self.lease,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,7 +16,7 @@
 use filbertwheel_http::{Handler, Limits, Listener, Stop, Stopper};
 use filbertwheel_operator::OperatorDoor;
 use filbertwheel_peer::{CallSink, ControlSink, Controls, Forward, PeerClient, PeerDoor};
-use filbertwheel_platform::{Table, TableClient};
+use filbertwheel_platform::{ObjectClient, Objects, Table, TableClient};
 use filbertwheel_policy::{Purse, Roster};
 use filbertwheel_rpc::Guard;
 use smol::LocalExecutor;
@@ -134,9 +134,11 @@
             .map_err(NodeError::Thread)?;
 
         let table = TableClient::open(settings.platform.table, Arc::clone(&clock));
+        let objects = ObjectClient::open(settings.platform.objects, Arc::clone(&clock));
         let parts = Parts {
             clock: Arc::clone(&clock),
             table: Arc::new(table) as Arc<dyn Table>,
+            objects: Arc::new(objects) as Arc<dyn Objects>,
             controls: peers as Arc<dyn Controls>,
             purse,
             board,
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -92,10 +92,13 @@
 
     async fn put(&self, key: &Text, object: Bytes) -> Result<(), PlatformError> {
         let request = Request::post(&format!("/objects/{key}"), object);
-        match self.0.exchange(request).await?.status {
-            200 => Ok(()),
-            _ => Err(PlatformError::Unknown),
-        }
+        self.0.carry_out(request).await
+    }
+
+    async fn remove(&self, key: &Text) -> Result<(), PlatformError> {
+        let mut request = Request::get(&format!("/objects/{key}"));
+        request.method = Text::from_static("DELETE");
+        self.0.carry_out(request).await
     }
 }
 
@@ -118,6 +121,13 @@
         serde_json::from_slice(&response.body).map_err(|_| PlatformError::Malformed)
     }
 
+    async fn carry_out(&self, request: Request) -> Result<(), PlatformError> {
+        match self.exchange(request).await?.status {
+            200 => Ok(()),
+            _ => Err(PlatformError::Unknown),
+        }
+    }
+
     async fn exchange(&self, request: Request) -> Result<Response, PlatformError> {
         let deadline = self.clock.now() + REQUEST_TIMEOUT;
         self.pool
--- /dev/null
+++ b/crates/platform/src/config_store.rs
@@ -0,0 +1,332 @@
+//! The configuration as the platform keeps it.
+//!
+//! A head row holds the latest version; each commit rewrites it, so versions are taken once.
+//! Beside it stand a row for each recent change, a row for each recent command, and a row that
+//! names the latest snapshot in the object store.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use derive_more::{Display, Error, From};
+use filbertwheel_core::{
+    Change, Clock, CommandId, ConfigError, Configuration, Delta, Edit, Text, Version, message,
+    value,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::{Objects, PlatformError, Row, Table, Write};
+
+/// Key of the row with the latest version.
+const HEAD_KEY: Text = Text::from_static("config/head");
+/// Key of the row that names the latest snapshot.
+const SNAPSHOT_KEY: Text = Text::from_static("config/snapshot");
+/// Start of the keys of changes.
+const CHANGE_PREFIX: Text = Text::from_static("change/");
+/// Changes from one snapshot to the next.
+pub const SNAPSHOT_INTERVAL: Version = 256;
+/// How long a command is recognised when it's sent again.
+pub const COMMAND_LIFETIME: Duration = Duration::from_secs(60 * 60);
+/// Changes that one transaction removes at most.
+const PRUNE_BATCH: usize = 64;
+
+/// Keeps the configuration in the platform's services.
+#[derive(Debug, Clone)]
+pub struct ConfigStore {
+    table: Arc<dyn Table>,
+    objects: Arc<dyn Objects>,
+    clock: Arc<dyn Clock>,
+}
+
+/// What became of a command.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Commit {
+    /// The command made this change now.
+    Made(Change),
+    /// The command had made this version before.
+    Known(Version),
+}
+
+/// Why a command made no change.
+#[value]
+#[derive(Display, Error, From)]
+pub enum CommitError {
+    /// The edit doesn't fit the configuration.
+    #[display("{_0}")]
+    Invalid(ConfigError),
+    /// Another command took the next version.
+    #[display("another change came first and made version {winner}")]
+    #[from(skip)]
+    Conflict {
+        /// Version that the other command made.
+        winner: Version,
+    },
+    /// The platform can't be reached. Nothing was written.
+    #[display("the platform can't be reached")]
+    Unavailable,
+    /// The change may have been kept.
+    #[display("it isn't known whether the change was kept")]
+    Unknown,
+}
+
+/// The latest version.
+#[message]
+struct Head {
+    version: Version,
+}
+
+/// The version that a command made.
+#[message]
+struct CommandRow {
+    version: Version,
+    at_ms: u64,
+}
+
+/// The latest snapshot, and the one before it.
+#[message]
+#[derive(Copy, Default)]
+struct SnapshotRow {
+    version: Version,
+    previous: Version,
+}
+
+impl ConfigStore {
+    /// A store in `table` and `objects`.
+    pub fn open(table: Arc<dyn Table>, objects: Arc<dyn Objects>, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            table,
+            objects,
+            clock,
+        }
+    }
+
+    /// Reads what a node at `version` needs to catch up.
+    pub async fn load(&self, version: Version) -> Result<Delta, PlatformError> {
+        let head = self.head().await?.map_or(0, |(_, head)| head.version);
+        if head <= version {
+            return Ok(Delta::Changes(Vec::new()));
+        }
+        let changes = self.changes(version).await?;
+        let reached = changes.last().map_or(version, |change| change.version);
+        if reached >= head {
+            return Ok(Delta::Changes(changes));
+        }
+        self.whole().await.map(Delta::Whole)
+    }
+
+    /// Makes the version that follows `config`, at most once for a command.
+    pub async fn commit(
+        &self,
+        config: &Configuration,
+        command: CommandId,
+        edit: Edit,
+    ) -> Result<Commit, CommitError> {
+        let found = self.find(&command).await;
+        if let Some(version) = found.map_err(|_| CommitError::Unavailable)? {
+            return Ok(Commit::Known(version));
+        }
+        config.check(&edit)?;
+        let change = Change {
+            version: config.version + 1,
+            command,
+            edit,
+        };
+        match self.write(&change).await {
+            Ok(()) => Ok(Commit::Made(change)),
+            Err(PlatformError::Unreachable) => Err(CommitError::Unavailable),
+            Err(error) => self.resolve(&change, &error).await,
+        }
+    }
+
+    /// Writes a snapshot when one is due, and removes rows that nobody needs any more.
+    pub async fn compact(&self, config: &Configuration) -> Result<(), PlatformError> {
+        let row = self.table.read(&SNAPSHOT_KEY).await?;
+        let latest: SnapshotRow = row.as_ref().map(decode).transpose()?.unwrap_or_default();
+        if config.version < latest.version + SNAPSHOT_INTERVAL {
+            return Ok(());
+        }
+        let document = serde_json::to_vec(config).map_err(|_| PlatformError::Malformed)?;
+        let key = snapshot_key(config.version);
+        self.objects.put(&key, document.into()).await?;
+        let next = SnapshotRow {
+            version: config.version,
+            previous: latest.version,
+        };
+        let expect = row.map(|row| row.version);
+        let write = put(SNAPSHOT_KEY, expect, &next)?;
+        self.table.commit(vec![write]).await?;
+        if latest.previous > 0 {
+            self.objects.remove(&snapshot_key(latest.previous)).await?;
+        }
+        self.prune(config.version).await
+    }
+
+    /// The version that a command has made already.
+    async fn find(&self, command: &CommandId) -> Result<Option<Version>, PlatformError> {
+        let row = self.table.read(&command_key(command)).await?;
+        let row: Option<CommandRow> = row.as_ref().map(decode).transpose()?;
+        Ok(row.map(|row| row.version))
+    }
+
+    async fn write(&self, change: &Change) -> Result<(), PlatformError> {
+        let head = self.head().await.map_err(unsent)?;
+        let (expect, version) = head.map_or((None, 0), |(row, head)| (Some(row), head.version));
+        if version + 1 != change.version {
+            return Err(PlatformError::Conflict {
+                key: HEAD_KEY,
+                version: expect,
+            });
+        }
+        let head = Head {
+            version: change.version,
+        };
+        let row = CommandRow {
+            version: change.version,
+            at_ms: self.wall_ms(),
+        };
+        let writes = vec![
+            put(HEAD_KEY, expect, &head)?,
+            put(change_key(change.version), None, change)?,
+            put(command_key(&change.command), None, &row)?,
+        ];
+        self.table.commit(writes).await
+    }
+
+    /// Finds out what became of a write that wasn't plainly made or turned down.
+    async fn resolve(&self, change: &Change, error: &PlatformError) -> Result<Commit, CommitError> {
+        match self.find(&change.command).await {
+            Ok(Some(version)) => Ok(Commit::Known(version)),
+            Ok(None) if matches!(error, PlatformError::Conflict { .. }) => {
+                Err(CommitError::Conflict {
+                    winner: change.version,
+                })
+            }
+            // The write may still be on its way.
+            _ => Err(CommitError::Unknown),
+        }
+    }
+
+    async fn head(&self) -> Result<Option<(u64, Head)>, PlatformError> {
+        let Some(row) = self.table.read(&HEAD_KEY).await? else {
+            return Ok(None);
+        };
+        Ok(Some((row.version, decode(&row)?)))
+    }
+
+    /// The changes that follow `version` without a gap.
+    async fn changes(&self, version: Version) -> Result<Vec<Change>, PlatformError> {
+        let mut changes: Vec<Change> = Vec::new();
+        loop {
+            let reached = changes.last().map_or(version, |change| change.version);
+            let rows = self
+                .table
+                .scan(&CHANGE_PREFIX, &change_key(reached))
+                .await?;
+            let before = changes.len();
+            for row in &rows {
+                let change: Change = decode(row)?;
+                let last = changes.last().map_or(version, |change| change.version);
+                if change.version != last + 1 {
+                    return Ok(changes);
+                }
+                changes.push(change);
+            }
+            if changes.len() == before {
+                return Ok(changes);
+            }
+        }
+    }
+
+    /// The latest snapshot with the changes that follow it.
+    async fn whole(&self) -> Result<Configuration, PlatformError> {
+        let row = self.table.read(&SNAPSHOT_KEY).await?;
+        let row = row.ok_or(PlatformError::Malformed)?;
+        let latest: SnapshotRow = decode(&row)?;
+        let object = self.objects.get(&snapshot_key(latest.version)).await?;
+        let object = object.ok_or(PlatformError::Malformed)?;
+        let mut config: Configuration =
+            serde_json::from_slice(&object).map_err(|_| PlatformError::Malformed)?;
+        if config.version != latest.version {
+            return Err(PlatformError::Malformed);
+        }
+        for change in self.changes(config.version).await? {
+            config
+                .apply(&change)
+                .map_err(|_| PlatformError::Malformed)?;
+        }
+        Ok(config)
+    }
+
+    /// Removes changes behind a snapshot once their commands have been kept long enough.
+    async fn prune(&self, snapshot: Version) -> Result<(), PlatformError> {
+        loop {
+            let rows = self.table.scan(&CHANGE_PREFIX, &Text::default()).await?;
+            let mut writes = Vec::new();
+            for row in rows.iter().take(PRUNE_BATCH) {
+                let change: Change = decode(row)?;
+                let command = self.table.read(&command_key(&change.command)).await?;
+                if change.version > snapshot || !self.is_old(command.as_ref())? {
+                    break;
+                }
+                writes.push(removal(row));
+                writes.extend(command.as_ref().map(removal));
+            }
+            if writes.is_empty() {
+                return Ok(());
+            }
+            self.table.commit(writes).await?;
+        }
+    }
+
+    fn is_old(&self, row: Option<&Row>) -> Result<bool, PlatformError> {
+        let row: Option<CommandRow> = row.map(decode).transpose()?;
+        let lifetime = COMMAND_LIFETIME.as_millis() as u64;
+        Ok(row.is_none_or(|row| self.wall_ms().saturating_sub(row.at_ms) >= lifetime))
+    }
+
+    fn wall_ms(&self) -> u64 {
+        self.clock
+            .wall()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default()
+            .as_millis() as u64
+    }
+}
+
+/// An error before the write was sent.
+fn unsent(_: PlatformError) -> PlatformError {
+    PlatformError::Unreachable
+}
+
+fn put(key: Text, expect: Option<u64>, value: &impl Serialize) -> Result<Write, PlatformError> {
+    let value = serde_json::to_string(value).map_err(|_| PlatformError::Malformed)?;
+    Ok(Write {
+        key,
+        expect,
+        value: Some(value.into()),
+    })
+}
+
+fn removal(row: &Row) -> Write {
+    Write {
+        key: row.key.clone(),
+        expect: Some(row.version),
+        value: None,
+    }
+}
+
+fn decode<T: DeserializeOwned>(row: &Row) -> Result<T, PlatformError> {
+    serde_json::from_slice(row.value.as_bytes()).map_err(|_| PlatformError::Malformed)
+}
+
+fn change_key(version: Version) -> Text {
+    format!("change/{version:012}").into()
+}
+
+fn command_key(command: &CommandId) -> Text {
+    format!("command/{command}").into()
+}
+
+fn snapshot_key(version: Version) -> Text {
+    format!("config/{version:012}").into()
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,11 +4,13 @@
 //! tests and the stand-in.
 
 mod client;
+mod config_store;
 mod memory;
 mod table;
 mod wire;
 
 pub use client::{ObjectClient, TableClient};
+pub use config_store::{COMMAND_LIFETIME, Commit, CommitError, ConfigStore, SNAPSHOT_INTERVAL};
 pub use memory::{MemoryObjects, MemoryTable};
 pub use table::{Objects, PlatformError, Row, Table, Write};
 pub use wire::{CommitReply, CommitRequest, ReadRequest, RowsReply, ScanRequest};
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -85,6 +85,11 @@
         lock(&self.objects).insert(key.clone(), object);
         Ok(())
     }
+
+    async fn remove(&self, key: &Text) -> Result<(), PlatformError> {
+        lock(&self.objects).remove(key);
+        Ok(())
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -73,4 +73,7 @@
 
     /// Writes an object whole, replacing an earlier one.
     async fn put(&self, key: &Text, object: Bytes) -> Result<(), PlatformError>;
+
+    /// Removes an object, if it exists.
+    async fn remove(&self, key: &Text) -> Result<(), PlatformError>;
 }
--- /dev/null
+++ b/crates/platform/tests/config/faulty.rs
@@ -0,0 +1,222 @@
+//! A table and an object store whose faults tests choose.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use filbertwheel_core::{Change, Configuration, Delta, Edit, PausedClock, Rate, Text, Version};
+use filbertwheel_platform::{
+    ConfigStore, MemoryObjects, MemoryTable, Objects, PlatformError, Row, Table, Write,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use smol::future::yield_now;
+
+/// What happens to one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It's carried out and answered.
+    Answered,
+    /// It's carried out and its answer is lost.
+    AnswerLost,
+    /// It never arrives, and nobody can tell.
+    Lost,
+    /// It's turned down.
+    Down,
+}
+
+/// Chooses the fate of each request.
+#[derive(Debug)]
+enum Plan {
+    /// One after another, then answered.
+    Listed(Vec<Fate>),
+    /// At random, with that chance of a fault in a hundred.
+    Random(Box<StdRng>, u32),
+}
+
+/// The platform in memory, with faults.
+#[derive(Debug)]
+pub struct FaultyPlatform {
+    table: MemoryTable,
+    objects: MemoryObjects,
+    commits: Mutex<Plan>,
+    reads: Mutex<Plan>,
+    /// Requests that arrived at the table.
+    pub requests: AtomicU64,
+}
+
+impl FaultyPlatform {
+    /// A platform without faults.
+    pub fn open() -> Arc<Self> {
+        Arc::new(Self {
+            table: MemoryTable::default(),
+            objects: MemoryObjects::default(),
+            commits: Mutex::new(Plan::Listed(Vec::new())),
+            reads: Mutex::new(Plan::Listed(Vec::new())),
+            requests: AtomicU64::new(0),
+        })
+    }
+
+    /// Lets faults come at random from now on.
+    pub fn set_random(&self, seed: u64, percent: u32) {
+        let plan = |seed| Plan::Random(Box::new(StdRng::seed_from_u64(seed)), percent);
+        *self.commits.lock().unwrap() = plan(seed);
+        *self.reads.lock().unwrap() = plan(seed ^ 1);
+    }
+
+    /// Sets what happens to the next commits.
+    pub fn next_commits(&self, fates: &[Fate]) {
+        *self.commits.lock().unwrap() = Plan::Listed(fates.to_vec());
+    }
+
+    /// Sets what happens to the next reads and scans.
+    pub fn next_reads(&self, fates: &[Fate]) {
+        *self.reads.lock().unwrap() = Plan::Listed(fates.to_vec());
+    }
+
+    /// A store in this platform.
+    pub fn store(self: &Arc<Self>, clock: &PausedClock) -> ConfigStore {
+        let table = Arc::clone(self) as Arc<dyn Table>;
+        let objects = Arc::clone(self) as Arc<dyn Objects>;
+        ConfigStore::open(table, objects, Arc::new(clock.clone()))
+    }
+
+    /// Keys of the rows with a prefix, past all faults.
+    pub async fn keys(&self, prefix: &str) -> Vec<String> {
+        let rows = self.table.scan(&prefix.into(), &Text::default()).await;
+        rows.unwrap()
+            .iter()
+            .map(|row| row.key.to_string())
+            .collect()
+    }
+
+    /// The changes in the table, past all faults.
+    pub async fn changes(&self) -> Vec<Change> {
+        let rows = self.table.scan(&"change/".into(), &Text::default()).await;
+        let rows = rows.unwrap();
+        let changes = rows
+            .iter()
+            .map(|row| serde_json::from_slice(row.value.as_bytes()));
+        changes.collect::<Result<_, _>>().unwrap()
+    }
+
+    async fn fate(&self, plan: &Mutex<Plan>) -> Fate {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        let (fate, pauses) = plan.lock().unwrap().next();
+        for _ in 0..pauses {
+            yield_now().await;
+        }
+        fate
+    }
+}
+
+impl Plan {
+    /// The fate of the next request, and how often others come before it.
+    fn next(&mut self) -> (Fate, u32) {
+        match self {
+            Self::Listed(fates) if fates.is_empty() => (Fate::Answered, 1),
+            Self::Listed(fates) => (fates.remove(0), 1),
+            Self::Random(rng, percent) => {
+                let faults = [Fate::AnswerLost, Fate::Lost, Fate::Down];
+                let fate = if rng.random_range(0..100) < *percent {
+                    faults[rng.random_range(0..faults.len())]
+                } else {
+                    Fate::Answered
+                };
+                (fate, rng.random_range(0..4))
+            }
+        }
+    }
+}
+
+impl Fate {
+    fn answer<T>(self, outcome: Result<T, PlatformError>) -> Result<T, PlatformError> {
+        match self {
+            Self::Answered => outcome,
+            Self::AnswerLost | Self::Lost => Err(PlatformError::Unknown),
+            Self::Down => Err(PlatformError::Unreachable),
+        }
+    }
+
+    fn arrives(self) -> bool {
+        matches!(self, Self::Answered | Self::AnswerLost)
+    }
+}
+
+#[async_trait]
+impl Table for FaultyPlatform {
+    async fn read(&self, key: &Text) -> Result<Option<Row>, PlatformError> {
+        let fate = self.fate(&self.reads).await;
+        fate.answer(self.table.read(key).await)
+    }
+
+    async fn scan(&self, prefix: &Text, after: &Text) -> Result<Vec<Row>, PlatformError> {
+        let fate = self.fate(&self.reads).await;
+        fate.answer(self.table.scan(prefix, after).await)
+    }
+
+    async fn commit(&self, writes: Vec<Write>) -> Result<(), PlatformError> {
+        let fate = self.fate(&self.commits).await;
+        if !fate.arrives() {
+            return fate.answer(Ok(()));
+        }
+        fate.answer(self.table.commit(writes).await)
+    }
+}
+
+#[async_trait]
+impl Objects for FaultyPlatform {
+    async fn get(&self, key: &Text) -> Result<Option<Bytes>, PlatformError> {
+        let fate = self.fate(&self.reads).await;
+        fate.answer(self.objects.get(key).await)
+    }
+
+    async fn put(&self, key: &Text, object: Bytes) -> Result<(), PlatformError> {
+        let fate = self.fate(&self.commits).await;
+        if !fate.arrives() {
+            return fate.answer(Ok(()));
+        }
+        fate.answer(self.objects.put(key, object).await)
+    }
+
+    async fn remove(&self, key: &Text) -> Result<(), PlatformError> {
+        let fate = self.fate(&self.commits).await;
+        if !fate.arrives() {
+            return fate.answer(Ok(()));
+        }
+        fate.answer(self.objects.remove(key).await)
+    }
+}
+
+/// An edit that sets an organisation's rate.
+pub fn set_rate(name: &str, rate: f64) -> Edit {
+    Edit::SetOrganisation {
+        name: name.into(),
+        limit: Rate { rate, burst: 1.0 },
+    }
+}
+
+/// The document at the head of the store.
+pub async fn loaded(store: &ConfigStore) -> Configuration {
+    let mut log = filbertwheel_core::ConfigLog::default();
+    log.apply(store.load(0).await.unwrap()).unwrap();
+    log.current().clone()
+}
+
+/// Commits edits one after another, and returns the document that they make.
+pub async fn fill(store: &ConfigStore, changes: Version) -> Configuration {
+    let mut log = filbertwheel_core::ConfigLog::default();
+    log.apply(store.load(0).await.unwrap()).unwrap();
+    let first = log.current().version + 1;
+    for number in first..first + changes {
+        let edit = set_rate("wardoffice", number as f64);
+        let command = format!("fill-{number}").into();
+        let outcome = store.commit(log.current(), command, edit).await.unwrap();
+        let filbertwheel_platform::Commit::Made(change) = outcome else {
+            panic!("{outcome:?}");
+        };
+        log.apply(Delta::Changes(vec![change])).unwrap();
+    }
+    log.current().clone()
+}
--- /dev/null
+++ b/crates/platform/tests/config/main.rs
@@ -0,0 +1,6 @@
+//! The configuration as the platform keeps it, under faults.
+#![expect(clippy::unwrap_used, reason = "a test may end on the first surprise")]
+
+mod faulty;
+mod random;
+mod store;
--- /dev/null
+++ b/crates/platform/tests/config/random.rs
@@ -0,0 +1,132 @@
+//! Operators, nodes and faults at random: each command once, versions without gaps or returns.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use crate::faulty::{FaultyPlatform, fill, loaded, set_rate};
+use filbertwheel_core::{Change, CommandId, ConfigLog, Delta, PausedClock, Version};
+use filbertwheel_platform::{
+    COMMAND_LIFETIME, Commit, CommitError, ConfigStore, SNAPSHOT_INTERVAL,
+};
+use proptest::prelude::{ProptestConfig, any};
+use proptest::{prop_assert, prop_assert_eq, proptest};
+use smol::{LocalExecutor, block_on};
+
+/// Operators at work at once.
+const OPERATORS: usize = 4;
+/// Nodes that they send to.
+const NODES: usize = 3;
+/// Orders of one operator.
+const ORDERS: usize = 5;
+/// Times that an order is sent at most.
+const SENDINGS: usize = 6;
+/// Requests in a hundred that meet a fault.
+const FAULTS: u32 = 25;
+
+/// Versions that commands were told.
+type Told = Rc<RefCell<BTreeMap<CommandId, Version>>>;
+
+/// One node: the store, and the configuration in force.
+struct Node {
+    store: ConfigStore,
+    log: RefCell<ConfigLog>,
+}
+
+impl Node {
+    async fn run(&self, command: CommandId, rate: f64) -> Result<Version, CommitError> {
+        let version = self.log.borrow().current().version;
+        let delta = self.store.load(version).await;
+        self.apply(delta.map_err(|_| CommitError::Unavailable)?);
+        let config = self.log.borrow().current().clone();
+        let edit = set_rate("wardoffice", rate);
+        match self.store.commit(&config, command, edit).await? {
+            Commit::Made(change) => {
+                let version = change.version;
+                self.apply(Delta::Changes(vec![change]));
+                Ok(version)
+            }
+            Commit::Known(version) => Ok(version),
+        }
+    }
+
+    fn apply(&self, delta: Delta) {
+        let before = self.log.borrow().current().version;
+        // Another task of this node may have brought in the same changes.
+        self.log.borrow_mut().apply(delta).unwrap();
+        assert!(self.log.borrow().current().version >= before);
+    }
+}
+
+async fn operate(operator: usize, nodes: Rc<Vec<Node>>, told: Told) {
+    for order in 0..ORDERS {
+        let command: CommandId = format!("{operator}-{order}").into();
+        for sending in 0..SENDINGS {
+            let node = &nodes[(operator + order + sending) % NODES];
+            let rate = (1 + operator * ORDERS + order) as f64;
+            match node.run(command.clone(), rate).await {
+                Ok(version) => {
+                    told.borrow_mut().insert(command, version);
+                    break;
+                }
+                Err(CommitError::Invalid(error)) => panic!("{error}"),
+                Err(_) => {}
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn each_command_is_kept_once_and_no_version_reverts(seed in any::<u64>()) {
+        let platform = FaultyPlatform::open();
+        let clock = PausedClock::new();
+        let start = block_on(fill(&platform.store(&clock), SNAPSHOT_INTERVAL));
+        clock.advance(COMMAND_LIFETIME);
+        platform.set_random(seed, FAULTS);
+        let nodes = (0..NODES).map(|_| Node {
+            store: platform.store(&clock),
+            log: RefCell::default(),
+        });
+        let nodes = Rc::new(nodes.collect::<Vec<_>>());
+        let told = Told::default();
+        let executor = LocalExecutor::new();
+        let tasks: Vec<_> = (0..OPERATORS)
+            .map(|operator| executor.spawn(operate(operator, Rc::clone(&nodes), Rc::clone(&told))))
+            .collect();
+        let store = platform.store(&clock);
+        let compacting = executor.spawn(async move {
+            while store.compact(&start).await.is_err() {}
+            start
+        });
+        let (start, changes) = block_on(executor.run(async {
+            for task in tasks {
+                task.await;
+            }
+            (compacting.await, platform.changes().await)
+        }));
+
+        // A prune that met a fault leaves old rows until the next snapshot.
+        let changes: Vec<Change> = changes
+            .into_iter()
+            .filter(|change| change.version > start.version)
+            .collect();
+        let versions: Vec<Version> = changes.iter().map(|change| change.version).collect();
+        let expected: Vec<Version> = (start.version + 1..).take(changes.len()).collect();
+        prop_assert_eq!(versions, expected);
+        let mut config = start;
+        let mut made = BTreeMap::new();
+        for change in &changes {
+            config.apply(change).unwrap();
+            let earlier = made.insert(change.command.clone(), change.version);
+            prop_assert!(earlier.is_none(), "{} twice", change.command);
+        }
+        platform.set_random(seed, 0);
+        prop_assert_eq!(block_on(loaded(&platform.store(&clock))), config);
+        for (command, version) in told.borrow().iter() {
+            prop_assert_eq!(made.get(command), Some(version));
+        }
+    }
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -80,6 +80,10 @@
                 _ => Response::new(404, ""),
             };
         }
+        if request.method.as_bytes() == b"DELETE" {
+            let _removed = self.objects.remove(key).await;
+            return Response::new(200, "");
+        }
         let _stored = self.objects.put(key, request.body.clone()).await;
         Response::new(200, "")
     }
