--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -5,7 +5,9 @@
 use derive_more::{Display, Error};
 use filbertwheel_macros::{message, value};
 
-use crate::{CommandId, Criticality, KeyHash, OrganisationId, ServiceId, Text, Version};
+use crate::{
+    CommandId, Criticality, Incarnation, KeyHash, OrganisationId, ServiceId, Text, Version, VmId,
+};
 
 /// Rate and burst of an organisation over the whole fleet.
 #[message]
@@ -60,6 +62,9 @@
     pub keys: BTreeMap<KeyHash, Key>,
     /// Routes by name.
     pub routes: BTreeMap<Text, Route>,
+    /// VMs that take no new work, with the last run of the node that this is for.
+    #[serde(default)]
+    pub drains: BTreeMap<VmId, Incarnation>,
 }
 
 /// One change as it's kept in the table service.
@@ -113,6 +118,13 @@
         /// Name of the route.
         name: Text,
     },
+    /// Lets a VM's backend server finish its work and take nothing new.
+    DrainVm {
+        /// Name of the VM.
+        vm: VmId,
+        /// The run of the node that it's for; later runs take work again.
+        incarnation: Incarnation,
+    },
 }
 
 /// Why an edit can't be applied.
@@ -163,6 +175,19 @@
             .max_by_key(|route| (route.prefix.as_bytes().len(), route.method.is_some()))
     }
 
+    /// Whether this run of a VM's node takes no new work.
+    pub fn is_drained(&self, vm: &VmId, incarnation: Incarnation) -> bool {
+        self.drains.get(vm).is_some_and(|last| incarnation <= *last)
+    }
+
+    /// The version that an edit would make.
+    pub fn edited(&self, edit: &Edit) -> Result<Self, ConfigError> {
+        let mut next = self.clone();
+        next.edit(edit)?;
+        next.version += 1;
+        Ok(next)
+    }
+
     /// Applies a change that follows this version.
     pub fn apply(&mut self, change: &Change) -> Result<(), ConfigError> {
         if change.version != self.version + 1 {
@@ -216,6 +241,9 @@
             Edit::RemoveRoute { name } => {
                 self.routes.remove(&name);
             }
+            Edit::DrainVm { vm, incarnation } => {
+                self.drains.insert(vm, incarnation);
+            }
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/core/src/config_diff.rs
@@ -0,0 +1,57 @@
+//! What differs from one configuration to another.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use filbertwheel_macros::value;
+use serde::Serialize;
+
+use crate::{Configuration, Text};
+
+/// One thing that differs.
+#[value]
+pub struct Difference {
+    /// Kind of the thing, such as `organisation`.
+    pub kind: &'static str,
+    /// Its name.
+    pub name: Text,
+    /// What it was, as JSON; `None` where it's new.
+    pub before: Option<Text>,
+    /// What it becomes, as JSON; `None` where it's removed.
+    pub after: Option<Text>,
+}
+
+impl Configuration {
+    /// What differs in `next`, in order of kind and name.
+    pub fn differences(&self, next: &Self) -> Vec<Difference> {
+        let mut found = Vec::new();
+        let organisations = (&self.organisations, &next.organisations);
+        compare("organisation", organisations, &mut found);
+        compare("key", (&self.keys, &next.keys), &mut found);
+        compare("route", (&self.routes, &next.routes), &mut found);
+        compare("drain", (&self.drains, &next.drains), &mut found);
+        found
+    }
+}
+
+fn compare<T: PartialEq + Serialize>(
+    kind: &'static str,
+    (before, after): (&BTreeMap<Text, T>, &BTreeMap<Text, T>),
+    found: &mut Vec<Difference>,
+) {
+    let names: BTreeSet<&Text> = before.keys().chain(after.keys()).collect();
+    for name in names {
+        let (before, after) = (before.get(name), after.get(name));
+        if before != after {
+            found.push(Difference {
+                kind,
+                name: name.clone(),
+                before: before.map(json),
+                after: after.map(json),
+            });
+        }
+    }
+}
+
+fn json(value: &impl Serialize) -> Text {
+    serde_json::to_string(value).unwrap_or_default().into()
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 mod call;
 mod clock;
 mod config;
+mod config_diff;
 mod config_log;
 mod control;
 mod ids;
@@ -22,6 +23,7 @@
 };
 pub use clock::{Clock, PausedClock, Sleep, SystemClock};
 pub use config::{Change, ConfigError, Configuration, Edit, Key, Organisation, Rate, Route};
+pub use config_diff::Difference;
 pub use config_log::ConfigLog;
 pub use control::{Beat, Claim, Delta, Demand, Pulse, Share, Tokens};
 pub use filbertwheel_macros::{message, settings, token, value};
--- /dev/null
+++ b/crates/ctl/src/session.rs
@@ -0,0 +1,130 @@
+//! Running commands from the command line, a file or a prompt.
+
+use std::fs;
+use std::io::{self, IsTerminal as _, Write as _};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbertwheel_core::{Clock, Edit, Text, hash_key};
+use filbertwheel_operator::{Command, OperatorClient, Order, Query, Reply, Statement, parse};
+
+use crate::fault::Fault;
+use crate::show::Printer;
+
+/// Runs commands at one node.
+#[derive(Debug)]
+pub(crate) struct Session {
+    client: OperatorClient,
+    clock: Arc<dyn Clock>,
+    printer: Printer,
+}
+
+impl Session {
+    /// A session with the node behind `client`.
+    pub fn open(client: OperatorClient, clock: Arc<dyn Clock>, printer: Printer) -> Self {
+        Self {
+            client,
+            clock,
+            printer,
+        }
+    }
+
+    /// Runs one command.
+    pub async fn run_line(&self, line: &str) -> Result<(), Fault> {
+        self.run(parse(line)?).await
+    }
+
+    /// Runs the commands in a file, up to the first that fails. A mistake anywhere runs none.
+    pub async fn run_file(&self, path: &Path) -> Result<(), Fault> {
+        let text = fs::read_to_string(path).map_err(|source| Fault::File {
+            path: path.to_owned(),
+            source,
+        })?;
+        let (mut statements, mut mistakes) = (Vec::new(), Vec::new());
+        for (index, line) in text.lines().enumerate() {
+            match parse(line) {
+                _ if is_blank(line) => {}
+                Ok(statement) => statements.push(statement),
+                Err(mistake) => mistakes.push((index + 1, mistake)),
+            }
+        }
+        if !mistakes.is_empty() {
+            let path = path.to_owned();
+            return Err(Fault::Mistakes { path, mistakes });
+        }
+        for statement in statements {
+            self.run(statement).await?;
+        }
+        Ok(())
+    }
+
+    /// Runs commands from standard input. At a terminal it goes on after a failure.
+    pub async fn run_input(&self) -> Result<(), Fault> {
+        let prompts = io::stdin().is_terminal() && io::stdout().is_terminal();
+        loop {
+            if prompts {
+                write!(io::stdout(), "filbertctl> ")?;
+                io::stdout().flush()?;
+            }
+            let mut line = String::new();
+            if io::stdin().read_line(&mut line)? == 0 {
+                return Ok(());
+            }
+            if is_blank(&line) {
+                continue;
+            }
+            match self.run_line(line.trim_end()).await {
+                Err(fault) if prompts => eprintln!("{fault}"),
+                outcome => outcome?,
+            }
+        }
+    }
+
+    async fn run(&self, statement: Statement) -> Result<(), Fault> {
+        match statement {
+            Statement::Command(command) => self.order(command, None).await,
+            Statement::NewKey { organisation } => {
+                let key = format!("fw-{:032x}", rand::random::<u128>());
+                let hash = hash_key(key.as_bytes());
+                let edit = Edit::AddKey { hash, organisation };
+                self.order(Command::Edit(edit), Some(key)).await
+            }
+            Statement::Watch { query, interval } => self.watch(query, interval).await,
+        }
+    }
+
+    async fn watch(&self, query: Query, interval: Duration) -> Result<(), Fault> {
+        loop {
+            self.printer.clear()?;
+            self.order(Command::Show(query.clone()), None).await?;
+            self.clock.sleep(interval).await;
+        }
+    }
+
+    async fn order(&self, command: Command, key: Option<String>) -> Result<(), Fault> {
+        let id: Text = format!("{:032x}", rand::random::<u128>()).into();
+        let order = Order { id, command };
+        let outcome = self.client.run(&order).await;
+        // The key is wanted also where the change may have been kept.
+        let kept = match &outcome {
+            Ok(_) => true,
+            Err(error) => error.is_unknown(),
+        };
+        if let Some(key) = key.filter(|_| kept) {
+            self.printer.key(&key)?;
+        }
+        let reply = outcome?;
+        self.printer.reply(&reply)?;
+        match reply {
+            Reply::Pending { waiting, .. } => Err(Fault::Pending(waiting)),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Whether a line holds no command.
+fn is_blank(line: &str) -> bool {
+    let line = line.trim();
+    line.is_empty() || line.starts_with('#')
+}
--- /dev/null
+++ b/crates/ctl/src/show.rs
@@ -0,0 +1,140 @@
+//! Replies as people and scripts read them.
+
+use std::io::{self, Write, stdout};
+
+use filbertwheel_core::Text;
+use filbertwheel_operator::Reply;
+use serde_json::{Map, Value, json};
+
+/// Bold, for the names of columns.
+const BOLD: &str = "\x1b[1m";
+/// Green, for changes in force.
+const GREEN: &str = "\x1b[32m";
+/// Yellow, for changes that wait.
+const YELLOW: &str = "\x1b[33m";
+/// Ends a colour.
+const RESET: &str = "\x1b[0m";
+/// Clears the screen and goes to its top.
+const CLEAR: &str = "\x1b[2J\x1b[H";
+
+/// How replies are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Style {
+    /// Text without colours.
+    Plain,
+    /// Text for a terminal.
+    Coloured,
+    /// A JSON document for each reply.
+    Json,
+}
+
+/// Writes replies to standard output.
+#[derive(Debug)]
+pub(crate) struct Printer {
+    style: Style,
+}
+
+impl Printer {
+    /// A printer of a style.
+    pub fn open(style: Style) -> Self {
+        Self { style }
+    }
+
+    /// Clears the screen of a terminal.
+    pub fn clear(&self) -> io::Result<()> {
+        match self.style {
+            Style::Coloured => write!(stdout(), "{CLEAR}"),
+            _ => Ok(()),
+        }
+    }
+
+    /// Writes a new key.
+    pub fn key(&self, key: &str) -> io::Result<()> {
+        match self.style {
+            Style::Json => writeln!(stdout(), "{}", json!({ "key": key })),
+            Style::Plain => writeln!(stdout(), "key {key}"),
+            Style::Coloured => writeln!(stdout(), "key {key}\nIt is shown only once."),
+        }
+    }
+
+    /// Writes a reply.
+    pub fn reply(&self, reply: &Reply) -> io::Result<()> {
+        let mut out = stdout().lock();
+        if self.style == Style::Json {
+            return writeln!(out, "{}", value(reply));
+        }
+        match reply {
+            Reply::Accepted { version } => {
+                let line = self.paint(GREEN, &format!("accepted as version {version}"));
+                writeln!(out, "{line}")
+            }
+            Reply::Pending { version, .. } => {
+                let line = self.paint(YELLOW, &format!("kept as version {version}"));
+                writeln!(out, "{line}")
+            }
+            Reply::Rows { columns, rows } => self.rows(&mut out, columns, rows),
+        }
+    }
+
+    fn rows(&self, out: &mut impl Write, columns: &[Text], rows: &[Vec<Text>]) -> io::Result<()> {
+        let widths: Vec<usize> = (0..columns.len())
+            .map(|index| width(index, columns, rows))
+            .collect();
+        writeln!(out, "{}", self.paint(BOLD, &aligned(columns, &widths)))?;
+        for row in rows {
+            writeln!(out, "{}", aligned(row, &widths))?;
+        }
+        Ok(())
+    }
+
+    fn paint(&self, colour: &str, text: &str) -> String {
+        match self.style {
+            Style::Coloured => format!("{colour}{text}{RESET}"),
+            _ => text.to_owned(),
+        }
+    }
+}
+
+fn width(index: usize, columns: &[Text], rows: &[Vec<Text>]) -> usize {
+    let cells = rows.iter().filter_map(|row| row.get(index));
+    cells
+        .chain(columns.get(index))
+        .map(|cell| printable(cell).chars().count())
+        .max()
+        .unwrap_or(0)
+}
+
+fn aligned(row: &[Text], widths: &[usize]) -> String {
+    let cells = row.iter().zip(widths);
+    let cells: Vec<String> = cells
+        .map(|(cell, width)| format!("{:<width$}", printable(cell)))
+        .collect();
+    cells.join("  ").trim_end().to_owned()
+}
+
+/// The cell without control characters, which could steer a terminal.
+fn printable(cell: &Text) -> String {
+    let visible = |c: char| if c.is_control() { '\u{fffd}' } else { c };
+    cell.to_string().chars().map(visible).collect()
+}
+
+fn value(reply: &Reply) -> Value {
+    match reply {
+        Reply::Accepted { version } => json!({ "outcome": "accepted", "version": version }),
+        Reply::Pending { version, waiting } => {
+            json!({ "outcome": "pending", "version": version, "waiting": waiting })
+        }
+        Reply::Rows { columns, rows } => {
+            let rows: Vec<Value> = rows.iter().map(|row| object(columns, row)).collect();
+            json!({ "outcome": "rows", "rows": rows })
+        }
+    }
+}
+
+fn object(columns: &[Text], row: &[Text]) -> Value {
+    let cells = columns.iter().zip(row);
+    let cells: Map<String, Value> = cells
+        .map(|(column, cell)| (column.to_string(), json!(cell)))
+        .collect();
+    Value::Object(cells)
+}
--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbertwheel_core::{CommandId, Delta, Edit, Version};
+use filbertwheel_core::{CommandId, ConfigError, Delta, Edit, Version};
 use filbertwheel_operator::{CommandError, Reply};
 use filbertwheel_platform::{Commit, CommitError, ConfigStore, PlatformError};
 
@@ -37,10 +37,8 @@
     command: CommandId,
     edit: Edit,
 ) -> Result<Reply, CommandError> {
+    refresh(control).await?;
     let store = store(control);
-    refresh(control, &store)
-        .await
-        .map_err(|_| CommandError::Unavailable)?;
     let config = control.borrow().config().clone();
     let version = match store.commit(&config, command, edit).await {
         Ok(Commit::Made(change)) => {
@@ -56,7 +54,7 @@
 }
 
 async fn watch_once(control: &Rc<RefCell<Control>>, store: &ConfigStore, compacted: &mut Version) {
-    if let Err(error) = refresh(control, store).await {
+    if let Err(error) = load(control, store).await {
         tracing::warn!("control: Changes can't be read: {error}.");
         return;
     }
@@ -85,7 +83,20 @@
     }
 }
 
-async fn refresh(control: &Rc<RefCell<Control>>, store: &ConfigStore) -> Result<(), PlatformError> {
+/// Brings the configuration up to date.
+pub(crate) async fn refresh(control: &Rc<RefCell<Control>>) -> Result<(), CommandError> {
+    let loaded = load(control, &store(control)).await;
+    loaded.map_err(|_| CommandError::Unavailable)
+}
+
+/// The refusal of an edit that doesn't fit.
+pub(crate) fn invalid(error: ConfigError) -> CommandError {
+    CommandError::Invalid {
+        detail: error.to_string().into(),
+    }
+}
+
+async fn load(control: &Rc<RefCell<Control>>, store: &ConfigStore) -> Result<(), PlatformError> {
     let version = control.borrow().config().version;
     let delta = store.load(version).await?;
     control.borrow_mut().apply(delta);
@@ -104,9 +115,7 @@
 
 fn refusal(error: CommitError) -> CommandError {
     match error {
-        CommitError::Invalid(error) => CommandError::Invalid {
-            detail: error.to_string().into(),
-        },
+        CommitError::Invalid(error) => invalid(error),
         CommitError::Conflict { winner } => CommandError::Conflict { winner },
         CommitError::Unavailable => CommandError::Unavailable,
         CommitError::Unknown => CommandError::Unknown,
--- a/crates/node/src/control/desk.rs
+++ b/crates/node/src/control/desk.rs
@@ -6,16 +6,20 @@
 
 use async_channel::{Receiver, Sender};
 use async_trait::async_trait;
-use filbertwheel_core::{Beat, Claim, Pulse, Text, Tokens};
-use filbertwheel_operator::{Command, CommandError, Desk, Order, Query, Reply};
+use filbertwheel_core::{Beat, Claim, CommandId, Difference, Edit, Pulse, Text, Tokens};
+use filbertwheel_operator::{Command, CommandError, Desk, Order, Reply, View};
 use filbertwheel_peer::{ControlSink, SinkError};
 use smol::LocalExecutor;
 
-use crate::control::config::commit;
+use crate::control::config::{commit, invalid, refresh};
+use crate::control::show::{refusals, show};
 use crate::control::{Control, Message, serve_claims};
 use crate::metrics::Metrics;
 use crate::snapshot::Board;
 
+/// Columns of a rehearsal.
+const REHEARSAL_COLUMNS: [&str; 4] = ["kind", "name", "before", "after"];
+
 /// Passes messages from traffic threads to the control thread.
 #[derive(Debug)]
 pub(crate) struct ControlDesk {
@@ -48,6 +52,11 @@
 #[async_trait]
 impl Desk for ControlDesk {
     async fn run(&self, order: Order) -> Result<Reply, CommandError> {
+        if let Command::Show(query) = &order.command
+            && query.view == View::Refusals
+        {
+            return Ok(refusals(&self.metrics, query));
+        }
         let (reply, answer) = async_channel::bounded(1);
         let sent = self.control.send(Message::Order(order, reply)).await;
         sent.map_err(|_| CommandError::Stopping)?;
@@ -102,87 +111,55 @@
     reply: Sender<Result<Reply, CommandError>>,
 ) {
     let outcome = match order.command {
-        Command::Edit(edit) => commit(&control, order.id, edit).await,
-        Command::Show(query) => Ok(show(&control.borrow(), query)),
+        Command::Show(query) => show(&control.borrow(), &query),
+        Command::Rehearse(command) => rehearse(&control, *command).await,
+        command => change(&control, order.id, command).await,
     };
     let _gone = reply.try_send(outcome);
 }
 
-fn show(control: &Control, query: Query) -> Reply {
-    let config = control.config();
-    let (columns, rows): (&[&'static str], Vec<Vec<Text>>) = match query {
-        Query::Organisations => (
-            &["organisation", "rate", "burst"],
-            config
-                .organisations
-                .iter()
-                .map(|(name, one)| vec![name.clone(), text(one.limit.rate), text(one.limit.burst)])
-                .collect(),
-        ),
-        Query::Keys => (
-            &["hash", "organisation"],
-            config
-                .keys
-                .iter()
-                .map(|(hash, key)| vec![hash.clone(), key.organisation.clone()])
-                .collect(),
-        ),
-        Query::Routes => (
-            &[
-                "route",
-                "service",
-                "prefix",
-                "criticality",
-                "idempotent",
-                "open",
-            ],
-            config
-                .routes
-                .iter()
-                .map(|(name, route)| {
-                    vec![
-                        name.clone(),
-                        route.service.clone(),
-                        route.prefix.clone(),
-                        format!("{:?}", route.criticality).to_lowercase().into(),
-                        text(route.idempotent),
-                        text(route.open),
-                    ]
-                })
-                .collect(),
-        ),
-        Query::Members => (
-            &["vm", "domain", "service", "status", "address"],
-            control
-                .roster()
-                .members()
-                .map(|member| {
-                    vec![
-                        member.vm.clone(),
-                        member.domain.clone(),
-                        member.service.clone().unwrap_or_default(),
-                        format!("{:?}", member.status).to_lowercase().into(),
-                        text(member.address),
-                    ]
-                })
-                .collect(),
-        ),
-        Query::Status => (
-            &["vm", "root", "fence", "config"],
-            vec![vec![
-                control.me().vm.clone(),
-                text(control.is_root()),
-                text(control.fence()),
-                text(config.version),
-            ]],
-        ),
-    };
-    Reply::Rows {
-        columns: columns.iter().copied().map(Text::from_static).collect(),
-        rows,
+async fn change(
+    control: &Rc<RefCell<Control>>,
+    id: CommandId,
+    command: Command,
+) -> Result<Reply, CommandError> {
+    let edit = edit_of(&control.borrow(), command)?;
+    commit(control, id, edit).await
+}
+
+/// The edit that carries a command out.
+fn edit_of(control: &Control, command: Command) -> Result<Edit, CommandError> {
+    match command {
+        Command::Edit(edit) => Ok(edit),
+        Command::Drain { vm } => match control.roster().member(&vm) {
+            Some(member) => Ok(Edit::DrainVm {
+                incarnation: member.incarnation,
+                vm,
+            }),
+            None => Err(CommandError::NoVm { vm }),
+        },
+        _ => Err(CommandError::Unsupported),
     }
 }
 
-fn text(value: impl ToString) -> Text {
-    value.to_string().into()
+/// Shows what a command would change, and changes nothing.
+async fn rehearse(control: &Rc<RefCell<Control>>, command: Command) -> Result<Reply, CommandError> {
+    refresh(control).await?;
+    let control = control.borrow();
+    let edit = edit_of(&control, command)?;
+    let next = control.config().edited(&edit).map_err(invalid)?;
+    let rows = control.config().differences(&next).into_iter().map(row);
+    Ok(Reply::Rows {
+        columns: REHEARSAL_COLUMNS.map(Text::from_static).to_vec(),
+        rows: rows.collect(),
+    })
+}
+
+fn row(difference: Difference) -> Vec<Text> {
+    vec![
+        Text::from_static(difference.kind),
+        difference.name,
+        difference.before.unwrap_or_default(),
+        difference.after.unwrap_or_default(),
+    ]
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod message;
 mod pulse;
 mod root;
+mod show;
 mod state;
 
 pub(crate) use claims::serve_claims;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -140,6 +140,7 @@
         if self.me.status < Status::Draining {
             self.me.status = announcement.status;
         }
+        self.heed_drain();
         self.publish();
     }
 
@@ -290,6 +291,7 @@
         let version = self.config().version;
         tracing::info!("control: Configuration {version} is in force.");
         self.parts.metrics.config.set(version as i64);
+        self.heed_drain();
         self.publish();
     }
 
@@ -314,6 +316,19 @@
         late.map(|(vm, _)| vm.clone()).collect()
     }
 
+    /// Configuration version of each node that reports to this one; `None` unless it's the root.
+    pub fn versions(&self) -> Option<Vec<(VmId, Version)>> {
+        let Role::Root(root) = &self.role else {
+            return None;
+        };
+        let children = root.children.iter();
+        Some(
+            children
+                .map(|(vm, heard)| (vm.clone(), heard.config))
+                .collect(),
+        )
+    }
+
     /// Marks children that have been silent for too long as gone.
     pub fn expire_children(&mut self) {
         let now = self.parts.clock.now();
@@ -347,6 +362,15 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes no new work once an operator has drained this VM.
+    fn heed_drain(&mut self) {
+        let drained = self.config().is_drained(&self.me.vm, self.me.incarnation);
+        if drained && self.me.status < Status::Draining {
+            tracing::info!("control: An operator drains this VM.");
+            self.me.status = Status::Draining;
+        }
+    }
+
     fn limits(&self) -> BTreeMap<OrganisationId, Rate> {
         let organisations = self.config().organisations.iter();
         organisations
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of a node.
 
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use filbertwheel_core::{Failure, Verdict, broken_invariants};
@@ -16,13 +18,18 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
 ];
 
+/// Label of a service without backend servers.
+const UNKNOWN_SERVICE: &str = "unknown";
+/// Label of calls without an organisation.
+const NO_ORGANISATION: &str = "none";
+
 /// Labels of finished calls.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, EncodeLabelSet)]
 pub(crate) struct CallLabels {
-    service: String,
-    organisation: String,
-    outcome: String,
-    reason: String,
+    pub service: String,
+    pub organisation: String,
+    pub outcome: String,
+    pub reason: String,
 }
 
 /// Labels of latencies.
@@ -47,6 +54,8 @@
     /// Version of the configuration in force.
     pub config: Gauge,
     broken: Gauge,
+    /// Calls without an answer, for operators' queries.
+    failures: Mutex<BTreeMap<CallLabels, u64>>,
 }
 
 impl Metrics {
@@ -88,9 +97,19 @@
             queued,
             config,
             broken,
+            failures: Mutex::default(),
         }
     }
 
+    /// Calls that ended without an answer, by their labels.
+    pub fn failures(&self) -> Vec<(CallLabels, u64)> {
+        let failures = self.failures.lock().unwrap_or_else(PoisonError::into_inner);
+        failures
+            .iter()
+            .map(|(labels, count)| (labels.clone(), *count))
+            .collect()
+    }
+
     /// Counts a call that has ended.
     pub fn count(&self, service: &str, organisation: &str, verdict: &Verdict, took: Duration) {
         let (outcome, reason) = match verdict {
@@ -99,20 +118,27 @@
             Err(Failure::Unknown(doubt)) => ("unknown", name(doubt)),
         };
         let labels = CallLabels {
-            service: service.to_owned(),
-            organisation: organisation.to_owned(),
+            service: label(service, UNKNOWN_SERVICE),
+            organisation: label(organisation, NO_ORGANISATION),
             outcome: outcome.to_owned(),
             reason,
         };
         self.calls.get_or_create(&labels).inc();
         if verdict.is_ok() {
+            let CallLabels {
+                service,
+                organisation,
+                ..
+            } = labels;
             let labels = LatencyLabels {
-                service: service.to_owned(),
-                organisation: organisation.to_owned(),
+                service,
+                organisation,
             };
-            self.latency
-                .get_or_create(&labels)
-                .observe(took.as_secs_f64());
+            let latency = self.latency.get_or_create(&labels);
+            latency.observe(took.as_secs_f64());
+        } else {
+            let mut failures = self.failures.lock().unwrap_or_else(PoisonError::into_inner);
+            *failures.entry(labels).or_default() += 1;
         }
     }
 
@@ -127,6 +153,11 @@
     }
 }
 
+/// A label's value; what isn't known stands under one name.
+fn label(name: &str, missing: &str) -> String {
+    if name.is_empty() { missing } else { name }.to_owned()
+}
+
 fn name(kind: &impl serde::Serialize) -> String {
     let value = serde_json::to_value(kind).unwrap_or_default();
     value.as_str().unwrap_or_default().to_owned()
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use derive_more::{Display, Error};
-use filbertwheel_core::{Clock, FleetSecret, value};
+use async_trait::async_trait;
+use filbertwheel_core::{Clock, FleetSecret};
 use filbertwheel_http::{Limits, Pool};
 use filbertwheel_rpc::{AskError, Guard, RpcClient};
 
-use crate::{CommandError, Order, RUN_METHOD, Reply};
+use crate::{Link, Order, RUN_METHOD, Reply, RunError, deliver};
 
 /// How long a command may take.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(20);
@@ -22,18 +22,6 @@
     clock: Arc<dyn Clock>,
 }
 
-/// Why a command has no reply.
-#[value]
-#[derive(Display, Error)]
-pub enum RunError {
-    /// The node didn't carry it out.
-    #[display("{_0}")]
-    Command(CommandError),
-    /// The node didn't answer.
-    #[display("{_0}")]
-    Ask(AskError),
-}
-
 impl OperatorClient {
     /// A client of the node at `address`.
     pub fn open(address: SocketAddr, secret: FleetSecret, clock: Arc<dyn Clock>) -> Self {
@@ -42,23 +30,31 @@
         Self { pool, rpc, clock }
     }
 
-    /// Runs a command. The same order may be sent again when the answer was lost.
+    /// Runs a command. The order is sent again while its outcome isn't known.
     pub async fn run(&self, order: &Order) -> Result<Reply, RunError> {
+        deliver(self, self.clock.as_ref(), order).await
+    }
+}
+
+#[async_trait]
+impl Link for OperatorClient {
+    async fn send(&self, order: &Order) -> Result<Reply, RunError> {
         let deadline = self.clock.now() + COMMAND_TIMEOUT;
-        self.rpc
-            .ask(&self.pool, RUN_METHOD, order, deadline)
-            .await
-            .map_err(|error| {
-                let AskError::Refused {
-                    data: Some(data), ..
-                } = &error
-                else {
-                    return RunError::Ask(error);
-                };
-                match serde_json::from_slice(data.as_bytes()) {
-                    Ok(command) => RunError::Command(command),
-                    Err(_) => RunError::Ask(error),
-                }
-            })
+        let asked = self.rpc.ask(&self.pool, RUN_METHOD, order, deadline).await;
+        asked.map_err(refusal)
+    }
+}
+
+/// The command's own error, where the node sent one.
+fn refusal(error: AskError) -> RunError {
+    let AskError::Refused {
+        data: Some(data), ..
+    } = &error
+    else {
+        return RunError::Ask(error);
+    };
+    match serde_json::from_slice(data.as_bytes()) {
+        Ok(command) => RunError::Command(command),
+        Err(_) => RunError::Ask(error),
     }
 }
--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -1,34 +1,31 @@
 //! Typed commands and their replies.
 
 use derive_more::{Display, Error};
-use filbertwheel_core::{CommandId, Edit, Text, Version, VmId, message};
+use filbertwheel_core::{CommandId, Edit, ServiceId, Text, Version, VmId, message};
+
+use crate::Query;
 
 /// What an operator wants.
 #[message]
 pub enum Command {
     /// Change the configuration.
     Edit(Edit),
+    /// Let a backend server finish its work and take nothing new.
+    Drain {
+        /// Name of its VM.
+        vm: VmId,
+    },
+    /// Let requests run again that were found to crash backend servers.
+    LiftQuarantine {
+        /// The service whose quarantine is lifted.
+        service: ServiceId,
+    },
+    /// Check a command and show what it would change.
+    Rehearse(Box<Self>),
     /// Show something.
     Show(Query),
 }
 
-/// What can be shown.
-#[message]
-#[derive(Copy, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum Query {
-    /// Organisations with their limits and shares.
-    Organisations,
-    /// Keys by hash.
-    Keys,
-    /// Routes.
-    Routes,
-    /// Members of the fleet.
-    Members,
-    /// The node that answers.
-    Status,
-}
-
 /// A command on its way to a node.
 #[message]
 pub struct Order {
@@ -79,12 +76,27 @@
         /// What doesn't fit.
         detail: Text,
     },
+    /// The VM isn't a member of the fleet.
+    #[display("there is no VM named {vm}")]
+    NoVm {
+        /// Name that was given.
+        vm: VmId,
+    },
+    /// Only the root of the region knows.
+    #[display("only the root of the region knows; ask the node on {root}")]
+    NotRoot {
+        /// VM of the root; empty while there's none.
+        root: VmId,
+    },
     /// The platform can't be reached; nothing was changed.
     #[display("the platform can't be reached; nothing was changed")]
     Unavailable,
     /// The platform's answer was lost; the same command can be sent again.
     #[display("it isn't known whether the change was kept; send the command again")]
     Unknown,
+    /// The node can't carry this out yet.
+    #[display("this is not supported yet")]
+    Unsupported,
     /// The node is stopping.
     #[display("the node is stopping")]
     Stopping,
--- a/crates/operator/src/language.rs
+++ b/crates/operator/src/language.rs
@@ -1,15 +1,18 @@
 //! The operators' command language.
+//!
+//! docs/LANGUAGE.md holds the grammar.
+
+use std::time::Duration;
 
 use chumsky::error::Rich;
-use chumsky::prelude::{Parser, any, choice, end, extra, just};
-use derive_more::{Display, Error};
-use filbertwheel_core::{
-    Criticality, Edit, KeyHash, OrganisationId, Rate, Route, Text, hash_key, value,
-};
+use chumsky::prelude::{IterParser as _, Parser, choice, end, extra};
+use chumsky::primitive::select;
+use filbertwheel_core::{Criticality, Edit, KeyHash, OrganisationId, Rate, Route, Text, hash_key};
 
-use crate::{Command, Query};
+use crate::token::{Token, tokens};
+use crate::{Command, Filter, Mistake, Query, Sort, View};
 
-type Extra<'a> = extra::Err<Rich<'a, char>>;
+type Extra<'a> = extra::Err<Rich<'a, Token>>;
 
 /// Hexadecimal digits of a key's hash.
 const HASH_DIGITS: usize = 64;
@@ -19,6 +22,13 @@
 pub enum Statement {
     /// A command as nodes take it.
     Command(Command),
+    /// A query that's asked again and again.
+    Watch {
+        /// The query.
+        query: Query,
+        /// Time from one answer to the next question.
+        interval: Duration,
+    },
     /// A new key, which the operator's side makes up.
     NewKey {
         /// The organisation that it's for.
@@ -26,84 +36,83 @@
     },
 }
 
-/// A mistake in a command.
-#[value]
-#[derive(Display, Error)]
-#[display("column {column}: {detail}")]
-pub struct Mistake {
-    /// Column of the mistake, counted from 1.
-    pub column: usize,
-    /// What was found and what was expected.
-    pub detail: String,
-}
-
 /// Parses one command.
 pub fn parse(line: &str) -> Result<Statement, Mistake> {
-    statement().parse(line).into_result().map_err(|errors| {
-        let error = errors.into_iter().next();
-        let (column, detail) = error.map_or((1, "not a command".to_owned()), |error| {
-            let column = line[..error.span().start.min(line.len())].chars().count() + 1;
-            (column, error.to_string())
-        });
-        Mistake { column, detail }
-    })
+    let tokens = tokens(line)?;
+    let outcome = statement().parse(&tokens).into_result();
+    outcome.map_err(|errors| Mistake::open(line, &tokens, errors.first()))
 }
 
-fn statement<'a>() -> impl Parser<'a, &'a str, Statement, Extra<'a>> {
-    let command = choice((set(), withdraw(), remove(), show())).map(Statement::Command);
-    choice((command, add())).padded().then_ignore(end())
+fn statement<'a>() -> impl Parser<'a, &'a [Token], Statement, Extra<'a>> {
+    let lift = word("lift")
+        .ignore_then(word("quarantine"))
+        .ignore_then(name())
+        .map(|service| Command::LiftQuarantine { service });
+    let rehearse = word("rehearse")
+        .ignore_then(change())
+        .map(|command| Command::Rehearse(Box::new(command)));
+    let command = choice((change(), lift, rehearse)).map(Statement::Command);
+    choice((command, add(), show())).then_ignore(end())
 }
 
-fn set<'a>() -> impl Parser<'a, &'a str, Command, Extra<'a>> {
+/// Commands that can be rehearsed.
+fn change<'a>() -> impl Parser<'a, &'a [Token], Command, Extra<'a>> + Clone {
+    let drain = word("drain")
+        .ignore_then(word("vm"))
+        .ignore_then(name())
+        .map(|vm| Command::Drain { vm });
+    let edit = choice((set(), withdraw(), remove())).map(Command::Edit);
+    choice((edit, drain))
+}
+
+fn set<'a>() -> impl Parser<'a, &'a [Token], Edit, Extra<'a>> + Clone {
     word("set").ignore_then(choice((set_organisation(), set_route())))
 }
 
-fn set_organisation<'a>() -> impl Parser<'a, &'a str, Command, Extra<'a>> {
+fn set_organisation<'a>() -> impl Parser<'a, &'a [Token], Edit, Extra<'a>> + Clone {
     word("organisation")
         .ignore_then(name())
-        .then(word("rate").ignore_then(number()))
-        .then(word("burst").ignore_then(number()))
-        .map(|((name, rate), burst)| {
-            Command::Edit(Edit::SetOrganisation {
-                name,
-                limit: Rate { rate, burst },
-            })
+        .then(word("rate").ignore_then(amount()))
+        .then(word("burst").ignore_then(amount()))
+        .map(|((name, rate), burst)| Edit::SetOrganisation {
+            name,
+            limit: Rate { rate, burst },
         })
 }
 
-fn set_route<'a>() -> impl Parser<'a, &'a str, Command, Extra<'a>> {
-    let criticality = choice((
-        word("critical").to(Criticality::Critical),
-        word("sheddable").to(Criticality::Sheddable),
-        word("normal").to(Criticality::Normal),
-    ));
+fn set_route<'a>() -> impl Parser<'a, &'a [Token], Edit, Extra<'a>> + Clone {
     word("route")
         .ignore_then(name())
         .then(word("service").ignore_then(name()))
         .then(word("method").ignore_then(name()).or_not())
         .then(word("prefix").ignore_then(name()).or_not())
-        .then(criticality.or_not())
+        .then(criticality().or_not())
         .then(word("non-idempotent").or_not())
         .then(word("open").or_not())
         .map(
             |((((((name, service), method), prefix), criticality), once), open)| {
-                let prefix = prefix.unwrap_or(Text::from_static("/"));
-                let criticality = criticality.unwrap_or_default();
-                let (idempotent, open) = (once.is_none(), open.is_some());
                 let route = Route {
                     service,
                     method,
-                    prefix,
-                    criticality,
-                    idempotent,
-                    open,
+                    prefix: prefix.unwrap_or(Text::from_static("/")),
+                    criticality: criticality.unwrap_or_default(),
+                    idempotent: once.is_none(),
+                    open: open.is_some(),
                 };
-                Command::Edit(Edit::SetRoute { name, route })
+                Edit::SetRoute { name, route }
             },
         )
 }
 
-fn add<'a>() -> impl Parser<'a, &'a str, Statement, Extra<'a>> {
+fn criticality<'a>() -> impl Parser<'a, &'a [Token], Criticality, Extra<'a>> + Clone {
+    choice((
+        word("critical").to(Criticality::Critical),
+        word("normal").to(Criticality::Normal),
+        word("sheddable").to(Criticality::Sheddable),
+    ))
+}
+
+fn add<'a>() -> impl Parser<'a, &'a [Token], Statement, Extra<'a>> {
     word("add")
         .ignore_then(word("key"))
         .ignore_then(word("to"))
@@ -111,15 +120,11 @@
         .map(|organisation| Statement::NewKey { organisation })
 }
 
-fn withdraw<'a>() -> impl Parser<'a, &'a str, Command, Extra<'a>> {
-    word("withdraw")
-        .ignore_then(word("key"))
-        .ignore_then(name())
-        .map(|key| {
-            Command::Edit(Edit::WithdrawKey {
-                hash: hash_of(&key),
-            })
-        })
+fn withdraw<'a>() -> impl Parser<'a, &'a [Token], Edit, Extra<'a>> + Clone {
+    let key = name().map(|key| Edit::WithdrawKey {
+        hash: hash_of(&key),
+    });
+    word("withdraw").ignore_then(word("key")).ignore_then(key)
 }
 
 /// The hash of a key, which may be given by its hash already.
@@ -133,58 +138,104 @@
     }
 }
 
-fn remove<'a>() -> impl Parser<'a, &'a str, Command, Extra<'a>> {
+fn remove<'a>() -> impl Parser<'a, &'a [Token], Edit, Extra<'a>> + Clone {
     let organisation = word("organisation")
         .ignore_then(name())
-        .map(|name| Command::Edit(Edit::RemoveOrganisation { name }));
+        .map(|name| Edit::RemoveOrganisation { name });
     let route = word("route")
         .ignore_then(name())
-        .map(|name| Command::Edit(Edit::RemoveRoute { name }));
+        .map(|name| Edit::RemoveRoute { name });
     word("remove").ignore_then(choice((organisation, route)))
 }
 
-fn show<'a>() -> impl Parser<'a, &'a str, Command, Extra<'a>> {
-    let query = choice((
-        word("organisations").to(Query::Organisations),
-        word("keys").to(Query::Keys),
-        word("routes").to(Query::Routes),
-        word("members").to(Query::Members),
-        word("status").to(Query::Status),
-    ));
-    word("show").ignore_then(query).map(Command::Show)
+fn show<'a>() -> impl Parser<'a, &'a [Token], Statement, Extra<'a>> {
+    let views: Vec<_> = View::ALL.into_iter().map(query).collect();
+    let watch = word("watch").ignore_then(amount()).or_not();
+    word("show")
+        .ignore_then(choice(views))
+        .then(watch)
+        .map(|(query, watch)| match watch {
+            Some(seconds) => Statement::Watch {
+                query,
+                interval: Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX),
+            },
+            None => Statement::Command(Command::Show(query)),
+        })
+}
+
+fn query<'a>(view: View) -> impl Parser<'a, &'a [Token], Query, Extra<'a>> + Clone {
+    let column = || choice(view.columns().iter().copied().map(word).collect::<Vec<_>>());
+    let filter = column()
+        .then_ignore(word("="))
+        .then(name())
+        .map(|(column, value)| Filter {
+            column: column.into(),
+            value,
+        });
+    let filters = word("where")
+        .ignore_then(filter.separated_by(word("and")).at_least(1).collect())
+        .or_not();
+    let sort = word("order")
+        .ignore_then(word("by"))
+        .ignore_then(column())
+        .then(word("descending").or_not())
+        .map(|(column, descending)| Sort {
+            column: column.into(),
+            descending: descending.is_some(),
+        });
+    word(view.name())
+        .ignore_then(filters)
+        .then(sort.or_not())
+        .then(word("limit").ignore_then(count()).or_not())
+        .map(move |((filters, sort), limit)| Query {
+            view,
+            filters: filters.unwrap_or_default(),
+            sort,
+            limit,
+        })
 }
 
-/// A word of the language, followed by white space or the end.
-fn word<'a>(word: &'static str) -> impl Parser<'a, &'a str, &'a str, Extra<'a>> + Clone {
-    just(word)
-        .then_ignore(any().filter(|c: &char| !c.is_whitespace()).not())
-        .padded()
+/// A word of the language.
+fn word<'a>(word: &'static str) -> impl Parser<'a, &'a [Token], &'static str, Extra<'a>> + Clone {
+    select(move |token: Token, _| (!token.quoted && token.text == word).then_some(word))
         .labelled(word)
 }
 
-/// A name: anything without white space.
-fn name<'a>() -> impl Parser<'a, &'a str, Text, Extra<'a>> + Clone {
-    any()
-        .filter(|c: &char| !c.is_whitespace())
-        .repeated()
-        .at_least(1)
-        .to_slice()
-        .padded()
-        .map(Text::from)
-        .labelled("a name")
-}
-
-fn number<'a>() -> impl Parser<'a, &'a str, f64, Extra<'a>> + Clone {
-    any()
-        .filter(|c: &char| c.is_ascii_digit() || *c == '.')
-        .repeated()
-        .at_least(1)
-        .to_slice()
-        .padded()
-        .try_map(|digits: &str, span| {
-            digits
-                .parse()
-                .map_err(|_| Rich::custom(span, "a number was expected"))
-        })
-        .labelled("a number")
+/// A name, quoted where it holds white space, quotes or an equals sign.
+fn name<'a>() -> impl Parser<'a, &'a [Token], Text, Extra<'a>> + Clone {
+    select(|token: Token, _| is_name(&token).then(|| Text::from(token.text))).labelled("a name")
+}
+
+fn is_name(token: &Token) -> bool {
+    if token.quoted {
+        !token.text.is_empty()
+    } else {
+        token.text != "="
+    }
+}
+
+/// A positive number.
+fn amount<'a>() -> impl Parser<'a, &'a [Token], f64, Extra<'a>> + Clone {
+    select(|token: Token, _| amount_of(&token)).labelled("a number above 0")
+}
+
+fn amount_of(token: &Token) -> Option<f64> {
+    let is_number = |c: char| c.is_ascii_digit() || c == '.';
+    if token.quoted || !token.text.chars().all(is_number) {
+        return None;
+    }
+    let number: f64 = token.text.parse().ok()?;
+    (number.is_finite() && number > 0.0).then_some(number)
+}
+
+/// A whole number.
+fn count<'a>() -> impl Parser<'a, &'a [Token], usize, Extra<'a>> + Clone {
+    select(|token: Token, _| {
+        if token.quoted {
+            None
+        } else {
+            token.text.parse().ok()
+        }
+    })
+    .labelled("a whole number")
 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -4,13 +4,20 @@
 
 mod client;
 mod command;
+mod delivery;
 mod door;
 mod language;
+mod mistake;
+mod query;
+mod token;
 
-pub use client::{OperatorClient, RunError};
-pub use command::{Command, CommandError, Order, Query, Reply};
+pub use client::OperatorClient;
+pub use command::{Command, CommandError, Order, Reply};
+pub use delivery::{Link, RunError, deliver};
 pub use door::{Desk, OperatorDoor};
-pub use language::{Mistake, Statement, parse};
+pub use language::{Statement, parse};
+pub use mistake::Mistake;
+pub use query::{Filter, Query, Sort, View};
 
 /// Method that carries an order.
 const RUN_METHOD: &str = "run";
--- /dev/null
+++ b/crates/operator/src/mistake.rs
@@ -0,0 +1,64 @@
+//! Mistakes in commands, told to the person who made them.
+
+use std::collections::BTreeSet;
+
+use chumsky::error::{Rich, RichPattern, RichReason};
+use derive_more::{Display, Error};
+use filbertwheel_core::value;
+
+use crate::token::Token;
+
+/// A mistake in a command.
+#[value]
+#[derive(Display, Error)]
+#[display("column {column}: {detail}")]
+pub struct Mistake {
+    /// Column of the mistake, counted from 1.
+    pub column: usize,
+    /// What was found and what was expected.
+    pub detail: String,
+}
+
+impl Mistake {
+    /// The mistake behind a parser's error over `tokens` of `line`.
+    pub(crate) fn open(line: &str, tokens: &[Token], error: Option<&Rich<'_, Token>>) -> Self {
+        let index = error.map_or(0, |error| error.span().start);
+        let found = tokens.get(index);
+        let column = found.map_or(line.trim_end().chars().count() + 1, |token| token.column);
+        let found = found.map_or("the end of the command".to_owned(), shown);
+        let expected = error.map(expected).unwrap_or_default();
+        Self {
+            column,
+            detail: format!("found {found}, expected {expected}"),
+        }
+    }
+}
+
+fn expected(error: &Rich<'_, Token>) -> String {
+    let RichReason::ExpectedFound { expected, .. } = error.reason() else {
+        return "something else".to_owned();
+    };
+    let names: BTreeSet<String> = expected.iter().map(name).collect();
+    let names: Vec<String> = names.into_iter().collect();
+    match names.as_slice() {
+        [] => "something else".to_owned(),
+        [one] => one.clone(),
+        [first @ .., last] => format!("{} or {last}", first.join(", ")),
+    }
+}
+
+fn name(pattern: &RichPattern<'_, Token>) -> String {
+    match pattern {
+        RichPattern::Label(label) => label.to_string(),
+        RichPattern::EndOfInput => "the end of the command".to_owned(),
+        _ => "something else".to_owned(),
+    }
+}
+
+fn shown(token: &Token) -> String {
+    if token.quoted {
+        format!("\"{}\"", token.text)
+    } else {
+        token.text.clone()
+    }
+}
--- /dev/null
+++ b/crates/operator/src/token.rs
@@ -0,0 +1,71 @@
+//! Words of the command language.
+
+use chumsky::error::Rich;
+use chumsky::prelude::{IterParser as _, Parser, SimpleSpan, any, choice, end, extra, just};
+use filbertwheel_core::value;
+
+use crate::Mistake;
+
+type Extra<'a> = extra::Err<Rich<'a, char>>;
+
+/// A word, a quoted name or a sign.
+#[value]
+pub(crate) struct Token {
+    /// What it says.
+    pub text: String,
+    /// Whether it was quoted, and so can't be a keyword.
+    pub quoted: bool,
+    /// Where it starts, in characters counted from 1.
+    pub column: usize,
+}
+
+/// Splits a line into its words.
+pub(crate) fn tokens(line: &str) -> Result<Vec<Token>, Mistake> {
+    let outcome = lexer().parse(line).into_result();
+    let found = outcome.map_err(|errors| Mistake {
+        column: errors
+            .first()
+            .map_or(1, |error| column_at(line, error.span().start)),
+        detail: "the quoted name does not end; expected \"".to_owned(),
+    })?;
+    let token = |(text, quoted, start)| Token {
+        text,
+        quoted,
+        column: column_at(line, start),
+    };
+    Ok(found.into_iter().map(token).collect())
+}
+
+/// The column of a byte offset.
+fn column_at(line: &str, offset: usize) -> usize {
+    line.char_indices()
+        .take_while(|(at, _)| *at < offset)
+        .count()
+        + 1
+}
+
+fn lexer<'a>() -> impl Parser<'a, &'a str, Vec<(String, bool, usize)>, Extra<'a>> {
+    let escaped = just('\\').ignore_then(any());
+    let inside = escaped.or(any().filter(|c: &char| *c != '"' && *c != '\\'));
+    let quoted = inside
+        .repeated()
+        .collect::<String>()
+        .delimited_by(just('"'), just('"'))
+        .map(|text| (text, true));
+    let sign = just('=').map(|sign: char| (sign.to_string(), false));
+    let bare = any()
+        .filter(|c: &char| !c.is_whitespace() && *c != '"' && *c != '=')
+        .repeated()
+        .at_least(1)
+        .collect::<String>()
+        .map(|text| (text, false));
+    choice((quoted, sign, bare))
+        .map_with(|(text, quoted), extra| {
+            let span: SimpleSpan = extra.span();
+            (text, quoted, span.start)
+        })
+        .padded()
+        .repeated()
+        .collect()
+        .then_ignore(end())
+}
--- /dev/null
+++ b/crates/operator/tests/delivery.rs
@@ -0,0 +1,143 @@
+//! Orders whose answers are lost, and orders of people who aren't operators.
+#![expect(clippy::unwrap_used, reason = "a test may end on the first surprise")]
+
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use filbertwheel_core::{Clock, Edit, FleetSecret, PausedClock, SystemClock, Text};
+use filbertwheel_http::{Limits, Listener, SendError, Stopper};
+use filbertwheel_operator::{
+    Command, CommandError, Desk, Link, OperatorClient, OperatorDoor, Order, Reply, RunError,
+    deliver,
+};
+use filbertwheel_rpc::{AskError, Guard};
+use smol::{LocalExecutor, block_on, future};
+
+/// Answers orders with one outcome after another, and remembers their ids.
+#[derive(Debug)]
+struct Script {
+    outcomes: Mutex<Vec<Result<Reply, RunError>>>,
+    ids: Mutex<Vec<Text>>,
+}
+
+#[async_trait]
+impl Link for Script {
+    async fn send(&self, order: &Order) -> Result<Reply, RunError> {
+        self.ids.lock().unwrap().push(order.id.clone());
+        self.outcomes.lock().unwrap().remove(0)
+    }
+}
+
+const UNKNOWN: RunError = RunError::Command(CommandError::Unknown);
+const UNAVAILABLE: RunError = RunError::Command(CommandError::Unavailable);
+const LOST: RunError = RunError::Ask(AskError::NoAnswer(SendError::Broken));
+const UNSENT: RunError = RunError::Ask(AskError::NoAnswer(SendError::NotSent));
+const CONFLICT: RunError = RunError::Command(CommandError::Conflict { winner: 3 });
+
+fn order() -> Order {
+    let edit = Edit::RemoveRoute {
+        name: "sheets".into(),
+    };
+    Order {
+        id: "order".into(),
+        command: Command::Edit(edit),
+    }
+}
+
+/// The outcome of an order, and how often it was sent.
+fn delivered(outcomes: Vec<Result<Reply, RunError>>) -> (Result<Reply, RunError>, usize) {
+    let clock = PausedClock::new();
+    let script = Script {
+        outcomes: Mutex::new(outcomes),
+        ids: Mutex::default(),
+    };
+    let advancing = async {
+        loop {
+            clock.advance(Duration::from_secs(1));
+            future::yield_now().await;
+        }
+    };
+    let order = order();
+    let outcome = block_on(future::or(deliver(&script, &clock, &order), advancing));
+    let ids = script.ids.into_inner().unwrap();
+    assert!(ids.iter().all(|id| *id == "order".into()));
+    (outcome, ids.len())
+}
+
+#[test]
+fn an_order_with_an_unknown_outcome_is_sent_again_with_its_id() {
+    let accepted = Ok(Reply::Accepted { version: 3 });
+    let outcomes = vec![Err(UNKNOWN), Err(LOST), accepted.clone()];
+    assert_eq!(delivered(outcomes), (accepted, 3));
+}
+
+#[test]
+fn an_outcome_that_is_known_ends_the_sending() {
+    for error in [UNAVAILABLE, UNSENT, CONFLICT] {
+        assert_eq!(delivered(vec![Err(error.clone())]), (Err(error), 1));
+    }
+    assert_eq!(
+        delivered(vec![Err(LOST), Err(CONFLICT)]),
+        (Err(CONFLICT), 2)
+    );
+}
+
+#[test]
+fn a_platform_that_is_down_does_not_make_an_unknown_outcome_known() {
+    let outcomes = vec![
+        Err(UNKNOWN),
+        Err(UNAVAILABLE),
+        Err(UNSENT),
+        Err(UNAVAILABLE),
+        Err(UNAVAILABLE),
+    ];
+    assert_eq!(delivered(outcomes), (Err(UNKNOWN), 5));
+}
+
+/// Accepts every order.
+#[derive(Debug)]
+struct Yes;
+
+#[async_trait]
+impl Desk for Yes {
+    async fn run(&self, _: Order) -> Result<Reply, CommandError> {
+        Ok(Reply::Accepted { version: 1 })
+    }
+
+    fn metrics(&self) -> String {
+        String::new()
+    }
+
+    fn is_healthy(&self) -> bool {
+        true
+    }
+}
+
+#[test]
+fn only_operators_command() {
+    let secret = |text: &str| FleetSecret::new(text.into());
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let guard = Guard::open(secret("the operators' own secret"), Arc::clone(&clock));
+    let executor = Rc::new(LocalExecutor::new());
+    block_on(executor.run(async {
+        let door = Arc::new(OperatorDoor::open(Arc::new(Yes), guard).unwrap());
+        let (stopper, stop) = Stopper::open();
+        let address = "127.0.0.1:0".parse().unwrap();
+        let listener = Listener::bind(address, Limits::default(), Arc::clone(&clock), stop);
+        let listener = listener.await.unwrap();
+        let address = listener.address();
+        let serving = executor.spawn(listener.run(Rc::clone(&executor), door));
+        let run = async |text| {
+            let client = OperatorClient::open(address, secret(text), Arc::clone(&clock));
+            client.run(&order()).await
+        };
+        let accepted = Ok(Reply::Accepted { version: 1 });
+        assert_eq!(run("the operators' own secret").await, accepted);
+        let denied = Err(RunError::Ask(AskError::Denied));
+        assert_eq!(run("the nodes' secret").await, denied);
+        stopper.close();
+        serving.await;
+    }));
+}
--- a/crates/policy/src/purse.rs
+++ b/crates/policy/src/purse.rs
@@ -36,6 +36,14 @@
 }
 
 impl Purse {
+    /// Portion in billionths and smoothed demand in calls a second of each organisation.
+    pub fn portions(&self) -> Vec<(OrganisationId, u64, f64)> {
+        let holdings = self.holdings.iter();
+        holdings
+            .map(|(name, holding)| (name.clone(), holding.portion, holding.demand))
+            .collect()
+    }
+
     /// Spends one token of an organisation.
     pub fn charge(
         &mut self,
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -18,6 +18,9 @@
     /// The other process can't be reached, or its answer was lost.
     #[display("no answer: {_0}")]
     NoAnswer(SendError),
+    /// The other process doesn't take this one's secret. Nothing was done.
+    #[display("the secret is not accepted")]
+    Denied,
     /// The answer can't be understood.
     #[display("the answer is malformed")]
     Malformed,
@@ -72,10 +75,15 @@
         let params = serde_json::value::to_raw_value(&[question]).map_err(malformed)?;
         let request = jsonrpsee_types::Request::borrowed(method, Some(&params), Id::Number(0));
         let body = serde_json::to_vec(&request).map_err(malformed)?;
-        let response = self
-            .send(pool, Request::post(RPC_PATH, body), deadline)
-            .await;
+        let request = self.guard.sign(Request::post(RPC_PATH, body));
+        let response = pool.exchange(request, deadline).await;
         let response = response.map_err(AskError::NoAnswer)?;
+        match response.status {
+            200 => {}
+            401 => return Err(AskError::Denied),
+            404 => return Err(AskError::NoAnswer(SendError::NotSent)),
+            _ => return Err(AskError::NoAnswer(SendError::Broken)),
+        }
         let reply: RpcResponse<'_, A> =
             serde_json::from_slice(&response.body).map_err(malformed)?;
         match reply.payload {
