List every fault of a settings file at once, each with its line

Cause: decoding stops at the first fault, and values out of range had no line.

Ruled out: decoding each section apart (still one fault a section); a schema kept beside the types (stands twice).

Change: syntax faults all come from the parser. For keys and types the document is mended with a stand-in value after each fault and decoded again. Values out of range name their key, which gives the line.

Exit code 2 and nothing started, seen by the test on the real binary.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,5 +35,5 @@
 pub use logging::{LogFormat, init_logging};
 pub use member::{Member, Status};
 pub use proof::{FleetSecret, Proof, ProofError, hash_key};
-pub use settings::{SettingsError, load_settings};
+pub use settings::{BadValue, SettingsError, SettingsFault, load_settings};
 pub use text::Text;
--- /dev/null
+++ b/crates/core/src/settings/mod.rs
@@ -0,0 +1,128 @@
+//! Settings files in TOML, checked before anything starts.
+
+mod survey;
+
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+use derive_more::{Display, Error};
+use filbertwheel_macros::value;
+use serde::de::DeserializeOwned;
+use toml::de::DeTable;
+
+use crate::settings::survey::{Document, survey};
+
+/// Why settings can't be used.
+#[derive(Debug, Display, Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[display("{}: {source}", path.display())]
+    Read {
+        /// Path of the file.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The file isn't valid TOML, keys are unknown or missing, or values can't be used.
+    #[display("{}", listed(path, faults))]
+    Faults {
+        /// Path of the file.
+        path: PathBuf,
+        /// All the faults that were found, in order of their lines.
+        #[error(not(source))]
+        faults: Vec<SettingsFault>,
+    },
+}
+
+/// One fault in a settings file.
+#[value]
+#[derive(PartialOrd, Ord, Display)]
+#[display("{line}: {detail}")]
+pub struct SettingsFault {
+    /// Line of the fault, counted from 1.
+    pub line: usize,
+    /// What was found and what was expected.
+    pub detail: String,
+}
+
+/// A value that has the right type, but can't be used.
+#[value]
+pub struct BadValue {
+    /// Path of its key, such as `run.threads`.
+    pub key: String,
+    /// What it must be.
+    pub rule: &'static str,
+}
+
+/// Reads settings of type `T` and checks them with `check`, which lists every bad value.
+pub fn load_settings<T: DeserializeOwned>(
+    path: &Path,
+    check: impl FnOnce(&T) -> Vec<BadValue>,
+) -> Result<T, SettingsError> {
+    let text = fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    parse(&text, check).map_err(|mut faults| {
+        faults.sort();
+        SettingsError::Faults {
+            path: path.to_owned(),
+            faults,
+        }
+    })
+}
+
+fn parse<T: DeserializeOwned>(
+    text: &str,
+    check: impl FnOnce(&T) -> Vec<BadValue>,
+) -> Result<T, Vec<SettingsFault>> {
+    let (document, errors) = DeTable::parse_recoverable(text);
+    if !errors.is_empty() {
+        return Err(errors.iter().map(|error| fault_of(text, error)).collect());
+    }
+    let settings = survey::<T>(text, document.clone())?;
+    let bad = check(&settings);
+    if bad.is_empty() {
+        return Ok(settings);
+    }
+    let fault = |BadValue { key, rule }| SettingsFault {
+        line: line_of(text, offset_of(&document, &key)),
+        detail: format!("{key} {rule}"),
+    };
+    Err(bad.into_iter().map(fault).collect())
+}
+
+fn fault_of(text: &str, error: &toml::de::Error) -> SettingsFault {
+    SettingsFault {
+        line: line_of(text, error.span().map_or(0, |span| span.start)),
+        detail: error.message().to_owned(),
+    }
+}
+
+/// Where the value of a key stands, or the innermost table on the way to it.
+fn offset_of(document: &Document<'_>, key: &str) -> usize {
+    let mut offset = 0;
+    let mut table = Some(document.get_ref());
+    for part in key.split('.') {
+        let Some(value) = table.and_then(|table| table.get(part)) else {
+            break;
+        };
+        offset = value.span().start;
+        table = value.get_ref().as_table();
+    }
+    offset
+}
+
+fn line_of(text: &str, offset: usize) -> usize {
+    let before = text.bytes().take(offset);
+    before.filter(|byte| *byte == b'\n').count() + 1
+}
+
+fn listed(path: &Path, faults: &[SettingsFault]) -> String {
+    let lines = faults.iter();
+    lines
+        .map(|fault| format!("{}:{fault}", path.display()))
+        .collect::<Vec<_>>()
+        .join("\n")
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use filbertwheel_core::{
-    DomainId, FleetSecret, LogFormat, RegionId, SettingsError, Text, VmId, load_settings, settings,
+    BadValue, DomainId, FleetSecret, LogFormat, RegionId, SettingsError, Text, VmId, load_settings,
+    settings,
 };
 
 /// Smallest number of bytes of a secret.
 const SECRET_BYTES: usize = 16;
+/// Rule for the length of secrets.
+const SHORT_SECRET: &str = "must have at least 16 bytes";
 
 /// Settings of a node, as its TOML file gives them.
 #[settings]
@@ -92,42 +95,41 @@
 impl NodeSettings {
     /// Reads and checks the settings in a file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        load_settings(path, Self::faults)
+        load_settings(path, Self::bad_values)
     }
 
-    fn faults(&self) -> Vec<String> {
-        let run = &self.run;
-        let checks = [
-            (self.vm.is_empty(), "vm must not be empty"),
-            (self.region.is_empty(), "region must not be empty"),
-            (self.domain.is_empty(), "domain must not be empty"),
+    fn bad_values(&self) -> Vec<BadValue> {
+        let (run, secrets) = (&self.run, &self.secrets);
+        let short = |secret: &Text| secret.as_bytes().len() < SECRET_BYTES;
+        let rules = [
+            (self.vm.is_empty(), "vm", "must not be empty"),
+            (self.region.is_empty(), "region", "must not be empty"),
+            (self.domain.is_empty(), "domain", "must not be empty"),
             (
                 !(1..=64).contains(&run.threads),
-                "run.threads must be from 1 to 64",
+                "run.threads",
+                "must be from 1 to 64",
             ),
             (
                 !(100..=2_000).contains(&run.beat_ms),
-                "run.beat_ms must be from 100 to 2000",
+                "run.beat_ms",
+                "must be from 100 to 2000",
             ),
-            (run.body_limit == 0, "run.body_limit must be positive"),
+            (run.body_limit == 0, "run.body_limit", "must be positive"),
+            (short(&secrets.fleet), "secrets.fleet", SHORT_SECRET),
+            (short(&secrets.operator), "secrets.operator", SHORT_SECRET),
             (
-                short(&self.secrets.fleet),
-                "secrets.fleet must have at least 16 bytes",
-            ),
-            (
-                short(&self.secrets.operator),
-                "secrets.operator must have at least 16 bytes",
-            ),
-            (
-                self.secrets.fleet == self.secrets.operator,
-                "secrets.fleet and secrets.operator must differ",
+                secrets.fleet == secrets.operator,
+                "secrets.operator",
+                "must differ from secrets.fleet",
             ),
         ];
-        checks
-            .iter()
-            .filter(|(fault, _)| *fault)
-            .map(|(_, text)| (*text).to_owned())
-            .collect()
+        let bad = rules.into_iter().filter(|(bad, ..)| *bad);
+        bad.map(|(_, key, rule)| BadValue {
+            key: key.to_owned(),
+            rule,
+        })
+        .collect()
     }
 }
 
@@ -149,7 +151,3 @@
         Duration::from_millis(self.beat_ms)
     }
 }
-
-fn short(secret: &Text) -> bool {
-    secret.as_bytes().len() < SECRET_BYTES
-}
--- /dev/null
+++ b/crates/node/tests/settings.rs
@@ -0,0 +1,64 @@
+//! Settings files: each `.toml` has its faults beside it, as the program tells them.
+#![expect(clippy::unwrap_used, reason = "a test may end on the first surprise")]
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// Rewrites the expected output in place of comparing it, when it's set.
+const BLESS_VARIABLE: &str = "FILBERTWHEEL_BLESS";
+
+#[test]
+fn every_fault_of_keys_and_types_is_told_with_its_line() {
+    check("types");
+}
+
+#[test]
+fn every_value_out_of_range_is_told_with_its_line() {
+    check("values");
+}
+
+#[test]
+fn faults_of_syntax_are_told_with_their_lines() {
+    check("syntax");
+}
+
+#[test]
+fn a_file_that_is_missing_is_a_fault() {
+    let (code, output) = run(Path::new("/nowhere/node.toml"));
+    assert_eq!(code, Some(2));
+    assert!(output.contains("/nowhere/node.toml: "), "{output}");
+}
+
+#[test]
+fn good_settings_pass_the_check() {
+    assert_eq!(run(&case("good")), (Some(0), String::new()));
+}
+
+fn case(name: &str) -> PathBuf {
+    let cases = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/settings");
+    cases.join(name).with_extension("toml")
+}
+
+fn check(name: &str) {
+    let path = case(name);
+    let (code, output) = run(&path);
+    assert_eq!(code, Some(2));
+    let output = output.replace(path.to_str().unwrap(), "node.toml");
+    let expected = path.with_extension("out");
+    if std::env::var_os(BLESS_VARIABLE).is_some() {
+        fs::write(&expected, &output).unwrap();
+    }
+    assert_eq!(output, fs::read_to_string(expected).unwrap());
+}
+
+/// Exit code and standard error of a check.
+fn run(path: &Path) -> (Option<i32>, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_filbertwheel-node"));
+    let output = command.arg("--check").arg("--settings").arg(path).output();
+    let output = output.unwrap();
+    (
+        output.status.code(),
+        String::from_utf8(output.stderr).unwrap(),
+    )
+}
