--- a/crates/node/src/control/desk.rs
+++ b/crates/node/src/control/desk.rs
@@ -60,7 +60,8 @@
         let (reply, answer) = async_channel::bounded(1);
         let sent = self.control.send(Message::Order(order, reply)).await;
         sent.map_err(|_| CommandError::Stopping)?;
-        answer.recv().await.map_err(|_| CommandError::Stopping)?
+        // The order was taken, so the change may be kept.
+        answer.recv().await.map_err(|_| CommandError::Unknown)?
     }
 
     fn metrics(&self) -> String {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,5 +13,6 @@
 mod snapshot;
 mod traffic;
 
+pub use metrics::{CallLabels, Metrics};
 pub use node::{Node, NodeError};
 pub use settings::NodeSettings;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -25,23 +25,27 @@
 
 /// Labels of finished calls.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, EncodeLabelSet)]
-pub(crate) struct CallLabels {
+pub struct CallLabels {
+    /// Name of the service, or `unknown`.
     pub service: String,
+    /// Name of the organisation, or `none`.
     pub organisation: String,
+    /// `whole`, `not-run` or `unknown`.
     pub outcome: String,
+    /// Kind of refusal or doubt; empty for a whole answer.
     pub reason: String,
 }
 
 /// Labels of latencies.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub(crate) struct LatencyLabels {
+pub struct LatencyLabels {
     service: String,
     organisation: String,
 }
 
 /// Metrics of a node.
 #[derive(Debug)]
-pub(crate) struct Metrics {
+pub struct Metrics {
     registry: Registry,
     calls: Family<CallLabels, Counter>,
     latency: Family<LatencyLabels, Histogram>,
@@ -158,6 +162,12 @@
     if name.is_empty() { missing } else { name }.to_owned()
 }
 
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 fn name(kind: &impl serde::Serialize) -> String {
     let value = serde_json::to_value(kind).unwrap_or_default();
     value.as_str().unwrap_or_default().to_owned()
