Report service-level burn

Cause: there was no report on service-level burn.

Ruled out: a budget over the calls seen alone (twenty bad minutes would spend a month); refusals that lie with the caller counted as bad (an organisation over its rate would burn its own objective); buckets above the threshold (flatters).

Change: objectives in TOML; records of scrapes read from files, or nodes scraped for a bounded time and recorded; burn rates over pairs of windows, budget left, as text, JSON and an HTML page with SVG charts. Counters that start again or appear late lose nothing that a scrape saw. Bad values name entries of arrays.

Before -> after: cargo test -p filbertwheel-burn. Without the care for new and restarted counters 4 of 7 failed; now 7 of 7.

Conclusion: the page was not looked at in a browser (none at hand).

--- a/crates/burn/src/main.rs
+++ b/crates/burn/src/main.rs
@@ -1,2 +1,165 @@
-//! x
-fn main() {}
+//! `filbertwheel-burn`: the report on service-level burn.
+
+use std::fs;
+use std::io::{self, Write as _};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, From};
+use filbertwheel_burn::{
+    BurnSettings, History, Report, SampleError, Scrape, collect, page, report, text,
+};
+use filbertwheel_core::{Clock, SettingsError, SystemClock};
+use getopts::{Matches, Options};
+
+/// Exit code when an objective alerts.
+const EXIT_ALERT: u8 = 1;
+/// Exit code for mistakes on the command line, in settings or in records.
+const EXIT_USAGE: u8 = 2;
+/// Exit code when nothing could be scraped or written.
+const EXIT_FAILED: u8 = 5;
+/// Seconds between scrapes, unless an option says so.
+const DEFAULT_INTERVAL: f64 = 5.0;
+
+/// Why there's no report.
+#[derive(Debug, Display, From)]
+enum Fault {
+    #[display("{_0}")]
+    Usage(getopts::Fail),
+    #[display("--{_0} is missing or malformed")]
+    #[from(skip)]
+    Option(&'static str),
+    #[display("give records to read, or nodes to scrape with --scrape IP:PORT")]
+    #[from(skip)]
+    NoSource,
+    #[display("{_0}")]
+    Settings(SettingsError),
+    #[display("{}: {source}", path.display())]
+    #[from(skip)]
+    File { path: PathBuf, source: io::Error },
+    #[display("{_0}")]
+    Sample(SampleError),
+    #[display("no node could be scraped")]
+    #[from(skip)]
+    NoScrape,
+    #[display("the output can't be written: {_0}")]
+    Output(io::Error),
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match run(&arguments) {
+        Ok(false) => ExitCode::SUCCESS,
+        Ok(true) => ExitCode::from(EXIT_ALERT),
+        Err(fault) => {
+            eprintln!("filbertwheel-burn: {fault}");
+            ExitCode::from(match fault {
+                Fault::NoScrape | Fault::Output(_) => EXIT_FAILED,
+                _ => EXIT_USAGE,
+            })
+        }
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("o", "objectives", "objectives in TOML", "FILE");
+    options.optmulti("s", "scrape", "operator address of a node", "IP:PORT");
+    options.optopt("", "every", "seconds between scrapes", "SECONDS");
+    options.optopt("", "for", "seconds of scraping", "SECONDS");
+    options.optopt("r", "record", "keep the scrapes in a file", "FILE");
+    options.optopt("p", "page", "write the report as an HTML page", "FILE");
+    options.optflag("j", "json", "write the report as JSON");
+    options.optflag("c", "check", "check the objectives and do nothing else");
+    options.optflag("h", "help", "show this help");
+    options
+}
+
+/// Writes the report, and returns whether an objective alerts.
+fn run(arguments: &[String]) -> Result<bool, Fault> {
+    let options = options();
+    let matches = options.parse(arguments)?;
+    if matches.opt_present("help") {
+        let usage = options.usage("Usage: filbertwheel-burn --objectives FILE [RECORD ...]");
+        write!(io::stdout(), "{usage}")?;
+        return Ok(false);
+    }
+    let path = matches.opt_str("objectives").map(PathBuf::from);
+    let settings = BurnSettings::load(&path.ok_or(Fault::Option("objectives"))?)?;
+    if matches.opt_present("check") {
+        return Ok(false);
+    }
+    let record = if matches.opt_present("scrape") {
+        scraped(&matches)?
+    } else {
+        read(&matches.free)?
+    };
+    let report = report(&settings, &History::read(&record)?);
+    show(&matches, &report)?;
+    Ok(report.alerts())
+}
+
+fn read(paths: &[String]) -> Result<String, Fault> {
+    if paths.is_empty() {
+        return Err(Fault::NoSource);
+    }
+    let read = |path: &String| {
+        fs::read_to_string(path).map_err(|source| Fault::File {
+            path: path.into(),
+            source,
+        })
+    };
+    paths.iter().map(read).collect()
+}
+
+fn scraped(matches: &Matches) -> Result<String, Fault> {
+    let nodes: Result<Vec<SocketAddr>, _> = matches
+        .opt_strs("scrape")
+        .iter()
+        .map(|node| node.parse())
+        .collect();
+    let nodes = nodes.map_err(|_| Fault::Option("scrape"))?;
+    let interval = seconds(matches, "every")?;
+    let interval = interval.unwrap_or(Duration::from_secs_f64(DEFAULT_INTERVAL));
+    let span = seconds(matches, "for")?.ok_or(Fault::Option("for"))?;
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let skipped = |error: &_| eprintln!("filbertwheel-burn: {error}");
+    let scrapes = smol::block_on(collect(&nodes, (interval, span), &clock, skipped));
+    if scrapes.is_empty() {
+        return Err(Fault::NoScrape);
+    }
+    let record: String = scrapes.iter().map(Scrape::record).collect();
+    if let Some(path) = matches.opt_str("record") {
+        fs::write(path, &record)?;
+    }
+    Ok(record)
+}
+
+fn seconds(matches: &Matches, name: &'static str) -> Result<Option<Duration>, Fault> {
+    let Some(text) = matches.opt_str(name) else {
+        return Ok(None);
+    };
+    let seconds: f64 = text.parse().map_err(|_| Fault::Option(name))?;
+    let duration = Duration::try_from_secs_f64(seconds).map_err(|_| Fault::Option(name))?;
+    if duration.is_zero() {
+        return Err(Fault::Option(name));
+    }
+    Ok(Some(duration))
+}
+
+fn show(matches: &Matches, report: &Report) -> Result<(), Fault> {
+    if let Some(path) = matches.opt_str("page") {
+        fs::write(path, page(report))?;
+    }
+    let mut out = io::stdout().lock();
+    if matches.opt_present("json") {
+        let json = serde_json::to_string(report).map_err(io::Error::from)?;
+        writeln!(out, "{json}")?;
+    } else {
+        write!(out, "{}", text(report))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/burn/src/sample.rs
@@ -0,0 +1,216 @@
+//! Scrapes of nodes, and what their counters gained over time.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use filbertwheel_core::value;
+
+/// Start of the line before each scrape in a record.
+const SCRAPE_MARK: &str = "# scrape ";
+
+/// A time, counted from the start of the Unix epoch.
+pub type Time = Duration;
+
+/// Labels of a counter, with its name under an empty key.
+type Labels = BTreeMap<String, String>;
+
+/// The counters of one node at one time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Scrape {
+    /// The node.
+    pub node: String,
+    /// When it was read.
+    pub at: Time,
+    /// What it read, as it came.
+    pub text: String,
+}
+
+/// Counters of all nodes over time.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    series: BTreeMap<(String, Labels), Vec<(Time, f64)>>,
+    start: Option<Time>,
+    end: Time,
+}
+
+/// Why a record can't be read.
+#[value]
+#[derive(Display, Error)]
+pub enum SampleError {
+    /// A line before a scrape is malformed.
+    #[display("line {line}: expected \"# scrape NODE SECONDS\"")]
+    Mark {
+        /// The line, counted from 1.
+        line: usize,
+    },
+    /// A line of a scrape is malformed.
+    #[display("line {line}: expected a metric with its value")]
+    Metric {
+        /// The line, counted from 1.
+        line: usize,
+    },
+    /// There are no scrapes.
+    #[display("there is no scrape in it")]
+    Empty,
+}
+
+impl Scrape {
+    /// The scrape as it's written to a record.
+    pub fn record(&self) -> String {
+        let mut text = format!("{SCRAPE_MARK}{} {:.3}\n", self.node, self.at.as_secs_f64());
+        text.push_str(&self.text);
+        if !text.ends_with('\n') {
+            text.push('\n');
+        }
+        text
+    }
+}
+
+impl History {
+    /// Reads a record of scrapes, one after another.
+    pub fn read(record: &str) -> Result<Self, SampleError> {
+        let mut history = Self::default();
+        let mut from: Option<(String, Time)> = None;
+        let mut scraped: BTreeMap<String, (Time, Time)> = BTreeMap::new();
+        for (index, line) in record.lines().enumerate() {
+            let line_number = index + 1;
+            if let Some(mark) = line.strip_prefix(SCRAPE_MARK) {
+                let mark = parse_mark(mark).ok_or(SampleError::Mark { line: line_number })?;
+                history.cover(mark.1);
+                let times = scraped.entry(mark.0.clone()).or_insert((mark.1, mark.1));
+                *times = (times.1, mark.1);
+                from = Some(mark);
+            } else if !line.is_empty() && !line.starts_with('#') {
+                let (node, at) = from
+                    .clone()
+                    .ok_or(SampleError::Mark { line: line_number })?;
+                let metric = parse_metric(line);
+                let (labels, value) = metric.ok_or(SampleError::Metric { line: line_number })?;
+                let earlier = scraped.get(&node).map_or(at, |times| times.0);
+                let series = history.series.entry((node, labels)).or_default();
+                // A counter that has just appeared was zero in the scrape before.
+                if series.is_empty() && earlier < at {
+                    series.push((earlier, 0.0));
+                }
+                series.push((at, value));
+            }
+        }
+        if history.start.is_none() {
+            return Err(SampleError::Empty);
+        }
+        for series in history.series.values_mut() {
+            series.sort_by_key(|(at, _)| *at);
+        }
+        Ok(history)
+    }
+
+    /// Time of the first scrape.
+    pub fn start(&self) -> Time {
+        self.start.unwrap_or_default()
+    }
+
+    /// Time of the last scrape.
+    pub fn end(&self) -> Time {
+        self.end
+    }
+
+    /// What the counters with these labels gained in a window that ends at `end`.
+    pub fn gain(&self, wanted: &[(&str, &str)], end: Time, window: Duration) -> f64 {
+        let begin = end.saturating_sub(window);
+        let series = self.series.iter();
+        series
+            .filter(|((_, labels), _)| matches(labels, wanted))
+            .map(|(_, points)| gain(points, begin, end))
+            .fold(0.0, |sum, gain| sum + gain)
+    }
+
+    /// Values of a label among the counters with these labels.
+    pub fn values(&self, label: &str, wanted: &[(&str, &str)]) -> Vec<String> {
+        let labels = self.series.keys().map(|(_, labels)| labels);
+        let mut values: Vec<String> = labels
+            .filter(|labels| matches(labels, wanted))
+            .filter_map(|labels| labels.get(label).cloned())
+            .collect();
+        values.sort();
+        values.dedup();
+        values
+    }
+
+    fn cover(&mut self, at: Time) {
+        self.start = Some(self.start.map_or(at, |start| start.min(at)));
+        self.end = self.end.max(at);
+    }
+}
+
+/// Gain of one counter. A node that started again counts from zero.
+fn gain(points: &[(Time, f64)], begin: Time, end: Time) -> f64 {
+    let first = points.partition_point(|(at, _)| *at <= begin);
+    let last = points.partition_point(|(at, _)| *at <= end);
+    let Some(window) = points.get(first.saturating_sub(1)..last) else {
+        return 0.0;
+    };
+    window
+        .windows(2)
+        .map(|pair| match (pair[0].1, pair[1].1) {
+            (before, after) if after >= before => after - before,
+            (_, after) => after,
+        })
+        .sum()
+}
+
+fn matches(labels: &Labels, wanted: &[(&str, &str)]) -> bool {
+    wanted
+        .iter()
+        .all(|(key, value)| labels.get(*key).is_some_and(|own| own == value))
+}
+
+fn parse_mark(mark: &str) -> Option<(String, Time)> {
+    let (node, seconds) = mark.trim().rsplit_once(' ')?;
+    let at = Duration::try_from_secs_f64(seconds.parse().ok()?).ok()?;
+    Some((node.to_owned(), at))
+}
+
+/// Labels and value of a line such as `name{key="value"} 5`.
+fn parse_metric(line: &str) -> Option<(Labels, f64)> {
+    let mut labels = Labels::new();
+    let (name, rest) = match line.split_once('{') {
+        Some((name, rest)) => (name, parse_labels(rest, &mut labels)?),
+        None => line.split_once(' ')?,
+    };
+    labels.insert(String::new(), name.to_owned());
+    let value = rest.split_whitespace().next()?.parse().ok()?;
+    Some((labels, value))
+}
+
+/// Reads labels up to the closing brace, and returns what follows.
+fn parse_labels<'a>(mut rest: &'a str, labels: &mut Labels) -> Option<&'a str> {
+    loop {
+        rest = rest.trim_start_matches(',');
+        if let Some(rest) = rest.strip_prefix('}') {
+            return Some(rest);
+        }
+        let (key, quoted) = rest.split_once("=\"")?;
+        let (value, length) = parse_value(quoted)?;
+        labels.insert(key.to_owned(), value);
+        rest = quoted.get(length..)?;
+    }
+}
+
+/// A quoted value, and its length with the closing quote.
+fn parse_value(quoted: &str) -> Option<(String, usize)> {
+    let mut value = String::new();
+    let mut chars = quoted.char_indices();
+    while let Some((at, c)) = chars.next() {
+        match c {
+            '"' => return Some((value, at + 1)),
+            '\\' => match chars.next()?.1 {
+                'n' => value.push('\n'),
+                escaped => value.write_char(escaped).ok()?,
+            },
+            c => value.push(c),
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/burn/src/settings.rs
@@ -0,0 +1,146 @@
+//! Service-level objectives in TOML.
+
+use std::path::Path;
+use std::time::Duration;
+
+use filbertwheel_core::{
+    BadValue, OrganisationId, ServiceId, SettingsError, Text, load_settings, settings,
+};
+use serde::Serialize;
+
+/// Objectives, and how their budgets are watched.
+#[settings]
+pub struct BurnSettings {
+    /// Seconds that an error budget covers.
+    #[serde(default = "budget_period")]
+    pub budget_s: u64,
+    /// The objectives.
+    pub objective: Vec<Objective>,
+    /// Pairs of windows that alert; the customary three where none are given.
+    #[serde(default = "customary_windows")]
+    pub window: Vec<Window>,
+}
+
+/// One service-level objective.
+#[settings]
+pub struct Objective {
+    /// Its name in the report.
+    pub name: Text,
+    /// The service.
+    pub service: ServiceId,
+    /// The organisation, or all together.
+    #[serde(default)]
+    pub organisation: Option<OrganisationId>,
+    /// What is counted as good.
+    pub kind: Kind,
+    /// Portion of calls that must be good, below 1.
+    pub target: f64,
+    /// Milliseconds within which a whole answer is good; for latency only.
+    #[serde(default)]
+    pub threshold_ms: Option<u64>,
+}
+
+/// What an objective counts as good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// Whole answers, of the calls that could have had one.
+    Availability,
+    /// Quick answers, of the whole answers.
+    Latency,
+}
+
+/// A long and a short window that alert together.
+#[settings]
+pub struct Window {
+    /// Name of the alert.
+    pub name: Text,
+    /// Seconds of the long window.
+    pub long_s: u64,
+    /// Seconds of the short window.
+    pub short_s: u64,
+    /// Burn rate above which both windows alert.
+    pub burn: f64,
+}
+
+impl BurnSettings {
+    /// Reads and checks the objectives in a file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        load_settings(path, Self::bad_values)
+    }
+
+    /// Time that an error budget covers.
+    pub fn budget(&self) -> Duration {
+        Duration::from_secs(self.budget_s)
+    }
+
+    fn bad_values(&self) -> Vec<BadValue> {
+        let objectives = self.objective.iter().enumerate();
+        let windows = self.window.iter().enumerate();
+        objectives
+            .flat_map(|(index, objective)| objective.bad_values(index))
+            .chain(windows.flat_map(|(index, window)| window.bad_values(index)))
+            .chain((self.budget_s == 0).then(|| bad("budget_s".to_owned(), "must be positive")))
+            .collect()
+    }
+}
+
+impl Objective {
+    fn bad_values(&self, index: usize) -> Vec<BadValue> {
+        let of_target = !(self.target > 0.0 && self.target < 1.0);
+        let of_latency = self.kind == Kind::Latency && self.threshold_ms.is_none_or(|ms| ms == 0);
+        let of_other = self.kind != Kind::Latency && self.threshold_ms.is_some();
+        rules(
+            &format!("objective.{index}"),
+            &[
+                (of_target, "target", "must be above 0 and below 1"),
+                (of_latency, "threshold_ms", "must be positive for latency"),
+                (of_other, "threshold_ms", "is for latency only"),
+            ],
+        )
+    }
+}
+
+impl Window {
+    fn bad_values(&self, index: usize) -> Vec<BadValue> {
+        let of_length = self.short_s == 0 || self.short_s >= self.long_s;
+        let of_burn = !(self.burn > 0.0 && self.burn.is_finite());
+        rules(
+            &format!("window.{index}"),
+            &[
+                (of_length, "short_s", "must be positive and below long_s"),
+                (of_burn, "burn", "must be positive"),
+            ],
+        )
+    }
+}
+
+fn rules(path: &str, rules: &[(bool, &str, &'static str)]) -> Vec<BadValue> {
+    let broken = rules.iter().filter(|(broken, ..)| *broken);
+    broken
+        .map(|(_, key, rule)| bad(format!("{path}.{key}"), rule))
+        .collect()
+}
+
+fn bad(key: String, rule: &'static str) -> BadValue {
+    BadValue { key, rule }
+}
+
+/// Thirty days.
+fn budget_period() -> u64 {
+    30 * 24 * 60 * 60
+}
+
+fn customary_windows() -> Vec<Window> {
+    let window = |name, long_s, short_s, burn| Window {
+        name: Text::from_static(name),
+        long_s,
+        short_s,
+        burn,
+    };
+    vec![
+        window("page", 60 * 60, 5 * 60, 14.4),
+        window("page slowly", 6 * 60 * 60, 30 * 60, 6.0),
+        window("ticket", 3 * 24 * 60 * 60, 6 * 60 * 60, 1.0),
+    ]
+}
--- /dev/null
+++ b/crates/burn/tests/burn.rs
@@ -0,0 +1,167 @@
+//! Burn rates from recorded scrapes.
+#![expect(clippy::unwrap_used, reason = "a test may end on the first surprise")]
+
+use std::fmt::Write as _;
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use filbertwheel_burn::{BurnSettings, History, Report, SampleError, page, report, text};
+
+/// Rewrites the expected output in place of comparing it, when it's set.
+const BLESS_VARIABLE: &str = "FILBERTWHEEL_BLESS";
+
+fn case(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/cases")
+        .join(name)
+}
+
+fn expect(name: &str, output: &str) {
+    if std::env::var_os(BLESS_VARIABLE).is_some() {
+        fs::write(case(name), output).unwrap();
+    }
+    assert_eq!(output, fs::read_to_string(case(name)).unwrap());
+}
+
+/// Two nodes for twenty minutes; the first starts again once, and calls fail near the end.
+fn record() -> String {
+    let mut record = String::new();
+    for minute in 0..=20_u32 {
+        let failed = minute.saturating_sub(15) * 20;
+        let since_start = if minute < 10 { minute } else { minute - 10 };
+        scrape(&mut record, "vm1", minute, since_start * 90, failed);
+        scrape(&mut record, "vm2", minute, minute * 90, 0);
+    }
+    record
+}
+
+fn scrape(record: &mut String, node: &str, minute: u32, whole: u32, failed: u32) {
+    let calls = "filbertwheel_calls_total{service=\"payments\",organisation=\"kalnins\"";
+    let timed = "filbertwheel_call_duration_seconds";
+    let labels = "service=\"availability\",organisation=\"a \\\"b\\\"\"";
+    writeln!(
+        record,
+        "# scrape {node} {}\n# TYPE filbertwheel_calls counter",
+        60 * minute
+    )
+    .unwrap();
+    writeln!(record, "{calls},outcome=\"whole\",reason=\"\"}} {whole}").unwrap();
+    writeln!(
+        record,
+        "{calls},outcome=\"not-run\",reason=\"over-rate\"}} {}",
+        minute * 500
+    )
+    .unwrap();
+    if failed > 0 {
+        writeln!(
+            record,
+            "{calls},outcome=\"not-run\",reason=\"overloaded\"}} {failed}"
+        )
+        .unwrap();
+    }
+    writeln!(
+        record,
+        "{timed}_bucket{{le=\"0.05\",{labels}}} {}",
+        whole / 10 * 9
+    )
+    .unwrap();
+    writeln!(record, "{timed}_bucket{{le=\"0.1\",{labels}}} {whole}").unwrap();
+    writeln!(record, "{timed}_count{{{labels}}} {whole}\n# EOF").unwrap();
+}
+
+fn reported() -> Report {
+    let settings = BurnSettings::load(&case("objectives.toml")).unwrap();
+    report(&settings, &History::read(&record()).unwrap())
+}
+
+#[test]
+fn the_text_tells_burn_rates_and_what_is_left() {
+    expect("report.txt", &text(&reported()));
+}
+
+#[test]
+fn the_page_shows_every_objective() {
+    expect("report.html", &page(&reported()));
+}
+
+#[test]
+fn what_lies_with_the_caller_spends_no_budget() {
+    let report = reported();
+    // Whole: 1800 at vm2, 1710 at vm1, whose last minute before its new start is lost.
+    // The 20,000 refusals over the rate don't count.
+    assert_eq!(
+        (report.lines[0].bad, report.lines[0].total),
+        (100.0, 3_610.0)
+    );
+}
+
+#[test]
+fn a_counter_that_starts_again_or_appears_late_loses_nothing() {
+    let line = |at: u32, value: u32| format!("# scrape vm1 {at}\ncalls{{}} {value}\n");
+    let history = |record: &str| History::read(record).unwrap();
+    let gain = |history: &History, window| {
+        history.gain(
+            &[("", "calls")],
+            Duration::from_secs(30),
+            Duration::from_secs(window),
+        )
+    };
+    let again = [line(0, 100), line(10, 110), line(20, 4), line(30, 9)].concat();
+    assert_eq!(gain(&history(&again), 30), 19.0);
+    assert_eq!(gain(&history(&again), 10), 5.0);
+    let late = ["# scrape vm1 0\n".to_owned(), line(10, 7), line(30, 8)].concat();
+    assert_eq!(gain(&history(&late), 30), 8.0);
+}
+
+#[test]
+fn a_malformed_record_names_its_line() {
+    let error = |record| History::read(record).unwrap_err();
+    assert_eq!(error("calls 1\n"), SampleError::Mark { line: 1 });
+    assert_eq!(error("# scrape vm1\n"), SampleError::Mark { line: 1 });
+    let open = "# scrape vm1 0\ncalls{service=\"open 1\n";
+    assert_eq!(error(open), SampleError::Metric { line: 2 });
+    assert_eq!(
+        error("# scrape vm1 0\ncalls five\n"),
+        SampleError::Metric { line: 2 }
+    );
+    assert_eq!(error(""), SampleError::Empty);
+}
+
+fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_filbertwheel-burn"));
+    command.args(arguments).output().unwrap()
+}
+
+#[test]
+fn objectives_are_checked_before_anything_else() {
+    let path = case("wrong.toml");
+    let path = path.to_str().unwrap();
+    let output = run(&[
+        "--objectives",
+        path,
+        "--scrape",
+        "127.0.0.1:1",
+        "--for",
+        "1",
+    ]);
+    assert_eq!(output.status.code(), Some(2));
+    let told = String::from_utf8(output.stderr).unwrap();
+    expect("wrong.out", &told.replace(path, "objectives.toml"));
+}
+
+#[test]
+fn exit_codes_tell_alerts_mistakes_and_silence() {
+    let objectives = case("objectives.toml");
+    let objectives = objectives.to_str().unwrap();
+    let code = |arguments: &[&str]| {
+        run(&[&["--objectives", objectives], arguments].concat())
+            .status
+            .code()
+    };
+    assert_eq!(code(&["--check"]), Some(0));
+    assert_eq!(code(&[]), Some(2));
+    assert_eq!(code(&["/nowhere/record"]), Some(2));
+    assert_eq!(code(&["--scrape", "127.0.0.1:1", "--for", "0.01"]), Some(5));
+}
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -9,7 +9,7 @@
 use derive_more::{Display, Error};
 use filbertwheel_macros::value;
 use serde::de::DeserializeOwned;
-use toml::de::DeTable;
+use toml::de::{DeTable, DeValue};
 
 use crate::settings::survey::{Document, survey};
 
@@ -102,16 +102,20 @@
 
 /// Where the value of a key stands, or the innermost table on the way to it.
 fn offset_of(document: &Document<'_>, key: &str) -> usize {
-    let mut offset = 0;
-    let mut table = Some(document.get_ref());
-    for part in key.split('.') {
-        let Some(value) = table.and_then(|table| table.get(part)) else {
-            break;
+    let (first, rest) = key.split_once('.').unwrap_or((key, ""));
+    let Some(mut value) = document.get_ref().get(first) else {
+        return 0;
+    };
+    for part in rest.split('.') {
+        let inner = match value.get_ref() {
+            DeValue::Table(table) => table.get(part),
+            DeValue::Array(array) => part.parse().ok().and_then(|index: usize| array.get(index)),
+            _ => None,
         };
-        offset = value.span().start;
-        table = value.get_ref().as_table();
+        let Some(inner) = inner else { break };
+        value = inner;
     }
-    offset
+    value.span().start
 }
 
 fn line_of(text: &str, offset: usize) -> usize {
