--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,8 @@
 mod call;
 mod clock;
 mod config;
+mod config_diff;
+mod config_log;
 mod control;
 mod ids;
 mod invariant;
@@ -21,6 +23,8 @@
 };
 pub use clock::{Clock, PausedClock, Sleep, SystemClock};
 pub use config::{Change, ConfigError, Configuration, Edit, Key, Organisation, Rate, Route};
+pub use config_diff::Difference;
+pub use config_log::ConfigLog;
 pub use control::{Beat, Claim, Delta, Demand, Pulse, Share, Tokens};
 pub use filbertwheel_macros::{message, settings, token, value};
 pub use ids::{
@@ -31,5 +35,5 @@
 pub use logging::{LogFormat, init_logging};
 pub use member::{Member, Status};
 pub use proof::{FleetSecret, Proof, ProofError, hash_key};
-pub use settings::{SettingsError, load_settings};
+pub use settings::{BadValue, SettingsError, SettingsFault, load_settings};
 pub use text::Text;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,17 +1,17 @@
 //! The control state.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use filbertwheel_backend::Announcement;
 use filbertwheel_core::{
-    Beat, Change, Claim, Clock, Configuration, Delta, Fence, Member, OrganisationId, Pulse, Rate,
-    Status, Tokens, Version, VmId, invariant,
+    Beat, Claim, Clock, ConfigLog, Configuration, Delta, Fence, Member, OrganisationId, Pulse,
+    Rate, Status, Tokens, Version, VmId, invariant,
 };
 use filbertwheel_peer::{Controls, SinkError};
-use filbertwheel_platform::Table;
+use filbertwheel_platform::{Objects, Table};
 use filbertwheel_policy::{
     LeaseRow, Link, Purse, Root, RootError, Roster, SHARE_LIFETIME, Tenure, Voter,
 };
@@ -24,14 +24,13 @@
 pub(crate) const SERVING_LEASE: Duration = Duration::from_secs(8);
 /// Time without an answered beat after which a node looks for another root.
 const LOST_TIME: Duration = Duration::from_millis(1_500);
-/// Changes that are kept at hand for nodes that lag.
-const CHANGES_KEPT: usize = 1_000;
 
 /// What the control state works with.
 #[derive(Debug)]
 pub(crate) struct Parts {
     pub clock: Arc<dyn Clock>,
     pub table: Arc<dyn Table>,
+    pub objects: Arc<dyn Objects>,
     pub controls: Arc<dyn Controls>,
     pub purse: Arc<Mutex<Purse>>,
     pub board: Board,
@@ -46,8 +45,7 @@
     me: Member,
     roster: Roster,
     tenure: Arc<Tenure>,
-    config: Configuration,
-    changes: VecDeque<Change>,
+    config: ConfigLog,
     lease: Option<Instant>,
     /// When the latest beat that was answered was sent.
     answered: Option<Instant>,
@@ -85,8 +83,7 @@
             tenure: Arc::new(Tenure::open(me.vm.clone(), SERVING_LEASE)),
             me,
             roster: Roster::default(),
-            config: Configuration::default(),
-            changes: VecDeque::new(),
+            config: ConfigLog::default(),
             lease: None,
             answered: None,
             link: Link::default(),
@@ -108,7 +105,7 @@
 
     /// The configuration in force.
     pub fn config(&self) -> &Configuration {
-        &self.config
+        self.config.current()
     }
 
     /// Whether this node is the root.
@@ -165,6 +162,7 @@
         if self.me.status < Status::Draining {
             self.me.status = announcement.status;
         }
+        self.heed_drain();
         self.publish();
     }
 
@@ -227,7 +225,7 @@
             number: self.link.number(),
             heard: self.link.heard(),
             fence: self.fence(),
-            config: self.config.version,
+            config: self.config().version,
             roster: self.seen,
             demands,
         }
@@ -258,7 +256,7 @@
             lease,
             lifetime: SHARE_LIFETIME,
             confirmed: self.confirmed(),
-            delta: self.delta_since(beat.config),
+            delta: self.config.since(beat.config),
             roster: self.roster.position(),
             members: self.roster.since(known),
             shares,
@@ -302,7 +300,7 @@
         }
         let now = self.parts.clock.now();
         let organisation = &claim.organisation;
-        let Some(known) = self.config.organisations.get(organisation) else {
+        let Some(known) = self.config().organisations.get(organisation) else {
             return Ok(Tokens {
                 count: 0,
                 retry_after: SERVING_LEASE,
@@ -318,26 +316,16 @@
 
     /// Brings the configuration up to date. Versions never go back.
     pub fn apply(&mut self, delta: Delta) {
-        let before = self.config.version;
-        match delta {
-            Delta::Changes(changes) => changes.into_iter().for_each(|change| self.change(change)),
-            Delta::Whole(config) if config.version > before => {
-                self.config = config;
-                self.changes.clear();
-            }
-            Delta::Whole(_) => {}
-        }
-        let after = self.config.version;
-        invariant!(
-            "config-never-reverts",
-            after >= before,
-            "{before} became {after}"
-        );
-        if after > before {
-            tracing::info!("control: Configuration {after} is in force.");
-            self.parts.metrics.config.set(after as i64);
-            self.publish();
+        match self.config.apply(delta) {
+            Ok(false) => return,
+            Ok(true) => {}
+            Err(error) => tracing::error!("control: A change does not fit: {error}."),
         }
+        let version = self.config().version;
+        tracing::info!("control: Configuration {version} is in force.");
+        self.parts.metrics.config.set(version as i64);
+        self.heed_drain();
+        self.publish();
     }
 
     /// The configuration's version that every live member has confirmed.
@@ -352,7 +340,7 @@
         {
             return self.confirmed;
         }
-        lead.children.confirmed().min(self.config.version)
+        lead.children.confirmed().min(self.config().version)
     }
 
     /// Children that haven't confirmed a version.
@@ -363,6 +351,14 @@
         }
     }
 
+    /// Configuration version of each node that reports to this one; `None` unless it's the root.
+    pub fn versions(&self) -> Option<Vec<(VmId, Version)>> {
+        match &self.role {
+            Role::Root(lead) => Some(lead.children.versions()),
+            _ => None,
+        }
+    }
+
     /// Marks children that have been silent for too long as gone.
     pub fn expire_children(&mut self) {
         let now = self.parts.clock.now();
@@ -411,35 +407,17 @@
         }
     }
 
-    fn change(&mut self, change: Change) {
-        if change.version <= self.config.version {
-            return;
-        }
-        if let Err(error) = self.config.apply(&change) {
-            tracing::error!("control: Change {} does not fit: {error}.", change.version);
-            return;
-        }
-        self.changes.push_back(change);
-        if self.changes.len() > CHANGES_KEPT {
-            self.changes.pop_front();
-        }
-    }
-
-    fn delta_since(&self, version: Version) -> Delta {
-        let first = self.changes.front().map(|change| change.version);
-        let at_hand = first.is_some_and(|first| first <= version + 1);
-        if version >= self.config.version || at_hand {
-            let newer = self
-                .changes
-                .iter()
-                .filter(|change| change.version > version);
-            return Delta::Changes(newer.cloned().collect());
+    /// Takes no new work once an operator has drained this VM.
+    fn heed_drain(&mut self) {
+        let drained = self.config().is_drained(&self.me.vm, self.me.incarnation);
+        if drained && self.me.status < Status::Draining {
+            tracing::info!("control: An operator drains this VM.");
+            self.me.status = Status::Draining;
         }
-        Delta::Whole(self.config.clone())
     }
 
     fn limits(&self) -> BTreeMap<OrganisationId, Rate> {
-        let organisations = self.config.organisations.iter();
+        let organisations = self.config().organisations.iter();
         organisations
             .map(|(name, organisation)| (name.clone(), organisation.limit))
             .collect()
@@ -447,7 +425,7 @@
 
     fn publish(&self) {
         self.parts.board.store(Arc::new(Snapshot {
-            config: Arc::new(self.config.clone()),
+            config: Arc::new(self.config().clone()),
             roster: Arc::new(self.roster.clone()),
             tenure: Arc::clone(&self.tenure),
             me: self.me.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use control::{ClaimReply, Message};
 pub use engine::Engine;
-pub use metrics::Metrics;
+pub use metrics::{CallLabels, Metrics};
 pub use node::{Node, NodeError};
 pub use runner::Runner;
 pub use settings::{ListenSettings, NodeSettings};
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -8,7 +8,7 @@
 use derive_more::{Display, From};
 use filbertwheel_core::{Clock, SettingsError, SystemClock, init_logging};
 use filbertwheel_node::{Node, NodeError, NodeSettings};
-use filbertwheel_platform::TableClient;
+use filbertwheel_platform::{ObjectClient, Platform, TableClient};
 use futures_lite::StreamExt as _;
 use getopts::Options;
 
@@ -72,7 +72,12 @@
         let mut signals = Signals::new([Signal::Term, Signal::Int])?;
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let table = TableClient::open(settings.platform.table, Arc::clone(&clock));
-        let node = Node::spawn(&settings, Arc::new(table), clock).await?;
+        let objects = ObjectClient::open(settings.platform.objects, Arc::clone(&clock));
+        let platform = Platform {
+            table: Arc::new(table),
+            objects: Arc::new(objects),
+        };
+        let node = Node::spawn(&settings, platform, clock).await?;
         node.run(async move {
             let _signal = signals.next().await;
         })
--- a/crates/node/tests/engine/keys.rs
+++ b/crates/node/tests/engine/keys.rs
@@ -35,7 +35,9 @@
     *lock(&fleet.fakes.gate) = Some(closed);
     let run = |call: Call| {
         let engine = Arc::clone(&fleet.engines[0]);
-        fleet.executor.spawn(async move { engine.run(call).await })
+        fleet
+            .executor
+            .spawn(async move { engine.run(call).await.0 })
     };
     let tasks = [run(first), run(keyed())];
     smol::block_on(fleet.executor.run(async {
@@ -78,7 +80,11 @@
 fn a_call_with_a_key_that_is_newer_than_the_configuration_runs() {
     let fleet = Fleet::open(&[("narrow", None)], smooth(), smooth());
     let engine = Arc::clone(&fleet.engines[0]);
-    let verdict = smol::block_on(fleet.executor.run(async move { engine.run(keyed()).await }));
+    let verdict = smol::block_on(
+        fleet
+            .executor
+            .run(async move { engine.run(keyed()).await.0 }),
+    );
     assert!(verdict.is_ok(), "{verdict:?}");
 }
 
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -1,6 +1,7 @@
 //! The border towards the platform's services.
 
 use std::fmt::Debug;
+use std::sync::Arc;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -73,4 +74,16 @@
 
     /// Writes an object whole, replacing an earlier one.
     async fn put(&self, key: &Text, object: Bytes) -> Result<(), PlatformError>;
+
+    /// Removes an object, if it exists.
+    async fn remove(&self, key: &Text) -> Result<(), PlatformError>;
+}
+
+/// The platform's services together.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    /// The table service.
+    pub table: Arc<dyn Table>,
+    /// The object store.
+    pub objects: Arc<dyn Objects>,
 }
