Let a node advertise another address than it binds

Cause: scenarios put a relay between nodes to cut their links; a node told others the address that it binds, so that nothing could stand between. Ruled out: per-peer addresses in the settings. Change: listen.advertise, optional. Conclusion: nothing changes for a node without the setting.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -94,7 +94,8 @@
         let peer = bind(listen.peer, frames).await?;
         let operator = bind(listen.operator, limits).await?;
 
-        let me = member(settings, peer.address(), clock.as_ref());
+        let address = listen.advertise.unwrap_or(peer.address());
+        let me = member(settings, address, clock.as_ref());
         let metrics = Arc::new(Metrics::new());
         let board = board(&me);
         let purse = Arc::new(Mutex::new(Purse::default()));
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -43,6 +43,9 @@
     pub peer: SocketAddr,
     /// For operators, metrics and health.
     pub operator: SocketAddr,
+    /// Address that other nodes are told, if it isn't the one for them above.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
 }
 
 /// Where the platform's services are.
