--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -21,11 +21,13 @@
 #[serde(default)]
 pub struct PlatformFault {
     /// Requests are turned down before anything is done.
-    down: bool,
-    /// Requests are carried out, but their answers are lost.
-    lose_answers: bool,
+    pub down: bool,
+    /// Requests are turned down once this many more were served.
+    pub down_after: Option<u32>,
+    /// Changes are carried out, but their answers are lost.
+    pub lose_answers: bool,
     /// Milliseconds that each request takes.
-    delay_ms: u64,
+    pub delay_ms: u64,
 }
 
 /// The stand-in.
@@ -84,6 +86,18 @@
         Response::new(200, "")
     }
 
+    /// How the stand-in behaves towards the next request.
+    fn next_fault(&self) -> PlatformFault {
+        let mut fault = self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(left) = &mut fault.down_after {
+            match left.checked_sub(1) {
+                Some(fewer) => *left = fewer,
+                None => fault.down = true,
+            }
+        }
+        *fault
+    }
+
     fn set_fault(&self, request: &Request) -> Response {
         let Some(fault) = parse(request) else {
             return malformed();
@@ -99,7 +113,7 @@
             if request.path.as_bytes() == b"/fault" {
                 return self.set_fault(&request);
             }
-            let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+            let fault = self.next_fault();
             if fault.delay_ms > 0 {
                 self.clock
                     .sleep(Duration::from_millis(fault.delay_ms))
@@ -109,7 +123,7 @@
                 return Response::new(503, "");
             }
             let response = self.serve(&request).await;
-            if fault.lose_answers {
+            if fault.lose_answers && is_change(&request) {
                 Response::new(504, "")
             } else {
                 response
@@ -118,6 +132,10 @@
     }
 }
 
+fn is_change(request: &Request) -> bool {
+    request.path.as_bytes() == b"/table/commit" || request.method.as_bytes() == b"PUT"
+}
+
 fn rows(found: Result<Vec<filbertwheel_platform::Row>, PlatformError>) -> Response {
     match found {
         Ok(rows) => json(&RowsReply { rows }),
