Let a stopping listener end although callers keep connecting

Cause: accept() restarted the linger time with every connection, so that a node under load stopped only when its callers did. Seen in scenarios/rolling-replacement: drain vm 1 took 50 s, until the load ended, and the region had no root meanwhile (1706 of 2000 calls refused as stale). Ruled out: a slow drain of running calls (none ran). Change: the linger time is counted once, from the stop.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,7 +3,7 @@
 use std::fmt::Debug;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -70,7 +70,8 @@
     /// and the last connection has ended.
     pub async fn run(self, executor: Rc<LocalExecutor<'static>>, handler: Arc<dyn Handler>) {
         let mut tasks = Vec::new();
-        while let Some(stream) = self.accept().await {
+        let mut lingered = pin!(self.lingered());
+        while let Some(stream) = self.accept(lingered.as_mut()).await {
             let connection = Connection {
                 stream,
                 limits: self.limits,
@@ -86,15 +87,16 @@
         }
     }
 
-    async fn accept(&self) -> Option<TcpStream> {
+    /// Accepts a connection, unless `lingered` completes first. That one is the same for all
+    /// connections, else a listener to which callers keep connecting would never stop.
+    async fn accept(&self, mut lingered: Pin<&mut impl Future<Output = ()>>) -> Option<TcpStream> {
         loop {
             let accepted = async { Some(self.socket.accept().await) };
-            let lingering = async {
-                self.stop.given().await;
-                self.clock.sleep(self.limits.linger).await;
+            let over = async {
+                lingered.as_mut().await;
                 None
             };
-            match accepted.or(lingering).await? {
+            match over.or(accepted).await? {
                 Ok((stream, _)) => return Some(stream),
                 Err(error) => {
                     tracing::warn!("http: Accepting failed: {error}.");
@@ -103,6 +105,12 @@
             }
         }
     }
+
+    /// Completes some time after the stop signal.
+    async fn lingered(&self) {
+        self.stop.given().await;
+        self.clock.sleep(self.limits.linger).await;
+    }
 }
 
 /// Pause after a failed accept, such as when file descriptors run out.
--- /dev/null
+++ b/crates/http/tests/listener_stop.rs
@@ -0,0 +1,54 @@
+//! A listener that was told to stop ends although callers keep connecting.
+
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{Clock, SystemClock};
+use filbertwheel_http::{Handler, Limits, Listener, LocalFuture, Request, Response, Stopper};
+use smol::LocalExecutor;
+use smol::future::FutureExt as _;
+use smol::net::TcpStream;
+
+/// Far beyond the time for which a listener goes on answering.
+const BOUND: Duration = Duration::from_secs(13);
+
+#[derive(Debug)]
+struct Greeter;
+
+impl Handler for Greeter {
+    fn handle(&self, _request: Request) -> LocalFuture<'_, Response> {
+        Box::pin(async { Response::new(200, "hello") })
+    }
+}
+
+#[test]
+fn a_stopped_listener_ends_although_callers_keep_connecting() {
+    let executor = Rc::new(LocalExecutor::new());
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let ended = smol::block_on(executor.run(async {
+        let (stopper, stop) = Stopper::open();
+        let limits = Limits::default();
+        let any = (Ipv4Addr::LOCALHOST, 0).into();
+        let bound = Listener::bind(any, limits, Arc::clone(&clock), stop).await;
+        let listener = bound.expect("a port is free");
+        let address = listener.address();
+        let running = executor.spawn(listener.run(Rc::clone(&executor), Arc::new(Greeter)));
+        stopper.close();
+        let began = Instant::now();
+        let connecting = async {
+            while began.elapsed() < BOUND {
+                drop(TcpStream::connect(address).await);
+                clock.sleep(limits.linger / 5).await;
+            }
+            false
+        };
+        let ended = async {
+            running.await;
+            true
+        };
+        ended.or(connecting).await
+    }));
+    assert!(ended, "the listener still runs {BOUND:?} after the stop");
+}
