--- a/crates/scenario/src/caller.rs
+++ b/crates/scenario/src/caller.rs
@@ -85,7 +85,8 @@
     async fn call(&self, index: u32) -> Ending {
         let mut ending = self.send_once(index).await;
         for retry in 1..=self.retries {
-            if ending.outcome == Outcome::Whole {
+            let again = [Outcome::NotRun, Outcome::Unsent, Outcome::Error];
+            if !again.contains(&ending.outcome) {
                 break;
             }
             ending = self.send_once(index + retry).await;
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -152,7 +152,8 @@
     pub body: Option<String>,
     /// Id that every one of them carries.
     pub request: Option<RequestId>,
-    /// How often the caller sends a call again that has no whole answer, without a pause.
+    /// How often the caller sends a call again, without a pause, after a refusal, an error or a
+    /// failed connection.
     pub retries: u32,
 }
 
