Turn late callers down at once when a listener stops

Cause: run() kept the socket open until its last connection had ended, so that callers went on landing in a backlog that nobody read, and were reset when the socket closed. Ruled out: idle connections closed under a request (the pool looks before it uses one). Change: the backlog is emptied, then the socket is closed, then the connections are waited for. Conclusion: what's left is the moment between the last accept and the close.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -9,6 +9,7 @@
 
 use async_h1::server::Encoder;
 use filbertwheel_core::{Clock, Text};
+use futures_lite::future::poll_once;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
 use http_types::StatusCode;
 use http_types::headers::CONTENT_LENGTH;
@@ -69,22 +70,49 @@
     /// Accepts connections and serves them on `executor`. Returns once the stop signal was given
     /// and the last connection has ended.
     pub async fn run(self, executor: Rc<LocalExecutor<'static>>, handler: Arc<dyn Handler>) {
+        let tasks = self.accept_all(&executor, &handler).await;
+        // Callers that come later are turned down at once. In the backlog of an open socket they
+        // would wait and then be cut.
+        drop(self);
+        for task in tasks {
+            task.await;
+        }
+    }
+
+    async fn accept_all(
+        &self,
+        executor: &LocalExecutor<'static>,
+        handler: &Arc<dyn Handler>,
+    ) -> Vec<smol::Task<()>> {
         let mut tasks = Vec::new();
         let mut lingered = pin!(self.lingered());
         while let Some(stream) = self.accept(lingered.as_mut()).await {
-            let connection = Connection {
-                stream,
-                limits: self.limits,
-                clock: Arc::clone(&self.clock),
-                stop: self.stop.clone(),
-                handler: Arc::clone(&handler),
-            };
             tasks.retain(|task: &smol::Task<()>| !task.is_finished());
-            tasks.push(executor.spawn(connection.serve()));
+            tasks.push(self.serve(stream, executor, handler));
         }
-        for task in tasks {
-            task.await;
+        for _ in 0..BACKLOG {
+            let Some(Ok((stream, _))) = poll_once(self.socket.accept()).await else {
+                break;
+            };
+            tasks.push(self.serve(stream, executor, handler));
         }
+        tasks
+    }
+
+    fn serve(
+        &self,
+        stream: TcpStream,
+        executor: &LocalExecutor<'static>,
+        handler: &Arc<dyn Handler>,
+    ) -> smol::Task<()> {
+        let connection = Connection {
+            stream,
+            limits: self.limits,
+            clock: Arc::clone(&self.clock),
+            stop: self.stop.clone(),
+            handler: Arc::clone(handler),
+        };
+        executor.spawn(connection.serve())
     }
 
     /// Accepts a connection, unless `lingered` completes first. That one is the same for all
@@ -113,6 +141,8 @@
     }
 }
 
+/// Most connections that wait to be accepted when a listener ends.
+const BACKLOG: usize = 1_024;
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
--- a/crates/http/tests/listener_stop.rs
+++ b/crates/http/tests/listener_stop.rs
@@ -1,4 +1,4 @@
-//! A listener that was told to stop ends although callers keep connecting.
+//! A listener that was told to stop ends although callers keep connecting, and cuts none of them.
 
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::{Clock, SystemClock};
-use filbertwheel_http::{Handler, Limits, Listener, LocalFuture, Request, Response, Stopper};
+use filbertwheel_http::{
+    Handler, Limits, Listener, LocalFuture, Pool, Request, Response, SendError, Stopper,
+};
 use smol::LocalExecutor;
 use smol::future::FutureExt as _;
 use smol::net::TcpStream;
@@ -23,6 +25,21 @@
     }
 }
 
+/// Takes its time over `/slow`.
+#[derive(Debug)]
+struct Slow(Arc<dyn Clock>);
+
+impl Handler for Slow {
+    fn handle(&self, request: Request) -> LocalFuture<'_, Response> {
+        Box::pin(async move {
+            if request.path.as_bytes() == b"/slow" {
+                self.0.sleep(Limits::default().linger * 4).await;
+            }
+            Response::new(200, "hello")
+        })
+    }
+}
+
 #[test]
 fn a_stopped_listener_ends_although_callers_keep_connecting() {
     let executor = Rc::new(LocalExecutor::new());
@@ -52,3 +69,32 @@
     }));
     assert!(ended, "the listener still runs {BOUND:?} after the stop");
 }
+
+#[test]
+fn a_stopping_listener_cuts_no_caller() {
+    let executor = Rc::new(LocalExecutor::new());
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    smol::block_on(executor.run(async {
+        let (stopper, stop) = Stopper::open();
+        let limits = Limits::default();
+        let any = (Ipv4Addr::LOCALHOST, 0).into();
+        let bound = Listener::bind(any, limits, Arc::clone(&clock), stop).await;
+        let listener = bound.expect("a port is free");
+        let pool = Rc::new(Pool::open(listener.address(), limits, Arc::clone(&clock)));
+        let handler = Arc::new(Slow(Arc::clone(&clock)));
+        let mut running = executor.spawn(listener.run(Rc::clone(&executor), handler));
+        let slow = Rc::clone(&pool);
+        let until = Instant::now() + BOUND;
+        let slow = executor.spawn(async move { slow.exchange(Request::get("/slow"), until).await });
+        clock.sleep(limits.linger / 5).await;
+        stopper.close();
+        while smol::future::poll_once(&mut running).await.is_none() && Instant::now() < until {
+            let answer = pool.exchange(Request::get("/"), until).await;
+            let whole = matches!(answer, Ok(_) | Err(SendError::NotSent));
+            assert!(whole, "a caller was cut: {answer:?}");
+            clock.sleep(limits.linger / 25).await;
+        }
+        let slow = slow.await.expect("the slow answer is whole");
+        assert_eq!(slow.status, 200);
+    }));
+}
