--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -104,8 +104,10 @@
             local: local.address(),
             peer: peer.address(),
             operator: operator.address(),
+            advertise: listen.advertise,
         };
-        let me = member(settings, peer.address(), clock.as_ref());
+        let address = listen.advertise.unwrap_or(peer.address());
+        let me = member(settings, address, clock.as_ref());
         let metrics = Arc::new(Metrics::open());
         let board = board(&me);
         let purse = Arc::new(Mutex::new(Purse::default()));
