Find connections that have gone silent

Cause: an exchange on a connection that something between the ends had lost track of waited for its deadline, and the next call took another such connection from the pool.

Ruled out: a hedged second request (multiplies along a chain), a bound from recent answer times (fires everywhere when a service slows), TCP_USER_TIMEOUT.

Change: between nodes a running call gives signs of life, and an exchange without them ends. To backend servers, a used connection without an answer at half of the deadline is probed by a new one; then idle connections are closed and idempotent calls given up.

Conclusion: nothing is run twice by it: a second try goes through the retries of the call, for idempotent calls only. A probe is a TCP connection; a server that accepts and never answers on new connections too isn't told apart.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -8,7 +8,9 @@
 use async_trait::async_trait;
 use derive_more::{Display, Error};
 use filbertwheel_core::{Answer, Call, Clock, Header, RefusalKind, Text, token};
-use filbertwheel_http::{Limits, Pool, Request, Response, SendError, names, passed_headers};
+use filbertwheel_http::{
+    Limits, OnSilence, Pool, Request, Response, SendError, names, passed_headers,
+};
 
 /// Header value with which a backend server says that it hasn't run a request.
 const NOT_RUN: &[u8] = b"not-run";
@@ -98,7 +100,13 @@
 impl Backend for HttpBackend {
     async fn run(&self, call: &Call, token: Text) -> Result<BackendReply, BackendError> {
         let request = encode(call, token, self.clock.now());
-        let response = self.pool.exchange(request, call.deadline).await;
+        let on_silence = if call.idempotent {
+            OnSilence::GiveUp
+        } else {
+            OnSilence::Wait
+        };
+        let sent = self.pool.exchange_with(request, call.deadline, on_silence);
+        let response = sent.await;
         decode(response.map_err(error_of)?)
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -24,9 +24,20 @@
 /// Connections that are kept open to one address.
 const IDLE_CONNECTIONS: usize = 256;
 
+/// Pulses of our own processes that have to stay out before a connection counts as silent.
+const SILENT_PULSES: u32 = 4;
 /// Start of a head that says that the request is being worked on.
 const PROCESSING: &[u8] = b"HTTP/1.1 102 ";
 
+/// What to do with a request whose connection is silent while new ones work.
+#[token]
+pub enum OnSilence {
+    /// Wait until its deadline, where a second try isn't safe.
+    Wait,
+    /// Close the connection, and leave a second try to the caller.
+    GiveUp,
+}
+
 /// Why a request has no whole response.
 #[token]
 #[derive(Display, Error)]
@@ -92,10 +103,31 @@
         &self,
         request: Request,
         deadline: Instant,
+    ) -> Result<Response, SendError> {
+        self.exchange_with(request, deadline, OnSilence::Wait).await
+    }
+
+    /// Sends a request, and says what to do when its connection goes silent while new ones work.
+    pub async fn exchange_with(
+        &self,
+        request: Request,
+        deadline: Instant,
+        on_silence: OnSilence,
     ) -> Result<Response, SendError> {
         let (encoded, method) = self.encode(request).await?;
-        let (mut wire, _used) = self.connection(deadline).await?;
+        let (mut wire, used) = self.connection(deadline).await?;
+        let silent = async {
+            if !used {
+                return std::future::pending().await;
+            }
+            self.found_silent(deadline).await;
+            match on_silence {
+                OnSilence::Wait => std::future::pending().await,
+                OnSilence::GiveUp => Err(SendError::Lost),
+            }
+        };
         let received = self.send_and_receive(&mut wire, &encoded, method);
+        let received = received.or(silent);
         let late = async {
             self.sleep_until(deadline).await;
             Err(SendError::Late)
@@ -117,6 +149,18 @@
         self.lock().clear();
     }
 
+    /// Completes where half of the time until a deadline has passed and a new connection can be
+    /// opened. Then a connection that was used before and has been silent so far is probably
+    /// dead, and so are idle ones of its age.
+    async fn found_silent(&self, deadline: Instant) {
+        let left = deadline.saturating_duration_since(self.clock.now());
+        self.clock.sleep(left / 2).await;
+        match self.connect(deadline).await {
+            Ok(_probe) => self.discard_idle(),
+            Err(_) => std::future::pending().await,
+        }
+    }
+
     async fn encode(&self, request: Request) -> Result<(Vec<u8>, http_types::Method), SendError> {
         let text = |text: &filbertwheel_core::Text| text.as_str().map(str::to_owned);
         let method = text(&request.method).ok_or(SendError::Unencodable)?;
@@ -152,9 +196,18 @@
                 return Ok((wire, true));
             }
         }
+        let wire = self.connect(deadline).await;
+        Ok((wire.map_err(|_| SendError::NotSent)?, false))
+    }
+
+    async fn connect(&self, deadline: Instant) -> io::Result<Wire> {
         let opened = async {
             let stream = TcpStream::connect(self.address).await?;
-            Wire::open(stream)
+            let mut wire = Wire::open(stream)?;
+            if let Some(pulse) = self.limits.pulse {
+                wire.expect_progress(pulse * SILENT_PULSES, Arc::clone(&self.clock));
+            }
+            Ok(wire)
         };
         let late = async {
             let now = self.clock.now();
@@ -165,8 +218,7 @@
             self.clock.sleep(wait).await;
             Err(io::Error::from(io::ErrorKind::TimedOut))
         };
-        let wire = opened.or(late).await.map_err(|_| SendError::NotSent)?;
-        Ok((wire, false))
+        opened.or(late).await
     }
 
     /// Sends a request and reads the whole response. Returns whether the connection can be used
@@ -181,10 +233,17 @@
         // The other end may have answered and closed before it read the whole request.
         let head = match self.final_head(wire).await {
             Ok(Some(head)) => head,
+            Err(_) if wire.is_silent() => {
+                self.discard_idle();
+                return Err(SendError::Lost);
+            }
             Err(_) if written => return Err(SendError::Broken),
             _ => return Err(SendError::Lost),
         };
         let received = self.receive(wire, head, method).await;
+        if wire.is_silent() {
+            self.discard_idle();
+        }
         let (response, keep) = received.map_err(|_| SendError::Broken)?;
         Ok((response, keep && written))
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,7 +13,7 @@
 mod verdict;
 mod wire;
 
-pub use client::{Pool, SendError};
+pub use client::{OnSilence, Pool, SendError};
 pub use limits::Limits;
 pub use message::{Fault, Request, Response};
 pub use parse::{Particulars, passed_headers};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -9,7 +9,7 @@
 
 use async_h1::server::Encoder;
 use filbertwheel_core::{Clock, Text};
-use futures_lite::{AsyncReadExt as _, FutureExt as _};
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
 use http_types::StatusCode;
 use http_types::headers::{CONTENT_LENGTH, HeaderValues, TRANSFER_ENCODING};
 use smol::LocalExecutor;
@@ -135,14 +135,15 @@
         if self.wire.has_unused() {
             return true;
         }
+        let (clock, limits, stop) = (&self.clock, self.limits, &self.stop);
         let arrived = async { matches!(self.wire.fill().await, Ok(true)) };
         let idle = async {
-            self.clock.sleep(self.limits.idle).await;
+            clock.sleep(limits.idle).await;
             false
         };
         let stopped = async {
-            self.stop.given().await;
-            self.clock.sleep(self.limits.linger).await;
+            stop.given().await;
+            clock.sleep(limits.linger).await;
             false
         };
         arrived.or(idle).or(stopped).await
@@ -202,10 +203,14 @@
         Ok(Some((request, keep)))
     }
 
-    async fn answer(&self, request: Request, keep: bool) -> bool {
+    async fn answer(&mut self, request: Request, keep: bool) -> bool {
         let method = method_of(&request.method);
         let answered = async { Some(self.handler.handle(request).await) };
-        let Some(response) = answered.or(self.hung_up()).or(self.pulses()).await else {
+        let Some(response) = answered
+            .or(self.hung_up())
+            .or(self.pulses(self.wire.stream().clone()))
+            .await
+        else {
             return false;
         };
         self.send(response, method, keep && !self.stop.is_given())
@@ -222,26 +227,27 @@
     }
 
     /// Says again and again that the request is being worked on. Completes when that fails.
-    async fn pulses(&self) -> Option<Response> {
+    async fn pulses(&self, mut stream: TcpStream) -> Option<Response> {
         let Some(pulse) = self.limits.pulse else {
             return std::future::pending().await;
         };
         loop {
             self.clock.sleep(pulse).await;
-            self.wire.write(PROCESSING).await.ok()?;
+            stream.write_all(PROCESSING).await.ok()?;
         }
     }
 
     /// Sends head and body in one write. Returns whether the connection can be used again.
-    async fn send(&self, response: Response, method: http_types::Method, keep: bool) -> bool {
+    async fn send(&mut self, response: Response, method: http_types::Method, keep: bool) -> bool {
         let mut encoded = Vec::with_capacity(256 + response.body.len());
         let mut encoder = Encoder::new(encode(response, keep), method);
         if encoder.read_to_end(&mut encoded).await.is_err() {
             return false;
         }
+        let (clock, limit) = (Arc::clone(&self.clock), self.limits.arrival);
         let sent = async { self.wire.write(&encoded).await.is_ok() };
         let late = async {
-            self.clock.sleep(self.limits.arrival).await;
+            clock.sleep(limit).await;
             false
         };
         sent.or(late).await && keep
--- a/crates/http/src/wire.rs
+++ b/crates/http/src/wire.rs
@@ -5,10 +5,13 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
-use futures_lite::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
+use filbertwheel_core::Clock;
+use futures_lite::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _, FutureExt as _};
 use smol::net::TcpStream;
 
 use crate::Fault;
@@ -25,6 +28,15 @@
 pub struct Wire {
     stream: TcpStream,
     unused: Vec<u8>,
+    progress: Option<Progress>,
+    silent: bool,
+}
+
+/// How long a read or write may take without a byte.
+#[derive(Debug)]
+struct Progress {
+    limit: Duration,
+    clock: Arc<dyn Clock>,
 }
 
 impl Wire {
@@ -35,9 +47,21 @@
         Ok(Self {
             stream,
             unused: Vec::new(),
+            progress: None,
+            silent: false,
         })
     }
 
+    /// Lets reads and writes fail that make no progress for a while.
+    pub fn expect_progress(&mut self, limit: Duration, clock: Arc<dyn Clock>) {
+        self.progress = Some(Progress { limit, clock });
+    }
+
+    /// Whether a read or write has failed for want of progress.
+    pub fn is_silent(&self) -> bool {
+        self.silent
+    }
+
     /// The stream below.
     pub fn stream(&self) -> &TcpStream {
         &self.stream
@@ -51,14 +75,37 @@
     /// Waits for more bytes. Returns whether any came before the other end closed.
     pub async fn fill(&mut self) -> io::Result<bool> {
         let mut bytes = [0; READ_SIZE];
-        let count = self.stream.read(&mut bytes).await?;
+        let mut stream = self.stream.clone();
+        let count = self.bounded(stream.read(&mut bytes)).await?;
         self.unused.extend_from_slice(&bytes[..count]);
         Ok(count > 0)
     }
 
     /// Writes a message.
-    pub async fn write(&self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.clone().write_all(bytes).await
+    pub async fn write(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        let mut stream = self.stream.clone();
+        while !bytes.is_empty() {
+            let count = self.bounded(stream.write(bytes)).await?;
+            if count == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            bytes = &bytes[count..];
+        }
+        Ok(())
+    }
+
+    async fn bounded<T>(&mut self, step: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+        let Some(progress) = &self.progress else {
+            return step.await;
+        };
+        let silent = async {
+            progress.clock.sleep(progress.limit).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let done = step.or(silent).await;
+        let timed_out = |error: &io::Error| error.kind() == io::ErrorKind::TimedOut;
+        self.silent |= done.as_ref().err().is_some_and(timed_out);
+        done
     }
 
     /// Reads the head of a message, or `None` where the other end closed before its first byte.
--- /dev/null
+++ b/crates/http/tests/silent.rs
@@ -0,0 +1,124 @@
+//! Connections that go silent while new ones work.
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::SystemClock;
+use filbertwheel_http::{Limits, OnSilence, Pool, Request, Response, SendError};
+
+const WHOLE: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+const PROCESSING: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+const PATIENCE: Duration = Duration::from_millis(600);
+const PULSE: Duration = Duration::from_millis(40);
+
+/// A server whose first `dead` connections go silent after `answered` answers. Later ones work.
+fn server(dead: usize, answered: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it's bound");
+    std::thread::spawn(move || {
+        let mut accepted = 0;
+        while let Ok((stream, _)) = listener.accept() {
+            accepted += 1;
+            let answers = if accepted > dead {
+                usize::MAX
+            } else {
+                answered
+            };
+            std::thread::spawn(move || answer(stream, answers));
+        }
+    });
+    address
+}
+
+fn answer(mut stream: TcpStream, answers: usize) {
+    let mut bytes = [0; 4_096];
+    for _ in 0..answers {
+        if !matches!(stream.read(&mut bytes), Ok(1..)) || stream.write_all(WHOLE).is_err() {
+            return;
+        }
+    }
+    // Held open until the client closes it, without a word.
+    while matches!(stream.read(&mut bytes), Ok(1..)) {}
+}
+
+fn open(address: SocketAddr, pulse: Option<Duration>) -> Pool {
+    let limits = Limits {
+        pulse,
+        ..Limits::default()
+    };
+    Pool::open(address, limits, Arc::new(SystemClock))
+}
+
+fn get(pool: &Pool, on_silence: OnSilence) -> Result<Response, SendError> {
+    let deadline = Instant::now() + PATIENCE;
+    smol::block_on(pool.exchange_with(Request::get("/"), deadline, on_silence))
+}
+
+#[test]
+fn a_silent_connection_is_given_up_before_the_deadline() {
+    let pool = open(server(1, 1), None);
+    assert!(get(&pool, OnSilence::GiveUp).is_ok());
+    assert_eq!(get(&pool, OnSilence::GiveUp), Err(SendError::Lost));
+    assert!(get(&pool, OnSilence::GiveUp).is_ok());
+}
+
+#[test]
+fn a_request_that_must_not_run_twice_waits_for_its_deadline() {
+    let pool = open(server(2, 1), None);
+    let deadline = Instant::now() + PATIENCE;
+    let exchange = || pool.exchange(Request::get("/"), deadline);
+    let both = smol::block_on(futures_lite::future::zip(exchange(), exchange()));
+    assert!(both.0.is_ok() && both.1.is_ok());
+    // One of the two idle connections is used. The other one is as old.
+    assert_eq!(get(&pool, OnSilence::Wait), Err(SendError::Late));
+    assert!(get(&pool, OnSilence::Wait).is_ok());
+}
+
+#[test]
+fn a_slow_first_answer_is_not_taken_for_silence() {
+    let pool = open(server(1, 0), None);
+    assert_eq!(get(&pool, OnSilence::GiveUp), Err(SendError::Late));
+}
+
+#[test]
+fn a_node_that_gives_no_pulse_is_lost() {
+    let pool = open(server(1, 0), Some(PULSE));
+    assert_eq!(get(&pool, OnSilence::Wait), Err(SendError::Lost));
+    assert!(get(&pool, OnSilence::Wait).is_ok());
+}
+
+#[test]
+fn a_node_that_gives_pulses_is_waited_for() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it's bound");
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let mut bytes = [0; 4_096];
+        assert!(matches!(stream.read(&mut bytes), Ok(1..)));
+        for _ in 0..6 {
+            std::thread::sleep(PULSE);
+            stream.write_all(PROCESSING).expect("the client reads");
+        }
+        stream.write_all(WHOLE).expect("the client reads");
+    });
+    let pool = open(address, Some(PULSE));
+    let response = get(&pool, OnSilence::Wait);
+    assert_eq!(response.map(|response| response.body), Ok("one".into()));
+    server.join().expect("the server ends");
+}
+
+#[test]
+fn pulses_are_no_answer_to_anybody_else() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it's bound");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let mut bytes = [0; 4_096];
+        assert!(matches!(stream.read(&mut bytes), Ok(1..)));
+        let _closed = stream.write_all(PROCESSING);
+    });
+    let pool = open(address, None);
+    assert_eq!(get(&pool, OnSilence::Wait), Err(SendError::Broken));
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -36,6 +36,8 @@
 const CONTROL_QUEUE: usize = 4_096;
 /// Room for the head of a forwarded call, in bytes.
 const FRAME_HEAD: usize = 64 * 1024;
+/// Time between signs of life on connections between nodes, while a call runs.
+const PULSE: Duration = Duration::from_millis(250);
 /// Longest time that a planned stop waits for running calls.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time between looks at the running calls during a stop.
@@ -85,6 +87,7 @@
         };
         let frames = Limits {
             body: limits.body + FRAME_HEAD,
+            pulse: Some(PULSE),
             ..limits
         };
         let listen = settings.listen;
