--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,5 +22,5 @@
 pub use metrics::Metrics;
 pub use node::{Node, NodeError};
 pub use runner::Runner;
-pub use settings::NodeSettings;
+pub use settings::{ListenSettings, NodeSettings};
 pub use snapshot::{Board, Snapshot};
