Find requests that crash their backend server

Cause: a caller repeats a request that kills each backend server. Ruled out: quarantine of all that was in flight (innocents would be refused). Change: Quarantine (pure), Fingerprint, Suspicion as the message to the other nodes, and merge as the place where it comes in. The limit settles after a decrease and measures all calls; leaving out only those that began earlier kept the short ones. The longest wait follows the service time. Conclusion: the decision stands; the node doesn't use it yet.

--- a/crates/load/src/model/arrivals.rs
+++ b/crates/load/src/model/arrivals.rs
@@ -31,7 +31,12 @@
         let demand: f64 = profile
             .routes()
             .iter()
-            .flat_map(|route| route.holds().map(|(s, hold)| (s, hold * route.part)))
+            .flat_map(|route| {
+                route
+                    .holds(&|_| 1.0)
+                    .into_iter()
+                    .map(|(s, hold)| (s, hold * route.part))
+            })
             .filter(|(s, _)| *s == service)
             .map(|(_, hold)| hold)
             .sum();
@@ -46,11 +51,12 @@
 }
 
 /// Whole requests a second that the capacity allows when `rate` come: the more critical first,
-/// then all kinds alike until a service that they need is full.
-pub fn best_rate(profile: Profile, rate: f64) -> f64 {
+/// then all kinds alike until a service that they need is full. `at` is a moment of the situation.
+pub fn best_rate(profile: Profile, situation: Situation, at: Duration, rate: f64) -> f64 {
+    let slowness = |service| situation.slowness(at, service == profile.deepest(), false);
     let routes = profile.routes();
     let mut room: Vec<f64> = (0..profile.services().len())
-        .map(|service| profile.capacity(service))
+        .map(|service| profile.capacity(service) * situation.standing(at))
         .collect();
     let mut best = 0.0;
     for class in [
@@ -65,7 +71,7 @@
         while !open.is_empty() && part < 1.0 {
             let mut demand = vec![0.0; room.len()];
             for route in &open {
-                for (service, hold) in routes[*route].holds() {
+                for (service, hold) in routes[*route].holds(&slowness) {
                     demand[service] += hold * routes[*route].part * rate;
                 }
             }
@@ -77,7 +83,12 @@
             }
             let served: f64 = open.iter().map(|route| routes[*route].part).sum();
             best += served * rate * step;
-            open.retain(|route| routes[*route].holds().all(|(s, _)| room[s] > 1e-9));
+            open.retain(|route| {
+                routes[*route]
+                    .holds(&slowness)
+                    .iter()
+                    .all(|(s, _)| room[*s] > FULL)
+            });
         }
     }
     best
@@ -102,6 +113,8 @@
     }
 }
 
+/// Free slots below which a service counts as full.
+const FULL: f64 = 1e-9;
 /// Largest factor of any situation.
 const LARGEST: f64 = 8.0;
 
--- a/crates/load/src/model/profile.rs
+++ b/crates/load/src/model/profile.rs
@@ -99,12 +99,15 @@
 
 impl RouteSpec {
     /// Seconds for which a request holds a slot of each service. A slot is held while the call
-    /// that it makes runs.
-    pub fn holds(&self) -> impl Iterator<Item = (usize, f64)> + '_ {
-        self.chain.iter().enumerate().map(|(hop, (service, _))| {
-            let millis: f64 = self.chain[hop..].iter().map(|(_, mean)| mean).sum();
+    /// that it makes runs. `slowness` gives what the work of a service is multiplied by.
+    pub fn holds(&self, slowness: &dyn Fn(usize) -> f64) -> Vec<(usize, f64)> {
+        let hops = self.chain.iter().enumerate();
+        let holds = hops.map(|(hop, (service, _))| {
+            let rest = self.chain[hop..].iter();
+            let millis: f64 = rest.map(|(service, mean)| mean * slowness(*service)).sum();
             (*service, millis / 1_000.0)
-        })
+        });
+        holds.collect()
     }
 }
 
--- a/crates/load/src/model/report.rs
+++ b/crates/load/src/model/report.rs
@@ -40,7 +40,7 @@
     pub full_rate: f64,
     /// Whole requests a second while the cause is at work.
     pub goodput: f64,
-    /// Goodput as a part of the best that the undisturbed capacity allows.
+    /// Goodput as a part of the best that the capacity allows.
     pub goodput_of_best: f64,
     /// Seconds from the end of the cause until requests are answered again, if ever.
     pub recovery_s: Option<f64>,
@@ -90,7 +90,7 @@
         let seconds = settled.len() as f64 * BIN.as_secs_f64();
         let completed: u64 = settled.iter().map(|bin| bin.completed).sum();
         let goodput = completed as f64 / seconds;
-        let best = best_rate(profile, demanded(setup));
+        let best = best_rate(profile, setup.situation, BEGIN + SETTLING, demanded(setup));
         let attempts: u64 = tally.bins.iter().map(|bin| bin.attempts).sum();
         let asked: u64 = tally.bins.iter().map(|bin| bin.asked).sum();
         let refused: u64 = tally.bins.iter().map(refusals).sum();
--- a/crates/load/src/model/situation.rs
+++ b/crates/load/src/model/situation.rs
@@ -6,6 +6,8 @@
 use derive_more::{Display, Error};
 use filbertwheel_core::token;
 
+use super::profile::DOMAINS;
+
 /// Length of a run.
 pub const LENGTH: Duration = Duration::from_secs(60);
 /// When the cause of the overload begins.
@@ -127,6 +129,16 @@
         f64::from(slots) * if misled { REAL_PART } else { 1.0 }
     }
 
+    /// Part of the backend servers that stand.
+    pub fn standing(self, at: Duration) -> f64 {
+        let lost = self == Self::Lost && active(at);
+        if lost {
+            1.0 - 1.0 / DOMAINS as f64
+        } else {
+            1.0
+        }
+    }
+
     /// Whether callers retry hard.
     pub fn hard_retries(self) -> bool {
         self == Self::Retries
--- a/crates/policy/src/cutoff.rs
+++ b/crates/policy/src/cutoff.rs
@@ -17,7 +17,9 @@
 /// Admitted calls that are counted in beforehand, so that a single refusal says little.
 const PRIOR: f64 = 10.0;
 /// Growth of a level in an interval without a refusal and without a queue.
-const GROWTH: f64 = 1.1;
+const GROWTH: f64 = 1.02;
+/// Intervals over which growth speeds up.
+const LONGEST_STREAK: f64 = 10.0;
 /// Least level, so that a few calls always find out how things stand.
 const LEAST: f64 = 0.001;
 
@@ -35,6 +37,8 @@
     offered: u32,
     refused: u32,
     queued: bool,
+    /// Intervals without a refusal and without a queue since the last refusal.
+    clean: f64,
     began: Instant,
 }
 
@@ -108,6 +112,7 @@
             offered: 0,
             refused: 0,
             queued: false,
+            clean: 0.0,
             began: now,
         }
     }
@@ -122,13 +127,16 @@
             let admitted = offered - f64::from(self.refused);
             let part = (admitted + PRIOR) / (offered + PRIOR);
             self.part *= (part * HEADROOM).clamp(STEEPEST, 1.0);
+            self.clean = 0.0;
         } else if !self.queued {
             let intervals = elapsed.as_secs_f64() / INTERVAL.as_secs_f64();
-            self.part *= GROWTH.powf(intervals);
+            self.clean += intervals;
+            self.part *= GROWTH.powf(intervals * self.clean.min(LONGEST_STREAK));
         }
         self.part = self.part.clamp(LEAST, 1.0);
         *self = Self {
             part: self.part,
+            clean: self.clean,
             ..Self::full(now)
         };
     }
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -14,7 +14,9 @@
 /// Waiting calls for each running one, at most.
 const QUEUE_FACTOR: usize = 2;
 /// Longest wait in the queue.
-const LONGEST_WAIT: Duration = Duration::from_millis(100);
+const LONGEST_WAIT: Duration = Duration::from_millis(500);
+/// Longest wait where calls are faster than it.
+const SHORTEST_BOUND: Duration = Duration::from_millis(50);
 /// Weight of the newest call in the smoothed service time.
 const SERVICE_WEIGHT: f64 = 0.1;
 
@@ -218,10 +220,12 @@
         releases
     }
 
-    /// When a call has waited too long: it could no longer end before its deadline.
+    /// When a call has waited too long: longer than calls take, or too long to end before its
+    /// deadline.
     fn expiry(&self, entry: &Entry, now: Instant) -> Instant {
         let left = entry.deadline.saturating_duration_since(now);
-        let needed = Duration::from_secs_f64(self.service).min(left / 2);
-        now + (left - needed).min(LONGEST_WAIT)
+        let service = Duration::from_secs_f64(self.service);
+        let needed = service.min(left / 2);
+        now + (left - needed).min(service.clamp(SHORTEST_BOUND, LONGEST_WAIT))
     }
 }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -17,6 +17,8 @@
 const GRADIENT_FLOOR: f64 = 0.5;
 /// Latency after a decrease, as a part of that before, above which the decrease was in vain.
 const IN_VAIN: f64 = 0.9;
+/// Latencies that pass after a decrease until calls are measured again.
+const SETTLING: f64 = 2.0;
 /// Weight of the newest window in the baseline.
 const BASELINE_WEIGHT: f64 = 0.1;
 
@@ -80,7 +82,7 @@
     window: Window,
     /// Latency before the last decrease, if the window right after it isn't over.
     before: Option<f64>,
-    changed: Option<Instant>,
+    settled: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -101,7 +103,7 @@
             baseline: None,
             window: Window::default(),
             before: None,
-            changed: None,
+            settled: None,
         }
     }
 
@@ -124,7 +126,7 @@
         let floor = (self.ceiling as f64).min(1.0);
         if latency > baseline * TOLERANCE {
             self.before = Some(latency);
-            self.changed = Some(now);
+            self.settled = Some(now + Duration::from_secs_f64(latency * SETTLING));
             self.level = (self.level * self.part(latency, baseline)).max(floor);
         } else if window.peak + 1 >= self.current() {
             self.level = (self.level + self.step()).min(self.ceiling as f64);
@@ -164,9 +166,10 @@
     }
 
     fn observe(&mut self, spent: &Spent, running: usize, now: Instant) {
-        // A call that began under the former limit says nothing about the present one.
-        let began = now.checked_sub(spent.elapsed);
-        if self.changed.is_some_and(|changed| began < Some(changed)) {
+        // Calls that began under the former limit say nothing about the present one. All of
+        // them are left out for a while: to leave out only those that began earlier would keep
+        // the short ones and drop the long ones.
+        if self.settled.is_some_and(|settled| now < settled) {
             return;
         }
         let window = &mut self.window;
@@ -175,7 +178,9 @@
         window.seconds += spent.own.as_secs_f64();
         window.peak = window.peak.max(running);
         let long = now.saturating_duration_since(opened) >= WINDOW;
-        if long && window.count >= WINDOW_SAMPLES {
+        // As many calls as run at once, so that slow kinds of call are among them.
+        let enough = WINDOW_SAMPLES.max(self.level as u32);
+        if long && window.count >= enough {
             self.close_window(now);
         }
     }
--- /dev/null
+++ b/crates/policy/tests/quarantine.rs
@@ -0,0 +1,117 @@
+//! Quarantine: the guilty are found, the innocent go free.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::RefusalKind;
+use filbertwheel_policy::{CRASH_LIMIT, Fingerprint, Passage, Quarantine};
+use proptest::prelude::any;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const KINDS: usize = 20;
+const GUILTY: usize = 7;
+
+fn fingerprint(kind: usize) -> Fingerprint {
+    Fingerprint {
+        organisation: Some("ward".into()),
+        service: "desk".into(),
+        method: "POST".into(),
+        path: format!("/{kind}").into(),
+        body: "".into(),
+    }
+}
+
+/// Sends random calls to two nodes that tell each other. Returns the crashes, and whether an
+/// innocent request was ever quarantined.
+fn play(seed: u64) -> (u32, bool) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut nodes = [Quarantine::default(), Quarantine::default()];
+    let mut now = Instant::now();
+    let (mut crashes, mut wronged) = (0, false);
+    for _ in 0..500 {
+        now += Duration::from_millis(100);
+        let node = rng.random_range(0..2);
+        let mut in_flight = BTreeSet::new();
+        for _ in 0..rng.random_range(1..8) {
+            let kind = rng.random_range(0..KINDS);
+            let print = fingerprint(kind);
+            match nodes[node].passage(&print, now) {
+                Passage::Free => {
+                    in_flight.insert(print);
+                }
+                Passage::Alone => {
+                    nodes[node].begin(&print);
+                    in_flight.insert(print);
+                }
+                Passage::Barred(kind_of) => {
+                    wronged |= kind_of == RefusalKind::Quarantined && kind != GUILTY;
+                }
+            }
+        }
+        if in_flight.contains(&fingerprint(GUILTY)) {
+            crashes += 1;
+            for suspicion in nodes[node].crash(&in_flight, now) {
+                nodes[1 - node].merge(&suspicion, now);
+            }
+        } else {
+            for print in &in_flight {
+                nodes[node].clear(print);
+            }
+        }
+    }
+    (crashes, wronged)
+}
+
+#[test]
+fn random_calls_crash_a_bounded_number_of_times() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[6; 32]);
+    let config = Config {
+        cases: 300,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let outcome = TestRunner::new_with_rng(config, rng).run(&any::<u64>(), |seed| {
+        let (crashes, wronged) = play(seed);
+        assert!(crashes <= CRASH_LIMIT, "{crashes} crashes with seed {seed}");
+        assert!(
+            !wronged,
+            "an innocent request was quarantined with seed {seed}"
+        );
+        Ok(())
+    });
+    outcome.expect("crashes are bounded and innocents go free");
+}
+
+#[test]
+fn a_second_suspect_waits_for_the_first() {
+    let mut quarantine = Quarantine::default();
+    let now = Instant::now();
+    let (a, b) = (fingerprint(0), fingerprint(1));
+    quarantine.crash(&BTreeSet::from([a.clone(), b.clone()]), now);
+    assert_eq!(quarantine.passage(&a, now), Passage::Alone);
+    quarantine.begin(&a);
+    assert_eq!(
+        quarantine.passage(&b, now),
+        Passage::Barred(RefusalKind::Overloaded)
+    );
+    quarantine.clear(&a);
+    assert_eq!(quarantine.passage(&a, now), Passage::Free);
+    assert_eq!(quarantine.passage(&b, now), Passage::Alone);
+}
+
+#[test]
+fn an_innocent_beside_a_suspect_stays_free() {
+    let mut quarantine = Quarantine::default();
+    let now = Instant::now();
+    let (a, b) = (fingerprint(0), fingerprint(1));
+    quarantine.crash(&BTreeSet::from([a.clone()]), now);
+    quarantine.crash(&BTreeSet::from([a.clone(), b.clone()]), now);
+    assert_eq!(quarantine.passage(&b, now), Passage::Free);
+    quarantine.crash(&BTreeSet::from([a.clone()]), now);
+    assert_eq!(
+        quarantine.passage(&a, now),
+        Passage::Barred(RefusalKind::Quarantined)
+    );
+}
