Judge decreases of the limit over their whole run

Change: latency after several decreases is compared with what they should have brought; if they were in vain they're undone at once. An increase adds 2%.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -13,10 +13,10 @@
 const TOLERANCE: f64 = 2.0;
 /// Part of the limit that's left after a decrease of the AIMD limit.
 const DECREASE: f64 = 0.8;
+/// Part of the ceiling that an increase of the AIMD limit adds, one call at least.
+const INCREASE: f64 = 0.02;
 /// Least part of the limit that's left after a decrease of the gradient limit.
 const GRADIENT_FLOOR: f64 = 0.5;
-/// Latency after a decrease, as a part of that before, above which the decrease was in vain.
-const IN_VAIN: f64 = 0.9;
 /// Latencies that pass after a decrease until calls are measured again.
 const SETTLING: f64 = 2.0;
 /// Weight of the newest window in the baseline.
@@ -71,8 +71,8 @@
 
 /// A limit that falls while latency is above its baseline, and rises otherwise.
 ///
-/// A decrease that doesn't shorten latency shows that concurrency isn't the cause; the baseline
-/// then moves up, so that a slow backend server keeps its slots.
+/// Decreases that don't shorten latency show that concurrency isn't the cause. They're undone and
+/// the baseline moves up, so that a slow backend server keeps its slots.
 #[derive(Debug)]
 pub struct LatencyLimit {
     answering: Answering,
@@ -80,11 +80,17 @@
     level: f64,
     baseline: Option<f64>,
     window: Window,
-    /// Latency before the last decrease, if the window right after it isn't over.
-    before: Option<f64>,
+    /// How things stood before the first of the decreases that are under way.
+    descent: Option<Descent>,
     settled: Option<Instant>,
 }
 
+#[derive(Debug)]
+struct Descent {
+    level: f64,
+    latency: f64,
+}
+
 #[derive(Debug, Default)]
 struct Window {
     began: Option<Instant>,
@@ -102,7 +108,7 @@
             level: ceiling as f64,
             baseline: None,
             window: Window::default(),
-            before: None,
+            descent: None,
             settled: None,
         }
     }
@@ -110,29 +116,46 @@
     fn close_window(&mut self, now: Instant) {
         let window = std::mem::take(&mut self.window);
         let latency = window.seconds / f64::from(window.count);
-        let vain = self
-            .before
-            .take()
-            .is_some_and(|before| latency > before * IN_VAIN);
-        let baseline = match self.baseline {
-            Some(baseline) if vain => baseline.max(latency),
-            Some(baseline) if latency < baseline || window.peak < self.current() => {
-                baseline + (latency - baseline) * BASELINE_WEIGHT
-            }
-            Some(baseline) => baseline,
-            None => latency,
-        };
-        self.baseline = Some(baseline);
-        let floor = (self.ceiling as f64).min(1.0);
+        let full = window.peak + 1 >= self.current();
+        self.judge(latency);
+        let baseline = self.followed(latency, full);
         if latency > baseline * TOLERANCE {
-            self.before = Some(latency);
             self.settled = Some(now + Duration::from_secs_f64(latency * SETTLING));
-            self.level = (self.level * self.part(latency, baseline)).max(floor);
-        } else if window.peak + 1 >= self.current() {
-            self.level = (self.level + self.step()).min(self.ceiling as f64);
+            let level = self.level;
+            self.descent.get_or_insert(Descent { level, latency });
+            let floor = (self.ceiling as f64).min(1.0);
+            self.level = (level * self.part(latency, baseline)).max(floor);
+        } else {
+            self.descent = None;
+            if full {
+                self.level = (self.level + self.step()).min(self.ceiling as f64);
+            }
         }
     }
 
+    /// Undoes the decreases since the first one, if latency didn't follow them.
+    fn judge(&mut self, latency: f64) {
+        let Some(descent) = &self.descent else {
+            return;
+        };
+        let due = descent.latency * self.level / descent.level;
+        if latency > due.midpoint(descent.latency) {
+            self.level = descent.level.min(self.ceiling as f64);
+            self.baseline = self.baseline.map(|baseline| baseline.max(latency));
+            self.descent = None;
+        }
+    }
+
+    /// The baseline after a window. It rises only while there's room, or where a judgement lifts it.
+    fn followed(&mut self, latency: f64, full: bool) -> f64 {
+        let baseline = self.baseline.unwrap_or(latency);
+        let follows = latency < baseline || !full;
+        let weight = if follows { BASELINE_WEIGHT } else { 0.0 };
+        let baseline = baseline + (latency - baseline) * weight;
+        self.baseline = Some(baseline);
+        baseline
+    }
+
     /// Part of the limit that's left after a window that was too slow.
     fn part(&self, latency: f64, baseline: f64) -> f64 {
         match self.answering {
@@ -143,7 +166,7 @@
 
     fn step(&self) -> f64 {
         match self.answering {
-            Answering::Aimd => 1.0,
+            Answering::Aimd => (self.ceiling as f64 * INCREASE).max(1.0),
             Answering::Gradient => self.level.sqrt(),
         }
     }
