Test cut-offs, routing, ranks and retries, and time the gate

Cause: these decisions had no test of their own, the gate no benchmark. Change: crates/policy/tests/cutoff.rs, and a divan benchmark.

--- /dev/null
+++ b/crates/policy/benches/gate.rs
@@ -0,0 +1,69 @@
+//! Cost of the gate's decisions by organisations and by calls in the queue.
+
+use std::time::{Duration, Instant};
+
+use divan::{Bencher, black_box};
+use filbertwheel_core::{Criticality, OrganisationId};
+use filbertwheel_policy::{Entry, FixedLimit, Gate, Offer, Spent};
+
+const CLASSES: [Criticality; 3] = [
+    Criticality::Sheddable,
+    Criticality::Normal,
+    Criticality::Critical,
+];
+const SPENT: Spent = Spent {
+    elapsed: Duration::from_secs(1),
+    own: Duration::from_secs(1),
+};
+
+fn main() {
+    divan::main();
+}
+
+/// A gate with `queued` waiting calls of `owners` organisations, and the entries to go on with.
+fn filled(owners: usize, queued: usize, now: Instant) -> (Gate, Vec<Entry>) {
+    let entries: Vec<Entry> = (0..queued.max(owners))
+        .map(|index| Entry {
+            criticality: CLASSES[index % CLASSES.len()],
+            organisation: Some(OrganisationId::from(format!("o{}", index % owners))),
+            rank: (index as u32).wrapping_mul(2_654_435_761),
+            deadline: now + Duration::from_secs(60),
+        })
+        .collect();
+    let mut gate = Gate::with_limit(Box::new(FixedLimit(queued)));
+    for entry in entries.iter().cycle().take(queued) {
+        gate.offer(entry, now);
+    }
+    gate.finish(&SPENT, now);
+    for entry in entries.iter().cycle().take(queued + 1) {
+        gate.offer(entry, now);
+    }
+    (gate, entries)
+}
+
+/// One call asks to run and another one ends, with a queue that stays as long.
+#[divan::bench(args = [(8, 10), (8, 100), (8, 1_000), (100, 1_000), (1_000, 1_000)])]
+fn offer_and_finish(bencher: Bencher<'_, '_>, (owners, queued): (usize, usize)) {
+    let now = Instant::now();
+    let (mut gate, entries) = filled(owners, queued, now);
+    let mut next = 0;
+    bencher.bench_local(|| {
+        next = (next + 1) % entries.len();
+        black_box(gate.offer(&entries[next], now));
+        black_box(gate.finish(&SPENT, now));
+    });
+}
+
+/// One call asks to run and is cancelled.
+#[divan::bench(args = [(8, 10), (8, 100), (8, 1_000), (100, 1_000), (1_000, 1_000)])]
+fn offer_and_cancel(bencher: Bencher<'_, '_>, (owners, queued): (usize, usize)) {
+    let now = Instant::now();
+    let (mut gate, entries) = filled(owners, queued, now);
+    let mut next = 0;
+    bencher.bench_local(|| {
+        next = (next + 1) % entries.len();
+        if let (Offer::Wait(ticket), _) = gate.offer(&entries[next], now) {
+            black_box(gate.cancel(ticket));
+        }
+    });
+}
--- /dev/null
+++ b/crates/policy/tests/cutoff.rs
@@ -0,0 +1,127 @@
+//! Cut-offs, routing, ranks and retries.
+
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{Criticality, CutOff, VmId};
+use filbertwheel_policy::{
+    CUT_OFF_LIFETIME, CutOffs, Entry, FixedLimit, Gate, Loads, Offer, RetryRatios, Spent, choose,
+    rank_of, retry_after,
+};
+
+fn cut(rank: u32, expires: Instant) -> CutOff {
+    CutOff {
+        criticality: Criticality::Normal,
+        rank,
+        expires,
+    }
+}
+
+#[test]
+fn cut_off_sheds_higher_ranks_and_less_critical_calls_until_it_ends() {
+    let now = Instant::now();
+    let mut cuts = CutOffs::default();
+    let heard = cut(10, now + CUT_OFF_LIFETIME);
+    cuts.hear("desk", Criticality::Normal, Some(heard), now);
+    let sheds = |class, rank, at| cuts.sheds(&"desk", class, rank, at).is_some();
+    assert!(sheds(Criticality::Normal, 11, now));
+    assert!(!sheds(Criticality::Normal, 10, now));
+    assert!(sheds(Criticality::Sheddable, 0, now));
+    assert!(!sheds(Criticality::Critical, u32::MAX, now));
+    assert!(!sheds(Criticality::Normal, 11, now + CUT_OFF_LIFETIME));
+    assert!(cuts.sheds(&"other", Criticality::Normal, 11, now).is_none());
+}
+
+#[test]
+fn gate_under_overload_publishes_a_cut_off_for_the_organisation_that_is_shed() {
+    let mut gate = Gate::with_limit(Box::new(FixedLimit(2)));
+    let mut now = Instant::now();
+    let mut running = 0;
+    let calls = |owner: &'static str, count: u32| (0..count).map(move |n| (owner, n));
+    for tick in 0..100_u32 {
+        for (owner, number) in calls("small", 1).chain(calls("large", 20)) {
+            let entry = Entry {
+                criticality: Criticality::Normal,
+                organisation: Some(owner.into()),
+                rank: (tick * 20 + number).wrapping_mul(2_654_435_761),
+                deadline: now + Duration::from_secs(2),
+            };
+            running += usize::from(matches!(gate.offer(&entry, now).0, Offer::Run(_)));
+        }
+        now += Duration::from_millis(10);
+        let elapsed = Duration::from_millis(10);
+        for _ in 0..running.min(2) {
+            gate.finish(
+                &Spent {
+                    elapsed,
+                    own: elapsed,
+                },
+                now,
+            );
+        }
+    }
+    let published = |owner: &str| gate.cut_off(&Some(owner.into()), Criticality::Normal, now);
+    let large = published("large").expect("the large organisation is cut off");
+    assert!(large.rank < u32::MAX / 2, "{large:?}");
+    assert!(large.expires <= now + CUT_OFF_LIFETIME);
+    assert!(published("small").is_none());
+}
+
+#[test]
+fn calls_leave_a_busy_a_missed_and_a_new_member() {
+    let now = Instant::now();
+    let vms: [VmId; 2] = ["a".into(), "b".into()];
+    let pick = |loads: &Loads, at: Instant| {
+        let candidates = vms.each_ref().map(|vm| loads.candidate(vm, true, at));
+        // Draws the first member, then the second, then the largest number for a ramp.
+        let mut draws = [0, 0].into_iter();
+        choose(&candidates, |count| draws.next().unwrap_or(count - 1))
+    };
+    let mut loads = Loads::default();
+    assert_eq!(pick(&loads, now), Some(0));
+    loads.hear(&vms[0], Duration::from_millis(20), now);
+    assert_eq!(pick(&loads, now), Some(1));
+    loads.miss(&vms[1], now);
+    assert_eq!(pick(&loads, now), Some(0));
+    let later = now + Duration::from_secs(5);
+    assert_eq!(
+        pick(&loads, later),
+        Some(1),
+        "the old wait and the miss are over"
+    );
+    loads.join(&vms[1], true, later);
+    assert_eq!(pick(&loads, later), Some(0), "a new member gets less");
+    let grown = later + Duration::from_secs(11);
+    loads.hear(&vms[0], Duration::from_millis(20), grown);
+    assert_eq!(pick(&loads, grown), Some(1), "its share has grown");
+}
+
+#[test]
+fn retries_keep_to_a_tenth_of_successes() {
+    let mut ratios = RetryRatios::default();
+    let desk = "desk".into();
+    let saved = (0..100).filter(|_| ratios.spend(&desk)).count();
+    let earned = (0..1_000)
+        .filter(|_| {
+            ratios.earn(&desk);
+            ratios.spend(&desk)
+        })
+        .count();
+    assert_eq!(saved, 10);
+    assert!((99..=100).contains(&earned), "{earned}");
+}
+
+#[test]
+fn pause_has_a_floor_and_jitter() {
+    let pause = |jitter| retry_after(Duration::ZERO, jitter);
+    assert_eq!(pause(0.0), Duration::from_secs(1));
+    assert_eq!(pause(1.0), Duration::from_secs(2));
+}
+
+#[test]
+fn ranks_are_the_same_for_a_repeat_and_spread_evenly() {
+    let owner = Some("ward".into());
+    let rank = |n: u32| rank_of(&owner, &format!("request-{n}").as_str().into());
+    assert_eq!(rank(1), rank(1));
+    let low = (0..10_000).filter(|n| rank(*n) < u32::MAX / 4).count();
+    assert!((2_300..2_700).contains(&low), "{low}");
+}
