--- a/crates/load/src/model/world/ending.rs
+++ b/crates/load/src/model/world/ending.rs
@@ -31,10 +31,9 @@
             return;
         };
         self.close_attempt(&attempt, false);
-        if miss != Miss::Lost {
+        if let (Some(receipt), true) = (attempt.receipt, miss != Miss::Lost) {
             let organisation = self.roots[attempt.root].arrival.organisation;
-            let limit = self.limit(organisation);
-            self.buckets[organisation].put_back(limit);
+            self.buckets[organisation].put_back(receipt);
         }
         if !attempt.orphan {
             self.caller_failed(attempt.root, miss);
--- a/crates/load/src/model/world/mod.rs
+++ b/crates/load/src/model/world/mod.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::{CutOff, Rate};
-use filbertwheel_policy::{Bucket, RETRIES_PER_CALL, Ticket};
+use filbertwheel_policy::{Bucket, RETRIES_PER_CALL, Receipt, Ticket};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -77,6 +77,8 @@
     cut: Option<CutOff>,
     /// The caller has gone, but the work goes on.
     orphan: bool,
+    /// Proof of the token that it was charged.
+    receipt: Option<Receipt>,
 }
 
 /// A call at a backend server.
@@ -167,10 +169,8 @@
             buckets: Vec::new(),
             tally: Tally::default(),
         };
-        for organisation in 0..ORGANISATIONS.len() {
-            world
-                .buckets
-                .push(Bucket::full(world.limit(organisation), origin));
+        for _ in ORGANISATIONS {
+            world.buckets.push(Bucket::empty(origin));
         }
         world.push(next.at, Event::Arrive);
         world.push(TICK, Event::Tick);
@@ -247,10 +247,11 @@
         let limit = self.limit(organisation);
         let now = self.now();
         let full = self.setup.rule == Rule::Full;
-        if full && self.buckets[organisation].take(limit, now).is_err() {
-            self.caller_failed(root, Miss::OverRate);
-            return;
-        }
+        let receipt = match full.then(|| self.buckets[organisation].take(limit, now)) {
+            None => None,
+            Some(Ok(receipt)) => Some(receipt),
+            Some(Err(_)) => return self.caller_failed(root, Miss::OverRate),
+        };
         self.serial += 1;
         let id = self.serial;
         let attempt = Attempt {
@@ -263,6 +264,7 @@
             worked: 0.0,
             cut: None,
             orphan: false,
+            receipt,
         };
         self.attempts.insert(id, attempt);
         self.push(at + PATIENCE, Event::Timeout(id));
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -1,4 +1,4 @@
-//! The path of a call: entry, routing, retries, verdict.
+//! The path of calls through a node, from its three doors.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -7,41 +7,35 @@
 use filbertwheel_backend::{Announcement, Neighbour, NestedRequest};
 use filbertwheel_caller::{Entry, EntryRequest};
 use filbertwheel_core::{
-    Call, Clock, Criticality, CutOff, Doubt, Failure, OrganisationId, Rate, Refusal, RefusalKind,
-    Route, Verdict, VmId, invariant,
+    Call, Clock, Failure, OrganisationId, Rate, Refusal, RefusalKind, Verdict,
 };
-use filbertwheel_http::{LocalFuture, Particulars};
-use filbertwheel_peer::{CallSink, Forward, ForwardError, Load};
-use filbertwheel_policy::{Purse, RETRIES_PER_CALL, rank_of, retry_after};
+use filbertwheel_http::LocalFuture;
+use filbertwheel_peer::{CallSink, Forward, Load};
+use filbertwheel_policy::{Memory, Purse, Receipt, retry_after};
 
 use crate::control::{ClaimReply, Message};
+use crate::dispatch::returned;
+use crate::entry::{entry_call, identify, nested_call, route_of};
 use crate::metrics::Metrics;
-use crate::outlook::{Outlook, Target};
+use crate::outlook::Outlook;
 use crate::runner::Runner;
 use crate::snapshot::{Board, Snapshot};
 
-/// Deadline of a call whose caller names none.
-const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
-/// Longest deadline.
-const LONGEST_PATIENCE: Duration = Duration::from_secs(60);
-/// Deepest call chain.
-const DEPTH_LIMIT: u8 = 16;
-/// Longest pause before a retry.
-const BACKOFF: Duration = Duration::from_millis(20);
 /// Pause that a caller is asked for after a refusal under overload, before jitter.
 const CALLER_PAUSE: Duration = Duration::from_secs(1);
 
 /// The path of calls through this node. Shared by the traffic threads.
 #[derive(Debug)]
-pub(crate) struct Engine {
-    clock: Arc<dyn Clock>,
-    board: Board,
+pub struct Engine {
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) board: Board,
     purse: Arc<Mutex<Purse>>,
-    runner: Runner,
-    forward: Arc<dyn Forward>,
+    pub(super) runner: Runner,
+    pub(super) forward: Arc<dyn Forward>,
     control: Sender<Message>,
-    metrics: Arc<Metrics>,
-    outlook: Outlook,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) outlook: Outlook,
+    pub(super) memory: Mutex<Memory>,
 }
 
 impl Engine {
@@ -64,6 +58,7 @@
             control,
             metrics,
             outlook: Outlook::default(),
+            memory: Mutex::new(Memory::open()),
         }
     }
 
@@ -93,30 +88,30 @@
         now: Instant,
     ) -> Verdict {
         let route = route_of(snapshot, &request.particulars, request.method.as_bytes())?;
-        let call = entry_call(request, organisation.clone(), route, now);
+        let call = entry_call(request, organisation.clone(), route, now, self.clock.wall());
         let Some(organisation) = organisation else {
-            return self.dispatch(call).await;
+            return self.dispatch(call).await.0;
         };
         let limit = snapshot.config.organisations.get(&organisation);
         let limit = limit.ok_or(Refusal::new(RefusalKind::BadKey))?.limit;
-        self.charge(&organisation, limit, call.deadline).await?;
-        let verdict = self.dispatch(call).await;
-        if let Err(Failure::Refused(_)) = &verdict {
+        let receipt = self.charge(&organisation, limit, call.deadline).await?;
+        let (verdict, _) = self.dispatch(call).await;
+        if let (Some(receipt), Err(Failure::Refused(_))) = (receipt, &verdict) {
             self.purse()
-                .put_back(&organisation, limit, self.clock.now());
+                .put_back(&organisation, receipt, self.clock.now());
         }
         verdict
     }
 
-    /// Spends a token of the node's share, or claims one.
+    /// Spends a token of the node's share, or claims one. A claimed token can't be put back.
     async fn charge(
         &self,
         organisation: &OrganisationId,
         limit: Rate,
         deadline: Instant,
-    ) -> Result<(), Refusal> {
+    ) -> Result<Option<Receipt>, Refusal> {
         let short = match self.purse().charge(organisation, limit, self.clock.now()) {
-            Ok(()) => return Ok(()),
+            Ok(receipt) => return Ok(Some(receipt)),
             Err(short) => short,
         };
         let (reply, answer) = async_channel::bounded(1);
@@ -132,7 +127,7 @@
             None
         };
         match answered {
-            Some(ClaimReply::Given) => Ok(()),
+            Some(ClaimReply::Given) => Ok(None),
             Some(ClaimReply::Short(wait)) => Err(Refusal::retry_after(
                 RefusalKind::OverRate,
                 short.wait.unwrap_or(wait),
@@ -141,100 +136,6 @@
         }
     }
 
-    /// Runs a call at some backend server, with retries as far as they're given.
-    async fn dispatch(&self, call: Call) -> Verdict {
-        self.dispatched(call, &mut None).await
-    }
-
-    /// Runs a call as `dispatch` does. `cut` becomes the cut-off that came back last.
-    async fn dispatched(&self, call: Call, cut: &mut Option<CutOff>) -> Verdict {
-        let given = call.retries;
-        let mut left = given;
-        let mut tried = Vec::new();
-        loop {
-            if let Some(shed) = self.outlook.sheds(&call, self.clock.now()) {
-                *cut = Some(shed);
-                let refusal = Refusal::new(RefusalKind::OverloadedDeep);
-                return Err(refusal.with_retries(left).into());
-            }
-            let verdict = self.attempt(&call, &mut left, &mut tried, cut).await;
-            if verdict.is_ok() {
-                self.outlook.earn(&call.service);
-            }
-            invariant!(
-                "retries-bounded",
-                left <= given,
-                "{left} retries are left of {given}"
-            );
-            let again = may_retry(&call, &verdict) && left > 0;
-            let late = self.clock.now() + BACKOFF >= call.deadline;
-            if !again || late || !self.outlook.spend(&call.service) {
-                return with_retries(verdict, left);
-            }
-            left -= 1;
-            self.metrics.retries.inc();
-            self.clock.sleep(BACKOFF.mul_f64(rand::random())).await;
-        }
-    }
-
-    /// Tries one backend server. Takes from `left` what that one spends.
-    async fn attempt(
-        &self,
-        call: &Call,
-        left: &mut u32,
-        tried: &mut Vec<VmId>,
-        cut: &mut Option<CutOff>,
-    ) -> Verdict {
-        let snapshot = self.board.load_full();
-        let now = self.clock.now();
-        let own_wait = self.runner.wait();
-        let picked = self.outlook.pick(&snapshot, call, tried, own_wait, now);
-        let Some(target) = picked else {
-            return Err(RefusalKind::Unavailable.into());
-        };
-        tried.push(target.vm.clone());
-        // One retry stays here, for the case that the target's answer is lost.
-        let kept = (*left).min(1);
-        let call = Call {
-            retries: *left - kept,
-            ..call.clone()
-        };
-        *left = kept;
-        let verdict = if target.vm == snapshot.me.vm {
-            let (verdict, load) = self.runner.run(&call).await;
-            self.outlook
-                .hear(&target.vm, &call, &load, self.clock.now());
-            *cut = load.cut;
-            verdict
-        } else {
-            self.send(&target, &call, cut).await
-        };
-        *left += returned(&verdict).min(call.retries);
-        verdict
-    }
-
-    async fn send(&self, target: &Target, call: &Call, cut: &mut Option<CutOff>) -> Verdict {
-        let pending = self.outlook.begin(&target.vm, self.clock.now());
-        let reply = self.forward.forward(target.address, call).await;
-        drop(pending);
-        match reply {
-            Ok((verdict, load)) => {
-                self.outlook.hear(&target.vm, call, &load, self.clock.now());
-                *cut = load.cut;
-                verdict
-            }
-            Err(ForwardError::NotSent) => {
-                self.outlook.miss(&target.vm, self.clock.now());
-                Err(Refusal::new(RefusalKind::Unavailable)
-                    .with_retries(call.retries)
-                    .into())
-            }
-            Err(ForwardError::Lost) => Err(Doubt::Lost.into()),
-            Err(ForwardError::Late) => Err(Doubt::Late.into()),
-            Err(ForwardError::Broken) => Err(Doubt::Broken.into()),
-        }
-    }
-
     async fn nested(&self, request: NestedRequest) -> Verdict {
         let now = self.clock.now();
         let pass = self.runner.passes().borrow(&request.token);
@@ -242,10 +143,11 @@
             return Err(RefusalKind::BadToken.into());
         };
         let token = request.token.clone();
-        let verdict = match self.nested_call(&pass.call, pass.retries, request, now) {
+        let wall = self.clock.wall();
+        let call = nested_call(&self.board.load(), &pass, request, now, wall);
+        let verdict = match call {
             Ok(call) => {
-                let mut cut = None;
-                let verdict = self.dispatched(call, &mut cut).await;
+                let (verdict, cut) = self.dispatch(call).await;
                 if let Some(cut) = cut {
                     self.runner.passes().hear(&token, cut);
                 }
@@ -260,39 +162,6 @@
         verdict
     }
 
-    fn nested_call(
-        &self,
-        parent: &Call,
-        retries: u32,
-        request: NestedRequest,
-        now: Instant,
-    ) -> Result<Call, Refusal> {
-        let depth = parent.depth + 1;
-        if depth > DEPTH_LIMIT {
-            return Err(RefusalKind::TooDeep.into());
-        }
-        let snapshot = self.board.load();
-        let route = route_of(&snapshot, &request.particulars, request.method.as_bytes())?;
-        let particulars = request.particulars;
-        let patience = particulars.patience.unwrap_or(LONGEST_PATIENCE);
-        Ok(Call {
-            id: rand::random(),
-            organisation: parent.organisation.clone(),
-            request: particulars.request,
-            service: particulars.service,
-            criticality: lowered(parent.criticality, particulars.criticality),
-            idempotent: route.idempotent,
-            rank: parent.rank,
-            deadline: parent.deadline.min(now + patience),
-            retries,
-            depth,
-            method: request.method,
-            path: particulars.path,
-            headers: request.headers,
-            body: request.body,
-        })
-    }
-
     fn purse(&self) -> MutexGuard<'_, Purse> {
         self.purse.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -337,7 +206,7 @@
             if !snapshot.is_serving() {
                 return refuse(RefusalKind::Draining);
             }
-            self.runner.run(&call).await
+            self.run_here(&call).await
         })
     }
 }
@@ -359,87 +228,6 @@
     }
 }
 
-/// Finds out for whom a request runs, or refuses it.
-fn identify(
-    snapshot: &Snapshot,
-    request: &EntryRequest,
-    now: Instant,
-) -> Result<Option<OrganisationId>, Refusal> {
-    let route = route_of(snapshot, &request.particulars, request.method.as_bytes());
-    if !snapshot.is_current(now) {
-        return Err(RefusalKind::Stale.into());
-    }
-    let Some(hash) = &request.key else {
-        return match route {
-            Ok(route) if route.open => Ok(None),
-            _ => Err(RefusalKind::NoKey.into()),
-        };
-    };
-    let key = snapshot
-        .config
-        .keys
-        .get(hash)
-        .ok_or(Refusal::new(RefusalKind::BadKey))?;
-    Ok(Some(key.organisation.clone()))
-}
-
-fn route_of<'a>(
-    snapshot: &'a Snapshot,
-    particulars: &Particulars,
-    method: &[u8],
-) -> Result<&'a Route, Refusal> {
-    let path = particulars.path.as_bytes();
-    let path = path.split(|byte| *byte == b'?').next().unwrap_or_default();
-    let route = snapshot
-        .config
-        .route(particulars.service.as_bytes(), method, path);
-    route.ok_or(RefusalKind::NoRoute.into())
-}
-
-fn entry_call(
-    request: EntryRequest,
-    organisation: Option<OrganisationId>,
-    route: &Route,
-    now: Instant,
-) -> Call {
-    let EntryRequest {
-        particulars,
-        method,
-        headers,
-        body,
-        ..
-    } = request;
-    let patience = particulars
-        .patience
-        .unwrap_or(DEFAULT_PATIENCE)
-        .min(LONGEST_PATIENCE);
-    let rank = match &particulars.request {
-        Some(request) => rank_of(&organisation, request),
-        None => rand::random(),
-    };
-    Call {
-        id: rand::random(),
-        organisation,
-        request: particulars.request,
-        service: particulars.service,
-        criticality: lowered(route.criticality, particulars.criticality),
-        idempotent: route.idempotent,
-        rank,
-        deadline: now + patience,
-        retries: RETRIES_PER_CALL,
-        depth: 0,
-        method,
-        path: particulars.path,
-        headers,
-        body,
-    }
-}
-
-/// The criticality that was asked for, unless it's higher than what's allowed.
-fn lowered(allowed: Criticality, asked: Option<Criticality>) -> Criticality {
-    asked.map_or(allowed, |asked| asked.min(allowed))
-}
-
 /// A failure as the caller of the next hop up sees it.
 fn failed_below(failure: Failure) -> Failure {
     match failure {
@@ -465,28 +253,3 @@
 fn is_overload(kind: RefusalKind) -> bool {
     matches!(kind, RefusalKind::Overloaded | RefusalKind::OverloadedDeep)
 }
-
-fn may_retry(call: &Call, verdict: &Verdict) -> bool {
-    match verdict {
-        Ok(_) => false,
-        Err(Failure::Refused(refusal)) => refusal.kind.may_retry(),
-        Err(Failure::Unknown(doubt)) => call.idempotent && *doubt != Doubt::Late,
-    }
-}
-
-/// Retries that came back with a verdict.
-fn returned(verdict: &Verdict) -> u32 {
-    match verdict {
-        Ok(answer) => answer.retries,
-        Err(Failure::Refused(refusal)) => refusal.retries,
-        Err(Failure::Unknown(_)) => 0,
-    }
-}
-
-fn with_retries(verdict: Verdict, retries: u32) -> Verdict {
-    match verdict {
-        Ok(answer) => Ok(filbertwheel_core::Answer { retries, ..answer }),
-        Err(Failure::Refused(refusal)) => Err(refusal.with_retries(retries).into()),
-        unknown @ Err(Failure::Unknown(_)) => unknown,
-    }
-}
