--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -13,10 +13,12 @@
 const TOLERANCE: f64 = 2.0;
 /// Part of the limit that's left after a decrease of the AIMD limit.
 const DECREASE: f64 = 0.8;
+/// Part of the ceiling that an increase of the AIMD limit adds, one call at least.
+const INCREASE: f64 = 0.02;
 /// Least part of the limit that's left after a decrease of the gradient limit.
 const GRADIENT_FLOOR: f64 = 0.5;
-/// Latency after a decrease, as a part of that before, above which the decrease was in vain.
-const IN_VAIN: f64 = 0.9;
+/// Latencies that pass after a decrease until calls are measured again.
+const SETTLING: f64 = 2.0;
 /// Weight of the newest window in the baseline.
 const BASELINE_WEIGHT: f64 = 0.1;
 
@@ -69,8 +71,8 @@
 
 /// A limit that falls while latency is above its baseline, and rises otherwise.
 ///
-/// A decrease that doesn't shorten latency shows that concurrency isn't the cause; the baseline
-/// then moves up, so that a slow backend server keeps its slots.
+/// Decreases that don't shorten latency show that concurrency isn't the cause. They're undone and
+/// the baseline moves up, so that a slow backend server keeps its slots.
 #[derive(Debug)]
 pub struct LatencyLimit {
     answering: Answering,
@@ -78,9 +80,15 @@
     level: f64,
     baseline: Option<f64>,
     window: Window,
-    /// Latency before the last decrease, if the window right after it isn't over.
-    before: Option<f64>,
-    changed: Option<Instant>,
+    /// How things stood before the first of the decreases that are under way.
+    descent: Option<Descent>,
+    settled: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Descent {
+    level: f64,
+    latency: f64,
 }
 
 #[derive(Debug, Default)]
@@ -100,37 +108,54 @@
             level: ceiling as f64,
             baseline: None,
             window: Window::default(),
-            before: None,
-            changed: None,
+            descent: None,
+            settled: None,
         }
     }
 
     fn close_window(&mut self, now: Instant) {
         let window = std::mem::take(&mut self.window);
         let latency = window.seconds / f64::from(window.count);
-        let vain = self
-            .before
-            .take()
-            .is_some_and(|before| latency > before * IN_VAIN);
-        let baseline = match self.baseline {
-            Some(baseline) if vain => baseline.max(latency),
-            Some(baseline) if latency < baseline || window.peak < self.current() => {
-                baseline + (latency - baseline) * BASELINE_WEIGHT
+        let full = window.peak + 1 >= self.current();
+        self.judge(latency);
+        let baseline = self.followed(latency, full);
+        if latency > baseline * TOLERANCE {
+            self.settled = Some(now + Duration::from_secs_f64(latency * SETTLING));
+            let level = self.level;
+            self.descent.get_or_insert(Descent { level, latency });
+            let floor = (self.ceiling as f64).min(1.0);
+            self.level = (level * self.part(latency, baseline)).max(floor);
+        } else {
+            self.descent = None;
+            if full {
+                self.level = (self.level + self.step()).min(self.ceiling as f64);
             }
-            Some(baseline) => baseline,
-            None => latency,
+        }
+    }
+
+    /// Undoes the decreases since the first one, if latency didn't follow them.
+    fn judge(&mut self, latency: f64) {
+        let Some(descent) = &self.descent else {
+            return;
         };
-        self.baseline = Some(baseline);
-        let floor = (self.ceiling as f64).min(1.0);
-        if latency > baseline * TOLERANCE {
-            self.before = Some(latency);
-            self.changed = Some(now);
-            self.level = (self.level * self.part(latency, baseline)).max(floor);
-        } else if window.peak + 1 >= self.current() {
-            self.level = (self.level + self.step()).min(self.ceiling as f64);
+        let due = descent.latency * self.level / descent.level;
+        if latency > due.midpoint(descent.latency) {
+            self.level = descent.level.min(self.ceiling as f64);
+            self.baseline = self.baseline.map(|baseline| baseline.max(latency));
+            self.descent = None;
         }
     }
 
+    /// The baseline after a window. It rises only while there's room, or where a judgement lifts it.
+    fn followed(&mut self, latency: f64, full: bool) -> f64 {
+        let baseline = self.baseline.unwrap_or(latency);
+        let follows = latency < baseline || !full;
+        let weight = if follows { BASELINE_WEIGHT } else { 0.0 };
+        let baseline = baseline + (latency - baseline) * weight;
+        self.baseline = Some(baseline);
+        baseline
+    }
+
     /// Part of the limit that's left after a window that was too slow.
     fn part(&self, latency: f64, baseline: f64) -> f64 {
         match self.answering {
@@ -141,7 +166,7 @@
 
     fn step(&self) -> f64 {
         match self.answering {
-            Answering::Aimd => 1.0,
+            Answering::Aimd => (self.ceiling as f64 * INCREASE).max(1.0),
             Answering::Gradient => self.level.sqrt(),
         }
     }
@@ -164,9 +189,10 @@
     }
 
     fn observe(&mut self, spent: &Spent, running: usize, now: Instant) {
-        // A call that began under the former limit says nothing about the present one.
-        let began = now.checked_sub(spent.elapsed);
-        if self.changed.is_some_and(|changed| began < Some(changed)) {
+        // Calls that began under the former limit say nothing about the present one. All of
+        // them are left out for a while: to leave out only those that began earlier would keep
+        // the short ones and drop the long ones.
+        if self.settled.is_some_and(|settled| now < settled) {
             return;
         }
         let window = &mut self.window;
@@ -175,7 +201,9 @@
         window.seconds += spent.own.as_secs_f64();
         window.peak = window.peak.max(running);
         let long = now.saturating_duration_since(opened) >= WINDOW;
-        if long && window.count >= WINDOW_SAMPLES {
+        // As many calls as run at once, so that slow kinds of call are among them.
+        let enough = WINDOW_SAMPLES.max(self.level as u32);
+        if long && window.count >= enough {
             self.close_window(now);
         }
     }
