--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -50,6 +50,33 @@
     async fn run(&self, call: &Call, token: Text) -> Result<BackendReply, BackendError>;
 }
 
+/// Opens backend servers at the addresses that they announce.
+pub trait Connect: Debug + Send + Sync {
+    /// The backend server at `address`. Connections are opened as they're needed.
+    fn connect(&self, address: SocketAddr) -> Arc<dyn Backend>;
+}
+
+/// Opens backend servers that speak HTTP.
+#[derive(Debug)]
+pub struct HttpConnect {
+    limits: Limits,
+    clock: Arc<dyn Clock>,
+}
+
+impl HttpConnect {
+    /// Opens backend servers with these limits.
+    pub fn open(limits: Limits, clock: Arc<dyn Clock>) -> Self {
+        Self { limits, clock }
+    }
+}
+
+impl Connect for HttpConnect {
+    fn connect(&self, address: SocketAddr) -> Arc<dyn Backend> {
+        let clock = Arc::clone(&self.clock);
+        Arc::new(HttpBackend::open(address, self.limits, clock))
+    }
+}
+
 /// A backend server that speaks HTTP.
 #[derive(Debug)]
 pub struct HttpBackend {
@@ -108,13 +135,11 @@
         .header(names::OUTCOME)
         .is_some_and(|outcome| outcome.as_bytes() == NOT_RUN)
     {
-        let draining = response
-            .header(names::REASON)
-            .is_some_and(|r| r.as_bytes() == b"draining");
-        let kind = if draining {
-            RefusalKind::Draining
-        } else {
-            RefusalKind::Overloaded
+        let reason = response.header(names::REASON).map(Text::as_bytes);
+        let kind = match reason {
+            Some(b"draining") => RefusalKind::Draining,
+            Some(b"overloaded-deep") => RefusalKind::OverloadedDeep,
+            _ => RefusalKind::Overloaded,
         };
         return Err(BackendError::Refused(kind));
     }
