--- a/crates/node/tests/engine/fleet.rs
+++ b/crates/node/tests/engine/fleet.rs
@@ -19,7 +19,7 @@
 };
 use filbertwheel_http::Particulars;
 use filbertwheel_node::{Board, Engine, Metrics, Runner, Snapshot};
-use filbertwheel_peer::{CallSink, Forward, ForwardError};
+use filbertwheel_peer::{CallSink, Forward, ForwardError, Load};
 use filbertwheel_policy::{Purse, Roster, Tenure};
 use smol::LocalExecutor;
 
@@ -143,7 +143,7 @@
 
 #[async_trait]
 impl Forward for Fakes {
-    async fn forward(&self, to: SocketAddr, call: &Call) -> Result<(Verdict, f64), ForwardError> {
+    async fn forward(&self, to: SocketAddr, call: &Call) -> Result<(Verdict, Load), ForwardError> {
         let to = usize::from(to.port());
         let fault = lock(&self.network)(to);
         if fault == Fault::Unsent {
@@ -155,7 +155,7 @@
             .ok_or(ForwardError::Lost)?;
         match fault {
             Fault::Lost => Err(ForwardError::Lost),
-            _ => Ok((verdict, 0.0)),
+            _ => Ok((verdict, Load::default())),
         }
     }
 }
@@ -232,7 +232,7 @@
         let engines = engines.clone();
         let task = executor.spawn(async move {
             let (verdict, reply) = match job {
-                Job::Call(at, call, reply) => (engines[at].run(call).await, reply),
+                Job::Call(at, call, reply) => (engines[at].run(call).await.0, reply),
                 Job::Nest(at, request, reply) => (engines[at].nest(request).await, reply),
             };
             let _gone = reply.try_send(verdict);
--- a/crates/node/tests/outage.rs
+++ b/crates/node/tests/outage.rs
@@ -11,7 +11,9 @@
 use async_trait::async_trait;
 use filbertwheel_core::{Clock, Sleep, SystemClock, Text};
 use filbertwheel_node::{ListenSettings, Node, NodeSettings};
-use filbertwheel_platform::{MemoryTable, PlatformError, Row, Table, Write};
+use filbertwheel_platform::{
+    MemoryObjects, MemoryTable, Platform, PlatformError, Row, Table, Write,
+};
 
 /// How much faster than the machine's clock the nodes' clock goes.
 const SPEED: u32 = 5;
@@ -82,7 +84,9 @@
         let (leave, left) = async_channel::bounded::<()>(1);
         let thread = std::thread::spawn(move || {
             smol::block_on(async {
-                let node = Node::spawn(&settings, table, clock).await;
+                let objects = Arc::new(MemoryObjects::default());
+                let platform = Platform { table, objects };
+                let node = Node::spawn(&settings, platform, clock).await;
                 let node = node.expect("the node starts");
                 started.send(node.bound()).await.expect("the test waits");
                 node.run(async move {
