--- a/crates/scenario/src/caller.rs
+++ b/crates/scenario/src/caller.rs
@@ -5,7 +5,7 @@
 use std::fmt::{self, Display, Formatter};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use filbertwheel_core::{Clock, Text};
 use filbertwheel_http::{Pool, Request, Response, SendError, names};
@@ -26,6 +26,8 @@
     pub key: Option<String>,
     pub body: Option<String>,
     pub request: Option<Text>,
+    /// When the request with this id was first sent.
+    pub tried: SystemTime,
     pub retries: u32,
     pub clock: Arc<dyn Clock>,
 }
@@ -117,7 +119,11 @@
             request = request.with(names::KEY, key.as_str());
         }
         if let Some(id) = &self.request {
-            request = request.with(names::REQUEST, id.clone());
+            let since = self.tried.duration_since(SystemTime::UNIX_EPOCH);
+            let tried = since.unwrap_or_default().as_millis().to_string();
+            request = request
+                .with(names::REQUEST, id.clone())
+                .with(names::TRIED, tried);
         }
         request
     }
--- a/crates/scenario/src/checks.rs
+++ b/crates/scenario/src/checks.rs
@@ -19,6 +19,8 @@
 const BROKEN_METRIC: &str = "filbertwheel_broken_invariants ";
 /// Texts in a log that tell of a fault of the program.
 const FAULT_TEXTS: [&str; 3] = ["invariant:", "panicked at", "Work came late"];
+/// The query that shows a node's root.
+const STATUS_QUERY: &str = "show status";
 /// Queries whose replies must be the same at every node.
 const AGREED_QUERIES: [&str; 3] = ["show organisations", "show keys", "show routes"];
 
@@ -58,17 +60,29 @@
         self.await_look(limit, async || {
             let mut seen = String::new();
             for vm in vms {
-                let said = self.query(*vm, "show status").await?;
-                if said.contains("true") {
+                let status = self.query(*vm, STATUS_QUERY).await?;
+                if root_in(&status) == Some(format!("vm{vm}").as_str()) {
                     return Ok(Look::Found);
                 }
-                seen.push_str(&said);
+                seen.push_str(&status);
             }
             Ok(Look::Missing(seen))
         })
         .await
     }
 
+    /// Waits until a node follows another one as its root.
+    pub async fn await_following(&self, vm: VmNumber, limit: Duration) -> Result<(), RunError> {
+        let own = format!("vm{vm}");
+        self.await_look(limit, async || {
+            let status = self.query(vm, STATUS_QUERY).await?;
+            let root = root_in(&status);
+            let follows = root.is_some_and(|root| root.starts_with("vm") && root != own);
+            Ok(Look::new(follows, status))
+        })
+        .await
+    }
+
     /// Waits until a reply has a text, or no longer has it.
     pub async fn await_show(
         &self,
@@ -205,3 +219,10 @@
         }
     }
 }
+
+/// The root that a node's status names.
+fn root_in(status: &str) -> Option<&str> {
+    let (columns, cells) = status.split_once('\n')?;
+    let column = columns.split_whitespace().position(|name| name == "root")?;
+    cells.split_whitespace().nth(column)
+}
--- a/crates/scenario/src/parser.rs
+++ b/crates/scenario/src/parser.rs
@@ -7,10 +7,10 @@
 use filbertwheel_core::{Text, value};
 
 use crate::script::{
-    Action, BackendState, Bound, CallPlan, Limit, LinkState, LoadPlan, Outcome, Part,
-    PlatformState, SendPlan, Statement, Step, VmNumber, VmPlan,
+    Action, BackendState, Bound, CallPlan, LinkState, LoadPlan, Outcome, Part, PlatformState,
+    SendPlan, Statement, Step, VmNumber, VmPlan,
 };
-use crate::words::{Extra, name, number, number16, rest, seconds, variable, word};
+use crate::words::{Extra, limit, name, number, number16, rest, seconds, variable, word};
 
 /// How long a backend server serves on after it's told to stop, unless the scenario says so.
 const DEFAULT_GRACE: Duration = Duration::from_secs(3);
@@ -311,7 +311,18 @@
         .ignore_then(word("within"))
         .ignore_then(seconds())
         .map(Statement::ExpectAgreement);
-    word("expect").ignore_then(choice((of_load, runs, invariants, agreement, shown())))
+    let follows = vm()
+        .then_ignore(word("follows").then(word("within")))
+        .then(seconds())
+        .map(|(vm, within)| Statement::ExpectFollows(vm, within));
+    word("expect").ignore_then(choice((
+        of_load,
+        runs,
+        invariants,
+        agreement,
+        follows,
+        shown(),
+    )))
 }
 
 fn shown<'a>() -> impl Parser<'a, &'a str, Statement, Extra<'a>> {
@@ -356,22 +367,6 @@
         .collect::<Vec<_>>()
 }
 
-fn limit<'a>() -> impl Parser<'a, &'a str, Limit, Extra<'a>> {
-    let least = || word("at").then(word("least"));
-    choice((
-        least()
-            .ignore_then(number())
-            .then_ignore(word("percent"))
-            .map(Limit::AtLeastPercent),
-        least().ignore_then(number()).map(Limit::AtLeast),
-        word("at")
-            .then(word("most"))
-            .ignore_then(number())
-            .map(Limit::AtMost),
-        number().map(Limit::Exactly),
-    ))
-}
-
 fn part<'a>() -> impl Parser<'a, &'a str, (Part, VmNumber), Extra<'a>> {
     let part = choice((
         word("node").to(Part::Node),
--- a/crates/scenario/src/run.rs
+++ b/crates/scenario/src/run.rs
@@ -4,8 +4,9 @@
 use std::fs;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::SystemTime;
 
-use filbertwheel_core::{Clock, SystemClock};
+use filbertwheel_core::{Clock, RequestId, SystemClock};
 use futures_lite::FutureExt as _;
 use smol::{LocalExecutor, Task};
 
@@ -82,6 +83,8 @@
     keys: BTreeMap<String, String>,
     loads: BTreeMap<String, Task<Tally>>,
     tallies: BTreeMap<String, Tally>,
+    /// When requests with an id were first sent.
+    tries: BTreeMap<RequestId, SystemTime>,
     races: u32,
 }
 
@@ -92,6 +95,7 @@
             keys: BTreeMap::new(),
             loads: BTreeMap::new(),
             tallies: BTreeMap::new(),
+            tries: BTreeMap::new(),
             races: 0,
         }
     }
@@ -128,6 +132,7 @@
             Statement::Signal(action, part, vm) => fleet.vm_mut(*vm)?.act(*action, *part).await?,
             Statement::AwaitServing(vms, limit) => fleet.await_serving(vms, *limit).await?,
             Statement::AwaitRoot(vms, limit) => fleet.await_root(vms, *limit).await?,
+            Statement::ExpectFollows(vm, within) => fleet.await_following(*vm, *within).await?,
             Statement::Pause(duration) => fleet.site.clock.sleep(*duration).await,
             Statement::Platform(state) => fleet.set_platform(*state).await?,
             Statement::Backend(vm, state) => fleet.set_backend(*vm, state.clone()).await?,
@@ -253,7 +258,12 @@
         check(tally.ok_or(RunError::NoName(name.to_owned()))?, bounds)
     }
 
-    fn caller(&self, plan: &CallPlan) -> Result<Rc<Caller>, RunError> {
+    fn caller(&mut self, plan: &CallPlan) -> Result<Rc<Caller>, RunError> {
+        let now = self.fleet.site.clock.wall();
+        let tried = match &plan.request {
+            Some(id) => *self.tries.entry(id.clone()).or_insert(now),
+            None => now,
+        };
         let pools = plan.vms.iter().map(|vm| self.fleet.front(*vm));
         let key = plan.key.as_ref().map(|name| {
             let key = self.keys.get(name).cloned();
@@ -265,6 +275,7 @@
             key: key.transpose()?,
             body: plan.body.clone(),
             request: plan.request.clone(),
+            tried,
             retries: plan.retries,
             clock: Arc::clone(&self.fleet.site.clock) as Arc<dyn Clock>,
         }))
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -31,6 +31,8 @@
     AwaitServing(Vec<VmNumber>, Duration),
     /// Waits until one of the VMs is the root.
     AwaitRoot(Vec<VmNumber>, Duration),
+    /// Checks that a node comes to follow another one as its root.
+    ExpectFollows(VmNumber, Duration),
     /// Lets time pass.
     Pause(Duration),
     /// Runs an operator's command.
--- a/crates/scenario/src/words.rs
+++ b/crates/scenario/src/words.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use chumsky::error::Rich;
-use chumsky::prelude::{Parser, any, extra, just};
+use chumsky::prelude::{Parser, any, choice, extra, just};
 
-use crate::script::VmNumber;
+use crate::script::{Limit, VmNumber};
 
 /// How parsers of the language report errors.
 pub(crate) type Extra<'a> = extra::Err<Rich<'a, char>>;
@@ -87,3 +87,20 @@
 pub(crate) fn seconds<'a>() -> impl Parser<'a, &'a str, Duration, Extra<'a>> + Clone {
     number().map(|seconds| Duration::from_secs(seconds.into()))
 }
+
+/// A limit on a count.
+pub(crate) fn limit<'a>() -> impl Parser<'a, &'a str, Limit, Extra<'a>> {
+    let least = || word("at").then(word("least"));
+    choice((
+        least()
+            .ignore_then(number())
+            .then_ignore(word("percent"))
+            .map(Limit::AtLeastPercent),
+        least().ignore_then(number()).map(Limit::AtLeast),
+        word("at")
+            .then(word("most"))
+            .ignore_then(number())
+            .map(Limit::AtMost),
+        number().map(Limit::Exactly),
+    ))
+}
