Avoid for a moment a target whose answers are cut or lost

Change: a cut or lost answer counts like a node that wasn't reached. A leaving node no longer takes the root's lease.

--- a/crates/node/src/control/root.rs
+++ b/crates/node/src/control/root.rs
@@ -95,6 +95,8 @@
             }
             control.borrow_mut().follow(lease.address, lease.fence);
         }
+        // A node that leaves doesn't become the root.
+        LeaseStep::Take(_) if control.borrow().is_leaving() => {}
         LeaseStep::Take(fence) => {
             let found = Found { row, lease };
             take(control, table, clock, key, found, fence).await;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -108,6 +108,11 @@
         self.config.current()
     }
 
+    /// Whether the node is on its way out.
+    pub fn is_leaving(&self) -> bool {
+        self.me.status >= Status::Draining
+    }
+
     /// Whether this node is the root.
     pub fn is_root(&self) -> bool {
         matches!(self.role, Role::Root(_))
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -95,6 +95,9 @@
         } else {
             self.send(&target, &call).await
         };
+        if is_unsound(&verdict) {
+            self.outlook.miss(&target.vm, self.clock.now());
+        }
         *left += returned(&verdict).min(call.retries);
         (verdict, cut)
     }
@@ -142,6 +145,11 @@
     snapshot.roster.member(vm)
 }
 
+/// Whether an answer was cut or its connection lost, so that other targets are better for a while.
+fn is_unsound(verdict: &Verdict) -> bool {
+    matches!(verdict, Err(Failure::Unknown(Doubt::Broken | Doubt::Lost)))
+}
+
 fn may_retry(call: &Call, verdict: &Verdict) -> bool {
     match verdict {
         Ok(_) => false,
