Test filbertctl as a process, and ask questions once

Cause: exit codes 3 and 4 were seen nowhere; a question to a frozen node was sent five times, 20 s each.

Change: only changes are sent again, for at most a minute. Tests run the real `filbertctl` against a door whose desk answers by a script; tests of the configuration in force at a node, with a randomised one.

Conclusion: each exit code is seen from the real program.

--- /dev/null
+++ b/crates/core/tests/config.rs
@@ -0,0 +1,119 @@
+//! The configuration in force at a node.
+#![expect(clippy::unwrap_used, reason = "a test may end on the first surprise")]
+
+use filbertwheel_core::{
+    Change, ConfigError, ConfigLog, Configuration, Delta, Difference, Edit, Rate, Version,
+};
+use proptest::prelude::{ProptestConfig, any};
+use proptest::{collection, prop_assert, prop_assert_eq, proptest};
+
+fn change(version: Version) -> Change {
+    let edit = set("wardoffice", version as f64);
+    Change {
+        version,
+        command: format!("{version}").into(),
+        edit,
+    }
+}
+
+fn set(name: &str, rate: f64) -> Edit {
+    Edit::SetOrganisation {
+        name: name.into(),
+        limit: Rate { rate, burst: 1.0 },
+    }
+}
+
+fn changes(versions: std::ops::RangeInclusive<Version>) -> Delta {
+    Delta::Changes(versions.map(change).collect())
+}
+
+fn log(version: Version) -> ConfigLog {
+    let mut log = ConfigLog::default();
+    log.apply(changes(1..=version)).unwrap();
+    log
+}
+
+#[test]
+fn an_older_document_never_replaces_a_newer_one() {
+    let mut log = log(5);
+    assert_eq!(
+        log.apply(Delta::Whole(self::log(4).current().clone())),
+        Ok(false)
+    );
+    assert_eq!(log.apply(changes(2..=3)), Ok(false));
+    assert_eq!(log.current().version, 5);
+}
+
+#[test]
+fn a_change_behind_a_gap_waits() {
+    let mut log = log(2);
+    let gap = ConfigError::Gap {
+        current: 2,
+        found: 4,
+    };
+    assert_eq!(log.apply(changes(4..=5)), Err(gap));
+    assert_eq!(log.current().version, 2);
+    assert_eq!(log.apply(changes(1..=5)), Ok(true));
+}
+
+#[test]
+fn a_node_that_lags_gets_changes_and_one_that_lags_too_far_the_document() {
+    let log = log(1_500);
+    assert_eq!(log.since(1_500), Delta::Changes(Vec::new()));
+    assert_eq!(log.since(1_498), changes(1_499..=1_500));
+    assert_eq!(log.since(3), Delta::Whole(log.current().clone()));
+}
+
+#[test]
+fn a_drain_ends_with_the_run_of_the_node() {
+    let drain = Edit::DrainVm {
+        vm: "vm1".into(),
+        incarnation: 7,
+    };
+    let config = Configuration::default().edited(&drain).unwrap();
+    assert!(config.is_drained(&"vm1".into(), 7));
+    assert!(!config.is_drained(&"vm1".into(), 8));
+    assert!(!config.is_drained(&"vm2".into(), 7));
+}
+
+#[test]
+fn a_rehearsal_shows_an_organisation_with_its_keys() {
+    let add = Edit::AddKey {
+        hash: "abc".into(),
+        organisation: "wardoffice".into(),
+    };
+    let config = log(1).current().edited(&add).unwrap();
+    let remove = Edit::RemoveOrganisation {
+        name: "wardoffice".into(),
+    };
+    let found = config.differences(&config.edited(&remove).unwrap());
+    let kinds: Vec<&str> = found.iter().map(|one| one.kind).collect();
+    assert_eq!(kinds, ["organisation", "key"]);
+    let Difference { before, after, .. } = &found[1];
+    assert_eq!(before, &Some("{\"organisation\":\"wardoffice\"}".into()));
+    assert_eq!(after, &None);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn versions_grow_whatever_arrives(
+        arrivals in collection::vec((1..40_u64, 0..6_u64, any::<bool>()), 1..40)
+    ) {
+        let mut node = ConfigLog::default();
+        for (first, more, whole) in arrivals {
+            let before = node.current().version;
+            let delta = if whole {
+                Delta::Whole(log(first).current().clone())
+            } else {
+                changes(first..=first + more)
+            };
+            let _gap = node.apply(delta);
+            let after = node.current().version;
+            prop_assert!(after >= before);
+            let expected = log(after);
+            prop_assert_eq!(node.current(), expected.current());
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/filbertctl.rs
@@ -0,0 +1,204 @@
+//! The command line against a node that answers by a script.
+#![expect(clippy::unwrap_used, reason = "a test may end on the first surprise")]
+
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::process::{Command, Stdio};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use async_trait::async_trait;
+use filbertwheel_core::{Clock, FleetSecret, SystemClock};
+use filbertwheel_http::{Limits, Listener, Stopper};
+use filbertwheel_operator::{CommandError, Desk, OperatorDoor, Order, Reply};
+use filbertwheel_rpc::Guard;
+use smol::{LocalExecutor, block_on};
+
+const SECRET: &str = "the operators' own secret";
+
+/// Gives its replies one after another, and keeps the orders.
+#[derive(Debug)]
+struct Script {
+    replies: Mutex<Vec<Result<Reply, CommandError>>>,
+    orders: Mutex<Vec<Order>>,
+}
+
+#[async_trait]
+impl Desk for Script {
+    async fn run(&self, order: Order) -> Result<Reply, CommandError> {
+        self.orders.lock().unwrap().push(order);
+        self.replies.lock().unwrap().remove(0)
+    }
+
+    fn metrics(&self) -> String {
+        String::new()
+    }
+
+    fn is_healthy(&self) -> bool {
+        true
+    }
+}
+
+/// What a run of the program gave.
+#[derive(Debug)]
+struct Outcome {
+    code: Option<i32>,
+    out: String,
+    error: String,
+    orders: Vec<Order>,
+}
+
+/// Runs the program with `input` against a node that gives `replies`.
+fn run(replies: Vec<Result<Reply, CommandError>>, arguments: &[&str], input: &str) -> Outcome {
+    let script = Arc::new(Script {
+        replies: Mutex::new(replies),
+        orders: Mutex::default(),
+    });
+    let desk = Arc::clone(&script) as Arc<dyn Desk>;
+    let (stopper, stop) = Stopper::open();
+    let (bound, address) = std::sync::mpsc::channel();
+    let node = thread::spawn(move || {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let guard = Guard::open(FleetSecret::new(SECRET.into()), Arc::clone(&clock));
+        let door = Arc::new(OperatorDoor::open(desk, guard).unwrap());
+        let executor = Rc::new(LocalExecutor::new());
+        let any = "127.0.0.1:0".parse().unwrap();
+        block_on(executor.run(async {
+            let listener = Listener::bind(any, Limits::default(), clock, stop)
+                .await
+                .unwrap();
+            bound.send(listener.address()).unwrap();
+            listener.run(Rc::clone(&executor), door).await;
+        }));
+    });
+    let mut outcome = run_at(address.recv().unwrap(), arguments, input);
+    stopper.close();
+    node.join().unwrap();
+    outcome.orders = script.orders.lock().unwrap().clone();
+    outcome
+}
+
+fn run_at(node: SocketAddr, arguments: &[&str], input: &str) -> Outcome {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_filbertctl"));
+    command.arg("--node").arg(node.to_string()).args(arguments);
+    command.env("FILBERTWHEEL_OPERATOR_SECRET", SECRET);
+    command
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    let mut child = command.spawn().unwrap();
+    // The program may end before it has read its input.
+    let _closed = child.stdin.take().unwrap().write_all(input.as_bytes());
+    let output = child.wait_with_output().unwrap();
+    Outcome {
+        code: output.status.code(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        error: String::from_utf8(output.stderr).unwrap(),
+        orders: Vec::new(),
+    }
+}
+
+fn accepted(version: u64) -> Result<Reply, CommandError> {
+    Ok(Reply::Accepted { version })
+}
+
+#[test]
+fn each_outcome_has_its_exit_code() {
+    let code =
+        |reply: Result<Reply, CommandError>| run(vec![reply], &["drain", "vm", "a"], "").code;
+    let waiting = vec!["vm2".into()];
+    assert_eq!(code(accepted(3)), Some(0));
+    assert_eq!(code(Err(CommandError::Conflict { winner: 4 })), Some(1));
+    assert_eq!(code(Err(CommandError::Unsupported)), Some(1));
+    assert_eq!(
+        code(Ok(Reply::Pending {
+            version: 3,
+            waiting
+        })),
+        Some(4)
+    );
+    assert_eq!(code(Err(CommandError::Unavailable)), Some(5));
+}
+
+#[test]
+fn a_change_that_stays_unknown_is_sent_five_times_with_one_id() {
+    let replies = vec![Err(CommandError::Unknown); 5];
+    let outcome = run(replies, &["add", "key", "to", "kalnins"], "");
+    assert_eq!(outcome.code, Some(3), "{outcome:?}");
+    assert_eq!(outcome.orders.len(), 5);
+    assert!(
+        outcome
+            .orders
+            .iter()
+            .all(|order| *order == outcome.orders[0])
+    );
+    // The change may have been kept, so its key is shown.
+    assert!(outcome.out.starts_with("key fw-"), "{outcome:?}");
+}
+
+#[test]
+fn a_key_that_was_refused_is_not_shown() {
+    let refused = Err(CommandError::Conflict { winner: 4 });
+    let outcome = run(vec![refused], &["add", "key", "to", "kalnins"], "");
+    assert_eq!(outcome.out, "");
+}
+
+#[test]
+fn a_mistake_anywhere_in_a_file_runs_nothing() {
+    let path = std::env::temp_dir().join(format!("filbertctl-{}.txt", std::process::id()));
+    std::fs::write(&path, "# two\ndrain vm a\ndrian vm b\n\nshow all\n").unwrap();
+    let outcome = run(Vec::new(), &["--file", path.to_str().unwrap()], "");
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!((outcome.code, outcome.orders.len()), (Some(2), 0));
+    assert!(outcome.error.contains(":3:1: found drian"), "{outcome:?}");
+    assert!(outcome.error.contains(":5:6: found all"), "{outcome:?}");
+}
+
+#[test]
+fn standard_input_ends_at_the_first_failure_without_a_prompt() {
+    let replies = vec![accepted(1), Err(CommandError::Conflict { winner: 2 })];
+    let input = "drain vm a\ndrain vm b\ndrain vm c\n";
+    let outcome = run(replies, &[], input);
+    assert_eq!((outcome.code, outcome.orders.len()), (Some(1), 2));
+    assert_eq!(outcome.out, "accepted as version 1\n");
+}
+
+#[test]
+fn replies_are_tables_or_json_and_never_coloured_in_a_pipe() {
+    let rows = || {
+        Ok(Reply::Rows {
+            columns: vec!["vm".into(), "version".into()],
+            rows: vec![vec!["v\u{1b}[1m".into(), "12".into()]],
+        })
+    };
+    let text = run(vec![rows()], &["show", "versions"], "").out;
+    assert_eq!(text, "vm     version\nv\u{fffd}[1m  12\n");
+    let json = run(vec![rows()], &["--json", "show", "versions"], "").out;
+    assert_eq!(
+        json,
+        "{\"outcome\":\"rows\",\"rows\":[{\"version\":\"12\",\"vm\":\"v\\u001b[1m\"}]}\n"
+    );
+}
+
+#[test]
+fn a_node_that_is_not_there_is_told() {
+    let outcome = run_at("127.0.0.1:1".parse().unwrap(), &["show", "status"], "");
+    assert_eq!(outcome.code, Some(5), "{outcome:?}");
+}
+
+#[test]
+fn words_that_the_shell_kept_together_stay_together() {
+    let arguments = [
+        "set",
+        "organisation",
+        "ward \"7\" office",
+        "rate",
+        "5",
+        "burst",
+        "1",
+    ];
+    let outcome = run(vec![accepted(1)], &arguments, "");
+    assert_eq!(outcome.code, Some(0), "{outcome:?}");
+    assert!(format!("{:?}", outcome.orders).contains("ward \\\"7\\\" office"));
+}
--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -26,6 +26,13 @@
     Show(Query),
 }
 
+impl Command {
+    /// Whether it changes something.
+    pub fn is_change(&self) -> bool {
+        !matches!(self, Self::Rehearse(_) | Self::Show(_))
+    }
+}
+
 /// A command on its way to a node.
 #[message]
 pub struct Order {
--- a/crates/operator/src/delivery.rs
+++ b/crates/operator/src/delivery.rs
@@ -13,6 +13,8 @@
 
 /// Times that an order is sent again at most.
 const RESENDS: u32 = 4;
+/// Time after which an order isn't sent again.
+const DELIVERY_TIME: Duration = Duration::from_secs(60);
 /// Time before an order is sent again.
 const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -56,17 +58,19 @@
     }
 }
 
-/// Sends an order, and sends it again while its outcome isn't known.
+/// Sends an order, and sends it again while its outcome isn't known. A question is asked once.
 pub async fn deliver(link: &dyn Link, clock: &dyn Clock, order: &Order) -> Result<Reply, RunError> {
-    let mut outcome = link.send(order).await;
-    let is_unknown =
-        |outcome: &Result<Reply, RunError>| outcome.as_ref().is_err_and(RunError::is_unknown);
-    if !is_unknown(&outcome) {
+    let until = clock.now() + DELIVERY_TIME;
+    let outcome = link.send(order).await;
+    if !order.command.is_change() || !is_unknown(&outcome) {
         return outcome;
     }
     for _ in 0..RESENDS {
         clock.sleep(RESEND_INTERVAL).await;
-        outcome = link.send(order).await;
+        if clock.now() >= until {
+            break;
+        }
+        let outcome = link.send(order).await;
         let is_silent = outcome.as_ref().is_err_and(RunError::is_silent);
         if !is_unknown(&outcome) && !is_silent {
             return outcome;
@@ -74,3 +78,7 @@
     }
     Err(RunError::Command(CommandError::Unknown))
 }
+
+fn is_unknown(outcome: &Result<Reply, RunError>) -> bool {
+    outcome.as_ref().is_err_and(RunError::is_unknown)
+}
--- a/crates/operator/tests/delivery.rs
+++ b/crates/operator/tests/delivery.rs
@@ -9,8 +9,8 @@
 use filbertwheel_core::{Clock, Edit, FleetSecret, PausedClock, SystemClock, Text};
 use filbertwheel_http::{Limits, Listener, SendError, Stopper};
 use filbertwheel_operator::{
-    Command, CommandError, Desk, Link, OperatorClient, OperatorDoor, Order, Reply, RunError,
-    deliver,
+    Command, CommandError, Desk, Link, OperatorClient, OperatorDoor, Order, Query, Reply, RunError,
+    View, deliver,
 };
 use filbertwheel_rpc::{AskError, Guard};
 use smol::{LocalExecutor, block_on, future};
@@ -46,6 +46,17 @@
     }
 }
 
+/// The outcome of an order, while time goes on.
+fn sent(link: &dyn Link, clock: &PausedClock, order: &Order) -> Result<Reply, RunError> {
+    let advancing = async {
+        loop {
+            clock.advance(Duration::from_millis(100));
+            future::yield_now().await;
+        }
+    };
+    block_on(future::or(deliver(link, clock, order), advancing))
+}
+
 /// The outcome of an order, and how often it was sent.
 fn delivered(outcomes: Vec<Result<Reply, RunError>>) -> (Result<Reply, RunError>, usize) {
     let clock = PausedClock::new();
@@ -53,14 +64,8 @@
         outcomes: Mutex::new(outcomes),
         ids: Mutex::default(),
     };
-    let advancing = async {
-        loop {
-            clock.advance(Duration::from_secs(1));
-            future::yield_now().await;
-        }
-    };
     let order = order();
-    let outcome = block_on(future::or(deliver(&script, &clock, &order), advancing));
+    let outcome = sent(&script, &clock, &order);
     let ids = script.ids.into_inner().unwrap();
     assert!(ids.iter().all(|id| *id == "order".into()));
     (outcome, ids.len())
@@ -96,6 +101,44 @@
     assert_eq!(delivered(outcomes), (Err(UNKNOWN), 5));
 }
 
+#[test]
+fn a_question_is_asked_once() {
+    let link = Script {
+        outcomes: Mutex::new(vec![Err(LOST)]),
+        ids: Mutex::default(),
+    };
+    let command = Command::Show(Query::all(View::Status));
+    let order = Order {
+        id: "question".into(),
+        command,
+    };
+    let outcome = sent(&link, &PausedClock::new(), &order);
+    assert_eq!(outcome, Err(LOST));
+}
+
+/// A node that's frozen: each sending takes a while and has no answer.
+#[derive(Debug)]
+struct Frozen(PausedClock, Mutex<u32>);
+
+#[async_trait]
+impl Link for Frozen {
+    async fn send(&self, _: &Order) -> Result<Reply, RunError> {
+        *self.1.lock().unwrap() += 1;
+        self.0.advance(Duration::from_secs(20));
+        Err(RunError::Ask(AskError::NoAnswer(SendError::Late)))
+    }
+}
+
+#[test]
+fn a_frozen_node_does_not_hold_an_operator_for_long() {
+    let clock = PausedClock::new();
+    let link = Frozen(clock.clone(), Mutex::new(0));
+    let order = order();
+    let outcome = sent(&link, &clock, &order);
+    assert_eq!(outcome, Err(UNKNOWN));
+    assert_eq!(link.1.into_inner().unwrap(), 3);
+}
+
 /// Accepts every order.
 #[derive(Debug)]
 struct Yes;
