--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -8,7 +8,9 @@
 use async_trait::async_trait;
 use derive_more::{Display, Error};
 use filbertwheel_core::{Answer, Call, Clock, Header, RefusalKind, Text, token};
-use filbertwheel_http::{Limits, Pool, Request, Response, SendError, names, passed_headers};
+use filbertwheel_http::{
+    Limits, OnSilence, Pool, Request, Response, SendError, names, passed_headers,
+};
 
 /// Header value with which a backend server says that it hasn't run a request.
 const NOT_RUN: &[u8] = b"not-run";
@@ -50,6 +52,33 @@
     async fn run(&self, call: &Call, token: Text) -> Result<BackendReply, BackendError>;
 }
 
+/// Opens backend servers at the addresses that they announce.
+pub trait Connect: Debug + Send + Sync {
+    /// The backend server at `address`. Connections are opened as they're needed.
+    fn connect(&self, address: SocketAddr) -> Arc<dyn Backend>;
+}
+
+/// Opens backend servers that speak HTTP.
+#[derive(Debug)]
+pub struct HttpConnect {
+    limits: Limits,
+    clock: Arc<dyn Clock>,
+}
+
+impl HttpConnect {
+    /// Opens backend servers with these limits.
+    pub fn open(limits: Limits, clock: Arc<dyn Clock>) -> Self {
+        Self { limits, clock }
+    }
+}
+
+impl Connect for HttpConnect {
+    fn connect(&self, address: SocketAddr) -> Arc<dyn Backend> {
+        let clock = Arc::clone(&self.clock);
+        Arc::new(HttpBackend::open(address, self.limits, clock))
+    }
+}
+
 /// A backend server that speaks HTTP.
 #[derive(Debug)]
 pub struct HttpBackend {
@@ -71,7 +100,13 @@
 impl Backend for HttpBackend {
     async fn run(&self, call: &Call, token: Text) -> Result<BackendReply, BackendError> {
         let request = encode(call, token, self.clock.now());
-        let response = self.pool.exchange(request, call.deadline).await;
+        let on_silence = if call.idempotent {
+            OnSilence::GiveUp
+        } else {
+            OnSilence::Wait
+        };
+        let sent = self.pool.exchange_with(request, call.deadline, on_silence);
+        let response = sent.await;
         decode(response.map_err(error_of)?)
     }
 }
@@ -108,13 +143,11 @@
         .header(names::OUTCOME)
         .is_some_and(|outcome| outcome.as_bytes() == NOT_RUN)
     {
-        let draining = response
-            .header(names::REASON)
-            .is_some_and(|r| r.as_bytes() == b"draining");
-        let kind = if draining {
-            RefusalKind::Draining
-        } else {
-            RefusalKind::Overloaded
+        let reason = response.header(names::REASON).map(Text::as_bytes);
+        let kind = match reason {
+            Some(b"draining") => RefusalKind::Draining,
+            Some(b"overloaded-deep") => RefusalKind::OverloadedDeep,
+            _ => RefusalKind::Overloaded,
         };
         return Err(BackendError::Refused(kind));
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! One thread owns the state without locks. Its tasks wait on channels, timers and I/O.
 
+mod children;
 mod claims;
 mod config;
 mod desk;
@@ -14,7 +15,7 @@
 pub(crate) use claims::serve_claims;
 pub(crate) use config::watch_changes;
 pub(crate) use desk::{ControlDesk, take_messages};
-pub(crate) use message::{ClaimReply, Message};
+pub use message::{ClaimReply, Message};
 pub(crate) use pulse::{run_pulses, send_beat};
 pub(crate) use root::{hold_lease, release_lease};
-pub(crate) use state::{Control, Parts};
+pub(crate) use state::{Control, Parts, SERVING_LEASE};
--- a/crates/node/src/control/show.rs
+++ b/crates/node/src/control/show.rs
@@ -161,7 +161,7 @@
         text(control.fence()),
         text(control.config().version),
         text(control.confirmed()),
-        text(!control.is_cut_off(control.parts.clock.now())),
+        text(!control.is_lost(control.parts.clock.now())),
     ]
 }
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -12,15 +12,18 @@
 };
 use filbertwheel_peer::{Controls, SinkError};
 use filbertwheel_platform::{Objects, Table};
-use filbertwheel_policy::{Ledger, Purse, Roster, SHARE_LIFETIME};
+use filbertwheel_policy::{
+    LeaseRow, Link, Purse, Root, RootError, Roster, SHARE_LIFETIME, Tenure, Voter,
+};
 
+use crate::control::children::Children;
 use crate::metrics::Metrics;
 use crate::snapshot::{Board, Snapshot};
 
 /// How long a node may serve keyed routes after its last beat that was answered.
-pub(crate) const SERVING_LEASE: Duration = Duration::from_secs(5);
-/// Silence after which a child is gone.
-const CHILD_SILENCE: Duration = Duration::from_secs(6);
+pub(crate) const SERVING_LEASE: Duration = Duration::from_secs(8);
+/// Time without an answered beat after which a node looks for another root.
+const LOST_TIME: Duration = Duration::from_millis(1_500);
 
 /// What the control state works with.
 #[derive(Debug)]
@@ -41,9 +44,12 @@
     pub parts: Parts,
     me: Member,
     roster: Roster,
+    tenure: Arc<Tenure>,
     config: ConfigLog,
     lease: Option<Instant>,
-    beats: u64,
+    /// When the latest beat that was answered was sent.
+    answered: Option<Instant>,
+    link: Link,
     /// Position of this node's view in its parent's sequence.
     seen: u64,
     /// Version that every live member has confirmed, as the parent says.
@@ -57,22 +63,16 @@
     /// No root is known yet.
     Lost,
     /// Another node is the root.
-    Child { root: SocketAddr, fence: Fence },
+    Child(SocketAddr),
     /// This node is the root.
-    Root(Box<Root>),
-}
-
-#[derive(Debug)]
-struct Root {
-    fence: Fence,
-    ledger: Ledger,
-    children: BTreeMap<VmId, Heard>,
+    Root(Box<Lead>),
 }
 
+/// What a root keeps.
 #[derive(Debug)]
-struct Heard {
-    at: Instant,
-    config: Version,
+struct Lead {
+    root: Root,
+    children: Children,
 }
 
 impl Control {
@@ -80,11 +80,13 @@
     pub fn open(parts: Parts, me: Member) -> Self {
         Self {
             parts,
+            tenure: Arc::new(Tenure::open(me.vm.clone(), SERVING_LEASE)),
             me,
             roster: Roster::default(),
             config: ConfigLog::default(),
             lease: None,
-            beats: 0,
+            answered: None,
+            link: Link::default(),
             seen: 0,
             confirmed: 0,
             role: Role::Lost,
@@ -114,23 +116,43 @@
     /// The root that this node follows, if it's another node.
     pub fn parent(&self) -> Option<SocketAddr> {
         match self.role {
-            Role::Child { root, .. } => Some(root),
+            Role::Child(root) => Some(root),
             _ => None,
         }
     }
 
     /// Fence of the root that this node follows or is.
     pub fn fence(&self) -> Fence {
-        match &self.role {
-            Role::Lost => 0,
-            Role::Child { fence, .. } => *fence,
-            Role::Root(root) => root.fence,
+        self.link.fence()
+    }
+
+    /// Whether the node needs another root.
+    pub fn is_lost(&self, now: Instant) -> bool {
+        let silent = |at: Instant| now.saturating_duration_since(at) > LOST_TIME;
+        self.parent().is_none() || self.answered.is_none_or(silent)
+    }
+
+    /// The root's state, where this node is the root.
+    pub fn root_mut(&mut self) -> Option<&mut Root> {
+        match &mut self.role {
+            Role::Root(lead) => Some(&mut lead.root),
+            _ => None,
         }
     }
 
-    /// Whether the last answered beat is older than the serving lease allows.
-    pub fn is_cut_off(&self, now: Instant) -> bool {
-        self.lease.is_none_or(|until| until <= now)
+    /// The voters that the root's next renewal names.
+    pub fn choose_voters(&self, now: Instant) -> Vec<Voter> {
+        let Role::Root(lead) = &self.role else {
+            return Vec::new();
+        };
+        let live = lead.children.names();
+        let members = live.filter_map(|vm| self.roster.member(vm));
+        lead.root.reign().choose(members, now)
+    }
+
+    /// Whether what this root has granted is all that can be in use.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        matches!(&self.role, Role::Root(lead) if lead.root.reign().is_settled(now))
     }
 
     /// Takes note of the backend server.
@@ -150,30 +172,38 @@
         self.publish();
     }
 
-    /// Follows another root.
+    /// Follows another root, unless it's an earlier one.
     pub fn follow(&mut self, root: SocketAddr, fence: Fence) {
-        if fence < self.fence() {
+        let before = self.fence();
+        if !self.link.follow(fence) {
             return;
         }
-        if fence > self.fence() {
+        if fence > before {
             self.seen = 0;
         }
-        self.role = Role::Child { root, fence };
+        self.role = Role::Child(root);
     }
 
-    /// Becomes the root. `withheld` is when the shares of earlier roots have run out.
-    pub fn lead(&mut self, fence: Fence, withheld: Option<Instant>) {
+    /// Becomes the root by a write sent at `sent`, which replaced the row `earlier`.
+    pub fn lead(&mut self, fence: Fence, earlier: Option<&LeaseRow>, sent: Instant) {
         invariant!(
             "fence-grows",
             fence > self.fence(),
             "fence {fence} does not grow"
         );
+        if !self.link.follow(fence) {
+            return;
+        }
         tracing::info!("control: This node is now the root with fence {fence}.");
-        let ledger = Ledger::open(self.me.vm.clone(), withheld);
-        self.role = Role::Root(Box::new(Root {
-            fence,
-            ledger,
-            children: BTreeMap::new(),
+        self.seen = 0;
+        let now = self.parts.clock.now();
+        let own = Voter {
+            vm: self.me.vm.clone(),
+            incarnation: self.me.incarnation,
+        };
+        self.role = Role::Root(Box::new(Lead {
+            root: Root::open(own, fence, earlier, sent, now),
+            children: Children::default(),
         }));
     }
 
@@ -187,11 +217,13 @@
 
     /// The node's next beat.
     pub fn next_beat(&mut self) -> Beat {
-        self.beats += 1;
-        let demands = self.purse().demands(self.parts.clock.now());
+        let now = self.parts.clock.now();
+        self.link.begin(now);
+        let demands = self.purse().demands(now);
         Beat {
             member: self.me.clone(),
-            number: self.beats,
+            number: self.link.number(),
+            heard: self.link.heard(),
             fence: self.fence(),
             config: self.config().version,
             roster: self.seen,
@@ -201,30 +233,27 @@
 
     /// Takes another node's beat.
     pub fn take_beat(&mut self, beat: &Beat) -> Result<Pulse, SinkError> {
-        let now = self.parts.clock.now();
         let limits = self.limits();
-        let Role::Root(root) = &mut self.role else {
+        let Role::Root(lead) = &mut self.role else {
             return Err(SinkError::NoRoot);
         };
-        if beat.fence > root.fence {
-            return Err(SinkError::WrongFence);
-        }
-        let shares = root.ledger.settle(beat, &limits, now);
-        let shares = shares.map_err(|_| SinkError::OutOfOrder)?;
-        let heard = Heard {
-            at: now,
-            config: beat.config,
+        let now = self.parts.clock.now();
+        let taken = lead.root.take_beat(beat, &limits, now);
+        let fence = lead.root.fence();
+        // A root that may have been replaced doesn't know the latest configuration.
+        let lease = if lead.root.reign().is_live(now) {
+            SERVING_LEASE
+        } else {
+            Duration::ZERO
         };
-        root.children.insert(beat.member.vm.clone(), heard);
-        let fence = root.fence;
-        if self.roster.merge(beat.member.clone()) {
-            self.publish();
-        }
+        let shares = taken.map_err(|error| self.turn_down(error))?;
+        self.hear(beat, now);
         // Positions of an earlier root's sequence mean nothing here.
         let known = if beat.fence == fence { beat.roster } else { 0 };
         Ok(Pulse {
+            number: beat.number,
             fence,
-            lease: SERVING_LEASE,
+            lease,
             lifetime: SHARE_LIFETIME,
             confirmed: self.confirmed(),
             delta: self.config.since(beat.config),
@@ -234,26 +263,30 @@
         })
     }
 
-    /// Takes the answer to a beat that was sent at `sent`.
-    pub fn take_pulse(&mut self, pulse: Pulse, sent: Instant) {
-        if pulse.fence < self.fence() {
+    /// Takes the answer to a beat.
+    pub fn take_pulse(&mut self, pulse: Pulse) {
+        let Some(sent) = self.link.accept(pulse.number, pulse.fence) else {
             return;
-        }
+        };
         let now = self.parts.clock.now();
-        if let Role::Child { fence, .. } = &mut self.role {
-            *fence = pulse.fence;
-        }
         self.apply(pulse.delta);
+        let lease = sent + pulse.lease;
+        Arc::make_mut(&mut self.tenure).observe(pulse.fence, &pulse.members, lease, now);
         for member in pulse.members {
             self.roster.merge(member);
         }
         self.seen = pulse.roster;
         self.confirmed = pulse.confirmed;
-        self.lease = Some(sent + pulse.lease);
-        let limits = self.limits();
-        let expires = sent + pulse.lifetime;
-        let limit = |organisation: &OrganisationId| limits.get(organisation).copied();
-        self.purse().adopt(&pulse.shares, limit, expires, now);
+        if pulse.lease > Duration::ZERO {
+            self.answered = Some(sent);
+            self.lease = Some(sent + pulse.lease);
+        }
+        if let Some(shares) = pulse.shares {
+            let limits = self.limits();
+            let limit = |organisation: &OrganisationId| limits.get(organisation).copied();
+            self.purse()
+                .adopt(&shares, limit, sent + pulse.lifetime, now);
+        }
         self.publish();
     }
 
@@ -297,53 +330,44 @@
 
     /// The configuration's version that every live member has confirmed.
     pub fn confirmed(&self) -> Version {
-        let Role::Root(root) = &self.role else {
+        let Role::Root(lead) = &self.role else {
             return self.confirmed;
         };
-        let versions = root.children.values().map(|heard| heard.config);
-        versions.min().unwrap_or(0).min(self.config().version)
+        // Nodes that an earlier root still serves haven't been heard yet.
+        if !lead
+            .root
+            .has_outlived(SERVING_LEASE, self.parts.clock.now())
+        {
+            return self.confirmed;
+        }
+        lead.children.confirmed().min(self.config().version)
     }
 
     /// Children that haven't confirmed a version.
     pub fn unconfirmed(&self, version: Version) -> Vec<VmId> {
-        let Role::Root(root) = &self.role else {
-            return Vec::new();
-        };
-        let late = root
-            .children
-            .iter()
-            .filter(|(_, heard)| heard.config < version);
-        late.map(|(vm, _)| vm.clone()).collect()
+        match &self.role {
+            Role::Root(lead) => lead.children.unconfirmed(version),
+            _ => Vec::new(),
+        }
     }
 
     /// Configuration version of each node that reports to this one; `None` unless it's the root.
     pub fn versions(&self) -> Option<Vec<(VmId, Version)>> {
-        let Role::Root(root) = &self.role else {
-            return None;
-        };
-        let children = root.children.iter();
-        Some(
-            children
-                .map(|(vm, heard)| (vm.clone(), heard.config))
-                .collect(),
-        )
+        match &self.role {
+            Role::Root(lead) => Some(lead.children.versions()),
+            _ => None,
+        }
     }
 
     /// Marks children that have been silent for too long as gone.
     pub fn expire_children(&mut self) {
         let now = self.parts.clock.now();
-        let Role::Root(root) = &mut self.role else {
+        let Role::Root(lead) = &mut self.role else {
             return;
         };
-        let silent: Vec<VmId> = root
-            .children
-            .iter()
-            .filter(|(_, heard)| now.saturating_duration_since(heard.at) > CHILD_SILENCE)
-            .map(|(vm, _)| vm.clone())
-            .collect();
-        for vm in silent {
-            root.children.remove(&vm);
-            if let Some(member) = self.roster.member(&vm).cloned() {
+        let silent = lead.children.expire(now);
+        for vm in &silent {
+            if let Some(member) = self.roster.member(vm).cloned() {
                 tracing::warn!("control: {vm} is silent and counts as gone.");
                 self.roster.merge(Member {
                     status: Status::Gone,
@@ -351,7 +375,9 @@
                 });
             }
         }
-        self.publish();
+        if !silent.is_empty() {
+            self.publish();
+        }
     }
 
     /// Purse of the node, shared with traffic.
@@ -362,6 +388,25 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn hear(&mut self, beat: &Beat, now: Instant) {
+        if let Role::Root(lead) = &mut self.role {
+            lead.children.hear(beat, now);
+        }
+        if self.roster.merge(beat.member.clone()) {
+            self.publish();
+        }
+    }
+
+    fn turn_down(&mut self, error: RootError) -> SinkError {
+        match error {
+            RootError::OutOfOrder => SinkError::OutOfOrder,
+            RootError::Deposed => {
+                self.step_down();
+                SinkError::WrongFence
+            }
+        }
+    }
+
     /// Takes no new work once an operator has drained this VM.
     fn heed_drain(&mut self) {
         let drained = self.config().is_drained(&self.me.vm, self.me.incarnation);
@@ -382,6 +427,7 @@
         self.parts.board.store(Arc::new(Snapshot {
             config: Arc::new(self.config().clone()),
             roster: Arc::new(self.roster.clone()),
+            tenure: Arc::clone(&self.tenure),
             me: self.me.clone(),
             lease: self.lease,
         }));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -64,7 +64,7 @@
 
 impl Metrics {
     /// Metrics at zero.
-    pub fn new() -> Self {
+    pub fn open() -> Self {
         let mut registry = Registry::with_prefix("filbertwheel");
         let calls = Family::<CallLabels, Counter>::default();
         let latency = Family::<LatencyLabels, Histogram>::new_with_constructor(|| {
@@ -164,7 +164,7 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        Self::new()
+        Self::open()
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,32 +10,34 @@
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
 use derive_more::{Display, Error, From};
-use filbertwheel_backend::LocalDoor;
+use filbertwheel_backend::{HttpConnect, LocalDoor};
 use filbertwheel_caller::FrontDoor;
 use filbertwheel_core::{Clock, Configuration, Member, Status};
 use filbertwheel_http::{Handler, Limits, Listener, Stop, Stopper};
 use filbertwheel_operator::OperatorDoor;
 use filbertwheel_peer::{CallSink, ControlSink, Controls, Forward, PeerClient, PeerDoor};
-use filbertwheel_platform::{ObjectClient, Objects, Table, TableClient};
-use filbertwheel_policy::{Purse, Roster};
+use filbertwheel_platform::Platform;
+use filbertwheel_policy::{Purse, Roster, Tenure};
 use filbertwheel_rpc::Guard;
 use smol::LocalExecutor;
 
-use crate::NodeSettings;
 use crate::control::{
-    Control, ControlDesk, Message, Parts, hold_lease, release_lease, run_pulses, send_beat,
-    take_messages, watch_changes,
+    Control, ControlDesk, Message, Parts, SERVING_LEASE, hold_lease, release_lease, run_pulses,
+    send_beat, take_messages, watch_changes,
 };
 use crate::engine::Engine;
 use crate::metrics::Metrics;
 use crate::runner::Runner;
 use crate::snapshot::{Board, Snapshot};
 use crate::traffic::{Door, TrafficThread};
+use crate::{ListenSettings, NodeSettings};
 
 /// Messages that may wait for the control thread.
 const CONTROL_QUEUE: usize = 4_096;
 /// Room for the head of a forwarded call, in bytes.
 const FRAME_HEAD: usize = 64 * 1024;
+/// Time between signs of life on connections between nodes, while a call runs.
+const PULSE: Duration = Duration::from_millis(250);
 /// Longest time that a planned stop waits for running calls.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time between looks at the running calls during a stop.
@@ -72,12 +74,17 @@
     stopper: Stopper,
     clock: Arc<dyn Clock>,
     messages: Receiver<Message>,
+    bound: ListenSettings,
 }
 
 impl Node {
     /// Binds the node's doors and starts its traffic threads. The calling thread becomes the
     /// control thread when it calls `run`.
-    pub async fn spawn(settings: &NodeSettings, clock: Arc<dyn Clock>) -> Result<Self, NodeError> {
+    pub async fn spawn(
+        settings: &NodeSettings,
+        platform: Platform,
+        clock: Arc<dyn Clock>,
+    ) -> Result<Self, NodeError> {
         let (stopper, stop) = Stopper::open();
         let limits = Limits {
             body: settings.run.body_limit,
@@ -85,6 +92,7 @@
         };
         let frames = Limits {
             body: limits.body + FRAME_HEAD,
+            pulse: Some(PULSE),
             ..limits
         };
         let listen = settings.listen;
@@ -94,15 +102,29 @@
         let peer = bind(listen.peer, frames).await?;
         let operator = bind(listen.operator, limits).await?;
 
-        let me = member(settings, peer.address(), clock.as_ref());
-        let metrics = Arc::new(Metrics::new());
+        let bound = ListenSettings {
+            front: front.address(),
+            local: local.address(),
+            peer: peer.address(),
+            operator: operator.address(),
+            advertise: listen.advertise,
+        };
+        let address = listen.advertise.unwrap_or(peer.address());
+        let me = member(settings, address, clock.as_ref());
+        let metrics = Arc::new(Metrics::open());
         let board = board(&me);
         let purse = Arc::new(Mutex::new(Purse::default()));
         let (sender, messages) = async_channel::bounded(CONTROL_QUEUE);
         let fleet = Guard::open(settings.secrets.fleet(), Arc::clone(&clock));
         let operators = Guard::open(settings.secrets.operator(), Arc::clone(&clock));
         let peers = Arc::new(PeerClient::open(frames, Arc::clone(&clock), fleet.clone()));
-        let runner = Runner::open(limits, Arc::clone(&clock), Arc::clone(&metrics));
+        let connect = Arc::new(HttpConnect::open(limits, Arc::clone(&clock)));
+        let runner = Runner::open(
+            connect,
+            Arc::clone(&board),
+            Arc::clone(&clock),
+            Arc::clone(&metrics),
+        );
         let engine = Arc::new(Engine::open(
             Arc::clone(&clock),
             Arc::clone(&board),
@@ -133,12 +155,10 @@
             .collect::<io::Result<Vec<_>>>()
             .map_err(NodeError::Thread)?;
 
-        let table = TableClient::open(settings.platform.table, Arc::clone(&clock));
-        let objects = ObjectClient::open(settings.platform.objects, Arc::clone(&clock));
         let parts = Parts {
             clock: Arc::clone(&clock),
-            table: Arc::new(table) as Arc<dyn Table>,
-            objects: Arc::new(objects) as Arc<dyn Objects>,
+            table: platform.table,
+            objects: platform.objects,
             controls: peers as Arc<dyn Controls>,
             purse,
             board,
@@ -155,9 +175,15 @@
             stopper,
             clock,
             messages,
+            bound,
         })
     }
 
+    /// Where the node listens.
+    pub fn bound(&self) -> ListenSettings {
+        self.bound
+    }
+
     /// Runs the control thread until `leave` completes, then leaves in an orderly way.
     pub async fn run(self, leave: impl Future<Output = ()>) {
         let control = || Rc::clone(&self.control);
@@ -195,6 +221,8 @@
         let threads = self.threads;
         smol::unblock(move || threads.into_iter().for_each(TrafficThread::close)).await;
         self.control.borrow_mut().set_status(Status::Gone);
+        // Nothing is spent any more; the root learns of it with the last beat.
+        self.control.borrow().purse().clear();
         send_beat(&self.control).await;
         release_lease(&self.control).await;
         tracing::info!("node: Stopped.");
@@ -239,6 +267,7 @@
     Arc::new(ArcSwap::from_pointee(Snapshot {
         config: Arc::new(Configuration::default()),
         roster: Arc::new(Roster::default()),
+        tenure: Arc::new(Tenure::open(me.vm.clone(), SERVING_LEASE)),
         me: me.clone(),
         lease: None,
     }))
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -22,7 +22,7 @@
 
 #[test]
 fn calls_are_counted_by_service_organisation_outcome_and_reason() {
-    let metrics = Metrics::new();
+    let metrics = Metrics::open();
     let took = Duration::from_millis(30);
     let refused = || Err(Failure::Refused(Refusal::new(RefusalKind::OverRate)));
     metrics.count("payments", "kalnins", &whole(), took);
@@ -49,7 +49,7 @@
 
 #[test]
 fn only_answered_calls_have_a_latency() {
-    let metrics = Metrics::new();
+    let metrics = Metrics::open();
     let refused = Err(Failure::Refused(Refusal::new(RefusalKind::Overloaded)));
     metrics.count("payments", "kalnins", &whole(), Duration::from_millis(30));
     metrics.count("payments", "kalnins", &refused, Duration::from_millis(1));
@@ -68,7 +68,7 @@
 
 #[test]
 fn names_that_are_not_known_share_a_label() {
-    let metrics = Metrics::new();
+    let metrics = Metrics::open();
     for _ in 0..3 {
         let refused = Err(Failure::Refused(Refusal::new(RefusalKind::NoRoute)));
         metrics.count("", "", &refused, Duration::ZERO);
@@ -86,7 +86,7 @@
 
 #[test]
 fn every_metric_has_a_unit_or_total_and_help() {
-    let text = Metrics::new().text();
+    let text = Metrics::open().text();
     assert!(text.ends_with("# EOF\n"));
     for line in text.lines().filter(|line| line.starts_with("# TYPE ")) {
         let name = line.split(' ').nth(2).unwrap();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,5 +12,5 @@
 pub use client::{ObjectClient, TableClient};
 pub use config_store::{COMMAND_LIFETIME, Commit, CommitError, ConfigStore, SNAPSHOT_INTERVAL};
 pub use memory::{MemoryObjects, MemoryTable};
-pub use table::{Objects, PlatformError, Row, Table, Write};
+pub use table::{Objects, Platform, PlatformError, Row, Table, Write};
 pub use wire::{CommitReply, CommitRequest, ReadRequest, RowsReply, ScanRequest};
