--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -1,5 +1,6 @@
 //! Control messages between nodes.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use filbertwheel_macros::message;
@@ -13,7 +14,9 @@
     pub member: Member,
     /// Number of this beat within the incarnation.
     pub number: u64,
-    /// Number of the latest beat whose pulse came back from this parent, or zero.
+    /// Number of the first beat since the node last chose this parent.
+    pub since: u64,
+    /// Stamp of the latest pulse that came back from this parent, or zero.
     pub heard: u64,
     /// Fence of the root that the node follows. It refuses lower ones from then on.
     pub fence: Fence,
@@ -21,7 +24,9 @@
     pub config: Version,
     /// Position of the node's view of the members in its parent's sequence.
     pub roster: u64,
-    /// What the node wants to spend, and holds.
+    /// Members below the node that have changed.
+    pub members: Vec<Member>,
+    /// What the node and the nodes below it want to spend, and hold at most.
     pub demands: Vec<Demand>,
 }
 
@@ -41,8 +46,14 @@
 pub struct Pulse {
     /// Number of the beat that it answers.
     pub number: u64,
-    /// Fence of the root that the parent follows.
+    /// Tells this pulse from all others, so that the next beat proves that it came.
+    pub stamp: u64,
+    /// Fence of the root that the parent follows or is.
     pub fence: Fence,
+    /// Address of that root.
+    pub root: SocketAddr,
+    /// The parent that the node shall beat to instead.
+    pub parent: Option<SocketAddr>,
     /// How long the node may serve without another pulse, counted from when it sent its beat.
     pub lease: Duration,
     /// How long the shares may be used, counted from when the node sent its beat.
@@ -55,9 +66,9 @@
     pub roster: u64,
     /// Members that have changed since the position in the beat.
     pub members: Vec<Member>,
-    /// The node's shares; an organisation that's left out has none. Where there's no list, the
-    /// node goes on with what it holds until that runs out.
-    pub shares: Option<Vec<Share>>,
+    /// The node's shares. Where there are none given, it goes on with what it holds until that
+    /// runs out.
+    pub grant: Option<Grant>,
 }
 
 /// What a node needs to bring its configuration up to date.
@@ -69,6 +80,15 @@
     Whole(Configuration),
 }
 
+/// The shares of a node and the nodes below it. They replace all earlier ones.
+#[message]
+pub struct Grant {
+    /// Whether what the node gave out of earlier shares stays behind with whoever gave those.
+    pub fresh: bool,
+    /// Shares by organisation; one that's left out has none.
+    pub shares: Vec<Share>,
+}
+
 /// A node's share of an organisation's rate and burst.
 #[message]
 pub struct Share {
@@ -91,6 +111,8 @@
     pub organisation: OrganisationId,
     /// Tokens that are wanted.
     pub count: u32,
+    /// Parents that may still pass the claim on.
+    pub hops: u8,
 }
 
 /// Tokens given for a claim. They're spent at once or lost.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,7 +21,7 @@
 };
 pub use clock::{Clock, PausedClock, Sleep, SystemClock};
 pub use config::{Change, ConfigError, Configuration, Edit, Key, Organisation, Rate, Route};
-pub use control::{Beat, Claim, Delta, Demand, Pulse, Share, Tokens};
+pub use control::{Beat, Claim, Delta, Demand, Grant, Pulse, Share, Tokens};
 pub use filbertwheel_macros::{message, settings, token, value};
 pub use ids::{
     CallId, CommandId, DomainId, Fence, Incarnation, KeyHash, OrganisationId, RegionId, RequestId,
--- a/crates/node/src/control/children.rs
+++ b/crates/node/src/control/children.rs
@@ -26,10 +26,10 @@
         self.0.keys()
     }
 
-    /// The lowest version that a child has confirmed, or zero without children.
-    pub fn confirmed(&self) -> Version {
+    /// The lowest version that a child has confirmed, or that the node itself has.
+    pub fn confirmed(&self, own: Version) -> Version {
         let versions = self.0.values().map(|heard| heard.config);
-        versions.min().unwrap_or(0)
+        versions.min().unwrap_or(own).min(own)
     }
 
     /// Children that haven't confirmed a version.
--- a/crates/node/src/control/claims.rs
+++ b/crates/node/src/control/claims.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
-use filbertwheel_core::{Claim, OrganisationId};
-use filbertwheel_policy::CLAIM_LIFETIME;
+use filbertwheel_core::{Claim, OrganisationId, Tokens};
+use filbertwheel_peer::SinkError;
+use filbertwheel_policy::{CLAIM_HOPS, CLAIM_LIFETIME};
 
 use crate::control::{ClaimReply, Control};
 
@@ -25,6 +26,30 @@
     let _gone = reply.try_send(outcome);
 }
 
+/// Answers a claim from below, if need be with what the parent gives.
+pub(crate) async fn answer_claim(
+    control: Rc<RefCell<Control>>,
+    claim: Claim,
+    reply: Sender<Result<Tokens, SinkError>>,
+) {
+    let (given, parent, controls) = {
+        let mut control = control.borrow_mut();
+        let given = control.take_claim(&claim);
+        (given, control.parent(), Arc::clone(&control.parts.controls))
+    };
+    let outcome = match parent {
+        Some(parent) if given.count == 0 && claim.hops > 0 => {
+            let claim = Claim {
+                hops: claim.hops - 1,
+                ..claim
+            };
+            controls.claim(parent, &claim).await.unwrap_or(given)
+        }
+        _ => given,
+    };
+    let _gone = reply.try_send(Ok(outcome));
+}
+
 async fn claim(
     control: &Rc<RefCell<Control>>,
     organisation: OrganisationId,
@@ -39,6 +64,7 @@
             fence: control.fence(),
             organisation,
             count: 1,
+            hops: CLAIM_HOPS,
         };
         let parts = &control.parts;
         (
@@ -51,7 +77,7 @@
     let sent = clock.now();
     let tokens = match parent {
         Some(parent) => controls.claim(parent, &claim).await.ok(),
-        None => control.borrow_mut().take_claim(&claim).ok(),
+        None => Some(control.borrow_mut().take_claim(&claim)),
     };
     match tokens {
         Some(tokens) if tokens.count > 0 && clock.now() < deadline.min(sent + CLAIM_LIFETIME) => {
--- a/crates/node/src/control/desk.rs
+++ b/crates/node/src/control/desk.rs
@@ -12,7 +12,7 @@
 use smol::LocalExecutor;
 
 use crate::control::config::commit;
-use crate::control::{Control, Message, serve_claims};
+use crate::control::{Control, Message, answer_claim, serve_claims};
 use crate::metrics::Metrics;
 use crate::snapshot::Board;
 
@@ -76,7 +76,8 @@
                 let _gone = reply.try_send(control.borrow_mut().take_beat(&beat));
             }
             Message::Claim(claim, reply) => {
-                let _gone = reply.try_send(control.borrow_mut().take_claim(&claim));
+                let control = Rc::clone(&control);
+                executor.spawn(answer_claim(control, claim, reply)).detach();
             }
             Message::Want {
                 organisation,
--- /dev/null
+++ b/crates/node/src/control/exchange.rs
@@ -0,0 +1,291 @@
+//! Beats and pulses: what a node tells its parent and answers its children.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{Beat, Demand, Grant, Member, OrganisationId, Pulse, Status, Version};
+use filbertwheel_peer::SinkError;
+use filbertwheel_policy::{
+    Attach, FANOUT, Ledger, Link, Root, RootError, SHARE_LIFETIME, choose_child,
+};
+
+use crate::control::Control;
+use crate::control::state::SERVING_LEASE;
+
+impl Control {
+    /// Settles the node's own shares, as a child of its own.
+    pub fn settle_own(&mut self) {
+        let now = self.parts.clock.now();
+        let demands = self.purse().demands(now);
+        self.own.begin(now);
+        let beat = self.beat(&self.own, self.config().version, demands);
+        if self.roster.merge(beat.member.clone()) {
+            self.subtree.announce(beat.member.clone());
+            self.publish();
+        }
+        if let Ok((grant, lifetime)) = self.grant(&beat, now) {
+            let pulse = self.pulse(&beat, None, grant, lifetime, now);
+            self.take_own(pulse, now);
+        }
+    }
+
+    /// The next beat for the parent.
+    pub fn next_beat(&mut self) -> Beat {
+        let now = self.parts.clock.now();
+        self.link.begin(now);
+        let config = self.children.confirmed(self.config().version);
+        let members = self.subtree.report();
+        let demands = self.branch.demands(now);
+        Beat {
+            members,
+            ..self.beat(&self.link, config, demands)
+        }
+    }
+
+    /// Takes another node's beat.
+    pub fn take_beat(&mut self, beat: &Beat) -> Result<Pulse, SinkError> {
+        let now = self.parts.clock.now();
+        if self.link.parent().is_none() && !self.is_root() {
+            return Err(SinkError::NoRoot);
+        }
+        if let Some(parent) = self.redirect(beat, now) {
+            return Ok(self.pulse(beat, Some(parent), None, SHARE_LIFETIME, now));
+        }
+        let (grant, lifetime) = self.grant(beat, now)?;
+        self.hear(beat, now);
+        Ok(self.pulse(beat, None, grant, lifetime, now))
+    }
+
+    /// Takes the answer to a beat that carried `reported`.
+    pub fn take_pulse(&mut self, pulse: Pulse, reported: &[Member]) {
+        let before = self.fence();
+        let Some(sent) = self.link.accept(&pulse) else {
+            return;
+        };
+        let now = self.parts.clock.now();
+        self.apply(pulse.delta);
+        for member in pulse.members {
+            self.roster.merge(member);
+        }
+        self.seen = pulse.roster;
+        self.confirmed = pulse.confirmed;
+        if pulse.lease > Duration::ZERO {
+            self.lease = Some(sent + pulse.lease);
+            self.link.refresh(sent);
+        }
+        if let Some(parent) = pulse.parent {
+            self.attach(parent, pulse.fence);
+        } else {
+            self.subtree.reported(reported);
+            self.refill(pulse.grant, sent + pulse.lifetime, now);
+        }
+        if pulse.fence > before {
+            self.report_all();
+        }
+        self.publish();
+    }
+
+    /// Beats to another parent from now on.
+    pub fn attach(&mut self, parent: SocketAddr, fence: u64) {
+        let now = self.parts.clock.now();
+        if self.is_root() {
+            return;
+        }
+        let before = (self.link.parent(), self.fence());
+        if self.link.attach(parent, fence, now) == Attach::Fresh {
+            self.branch = Ledger::branch(self.me().vm.clone(), now);
+        }
+        if before != (self.link.parent(), self.fence()) {
+            self.seen = 0;
+            self.report_all();
+        }
+    }
+
+    /// Marks children as gone that have been silent for too long, and those that were below them
+    /// and haven't found another parent.
+    pub fn expire_children(&mut self) {
+        let now = self.parts.clock.now();
+        let silent = self.children.expire(now);
+        for vm in &silent {
+            self.subtree.lose(vm, now);
+        }
+        let late = self.subtree.expire(now);
+        for vm in silent.iter().chain(&late) {
+            self.mark_gone(vm);
+        }
+    }
+
+    fn beat(&self, link: &Link, config: Version, demands: Vec<Demand>) -> Beat {
+        Beat {
+            member: self.me().clone(),
+            number: link.number(),
+            since: link.since(),
+            heard: link.heard(),
+            fence: self.fence(),
+            config,
+            roster: self.seen,
+            members: Vec::new(),
+            demands,
+        }
+    }
+
+    fn pulse(
+        &self,
+        beat: &Beat,
+        parent: Option<SocketAddr>,
+        grant: Option<Grant>,
+        lifetime: Duration,
+        now: Instant,
+    ) -> Pulse {
+        // Positions of another root's time mean nothing here.
+        let known = if beat.fence == self.fence() {
+            beat.roster
+        } else {
+            0
+        };
+        Pulse {
+            number: beat.number,
+            stamp: self.ledger().stamp(&beat.member.vm),
+            fence: self.fence(),
+            root: self.root_address(),
+            parent,
+            lease: parent.map_or_else(|| self.lease_left(now), |_| Duration::ZERO),
+            lifetime,
+            confirmed: self.confirmed(),
+            delta: self.delta_since(beat.config),
+            roster: self.roster.position(),
+            members: self.roster.since(known),
+            grant,
+        }
+    }
+
+    /// The parent to which a newcomer is sent on, where there's no room.
+    fn redirect(&self, beat: &Beat, now: Instant) -> Option<SocketAddr> {
+        let vm = &beat.member.vm;
+        let takes_all = |root: &Root| root.takes_all(beat, now);
+        let stays = self.children.names().any(|child| child == vm)
+            || self.children.names().count() < FANOUT
+            || beat.member.status == Status::Gone
+            || self.root().is_some_and(takes_all);
+        if stays {
+            return None;
+        }
+        let child = choose_child(vm, self.children.names())?;
+        self.roster.member(child).map(|member| member.address)
+    }
+
+    fn grant(&mut self, beat: &Beat, now: Instant) -> Result<(Option<Grant>, Duration), SinkError> {
+        let limits = self.limits();
+        if let Some(root) = self.root_mut() {
+            let taken = root.take_beat(beat, &limits, now);
+            let grant = taken.map_err(|error| self.turn_down(error))?;
+            return Ok((grant, SHARE_LIFETIME));
+        }
+        if beat.fence > self.fence() {
+            return Err(SinkError::WrongFence);
+        }
+        let noted = self.branch.note(beat, now);
+        noted.map_err(|_| SinkError::OutOfOrder)?;
+        let grant = self.branch.settle(beat, &limits, now, now);
+        Ok((grant, self.branch.lifetime(now)))
+    }
+
+    fn take_own(&mut self, pulse: Pulse, now: Instant) {
+        let Some(sent) = self.own.accept(&pulse) else {
+            return;
+        };
+        if self.is_root() && pulse.lease > Duration::ZERO {
+            self.lease = Some(sent + pulse.lease);
+            self.publish();
+        }
+        if let Some(grant) = pulse.grant {
+            let limits = self.limits();
+            let limit = |organisation: &OrganisationId| limits.get(organisation).copied();
+            self.purse()
+                .adopt(&grant.shares, limit, sent + pulse.lifetime, now);
+        }
+    }
+
+    fn refill(&mut self, grant: Option<Grant>, expires: Instant, now: Instant) {
+        let Some(grant) = grant else { return };
+        if grant.fresh {
+            self.branch = Ledger::branch(self.me().vm.clone(), now);
+        }
+        self.branch.refill(&grant.shares, expires, now);
+    }
+
+    fn hear(&mut self, beat: &Beat, now: Instant) {
+        self.children.hear(beat, now);
+        let child = &beat.member.vm;
+        let mut changed = false;
+        for member in beat.members.iter().chain([&beat.member]) {
+            let known = self.roster.member(&member.vm);
+            if member.vm != self.me().vm && self.subtree.hear(child, member, known) {
+                changed |= self.roster.merge(member.clone());
+            }
+        }
+        if changed {
+            self.publish();
+        }
+    }
+
+    fn mark_gone(&mut self, vm: &filbertwheel_core::VmId) {
+        let Some(member) = self.roster.member(vm).cloned() else {
+            return;
+        };
+        if member.status == Status::Gone || *vm == self.me().vm {
+            return;
+        }
+        tracing::warn!("control: {vm} is silent and counts as gone.");
+        let gone = Member {
+            status: Status::Gone,
+            ..member
+        };
+        // Below the root, the word of the root decides: the member may have another parent.
+        if self.is_root() {
+            self.roster.merge(gone);
+            self.publish();
+        } else {
+            self.subtree.announce(gone);
+        }
+    }
+
+    /// Tells a new parent of everything below.
+    fn report_all(&mut self) {
+        let names = self.subtree.names().chain([&self.me().vm]);
+        let members: Vec<Member> = names
+            .filter_map(|vm| self.roster.member(vm).cloned())
+            .collect();
+        for member in members {
+            self.subtree.announce(member);
+        }
+    }
+
+    fn turn_down(&mut self, error: RootError) -> SinkError {
+        match error {
+            RootError::OutOfOrder => SinkError::OutOfOrder,
+            RootError::Deposed => {
+                self.step_down();
+                SinkError::WrongFence
+            }
+        }
+    }
+
+    /// How long nodes below may serve from now on.
+    fn lease_left(&self, now: Instant) -> Duration {
+        match self.root() {
+            // A root that may have been replaced doesn't know the latest configuration.
+            Some(root) if !root.reign().is_live(now) => Duration::ZERO,
+            Some(_) => SERVING_LEASE,
+            None => self
+                .lease
+                .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
+        }
+    }
+
+    fn root_address(&self) -> SocketAddr {
+        let own = self.me().address;
+        let above = self.link.distant_root().or(self.link.parent());
+        above.filter(|_| !self.is_root()).unwrap_or(own)
+    }
+}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,12 +6,13 @@
 mod claims;
 mod config;
 mod desk;
+mod exchange;
 mod message;
 mod pulse;
 mod root;
 mod state;
 
-pub(crate) use claims::serve_claims;
+pub(crate) use claims::{answer_claim, serve_claims};
 pub(crate) use config::watch_changes;
 pub(crate) use desk::{ControlDesk, take_messages};
 pub(crate) use message::{ClaimReply, Message};
--- a/crates/node/src/control/pulse.rs
+++ b/crates/node/src/control/pulse.rs
@@ -19,23 +19,16 @@
     }
 }
 
-/// Sends one beat and takes its answer.
+/// Settles the node's own shares, and exchanges a beat with the parent.
 pub(crate) async fn send_beat(control: &Rc<RefCell<Control>>) {
+    control.borrow_mut().settle_own();
+    let Some(parent) = control.borrow().parent() else {
+        return;
+    };
     let controls = Arc::clone(&control.borrow().parts.controls);
     let beat = control.borrow_mut().next_beat();
-    let parent = control.borrow().parent();
-    if let Some(parent) = parent {
-        match controls.beat(parent, &beat).await {
-            Ok(pulse) => control.borrow_mut().take_pulse(pulse),
-            Err(error) => tracing::debug!("control: A beat had no answer: {error}."),
-        }
-        return;
-    }
-    let mut control = control.borrow_mut();
-    if !control.is_root() {
-        return;
-    }
-    if let Ok(pulse) = control.take_beat(&beat) {
-        control.take_pulse(pulse);
+    match controls.beat(parent, &beat).await {
+        Ok(pulse) => control.borrow_mut().take_pulse(pulse, &beat.members),
+        Err(error) => tracing::debug!("control: A beat had no answer: {error}."),
     }
 }
--- a/crates/node/src/control/root.rs
+++ b/crates/node/src/control/root.rs
@@ -35,6 +35,7 @@
         if is_root {
             renew(&control, table.as_ref(), clock.as_ref(), &key).await;
         } else if is_lost {
+            seek_root(&control);
             look(&control, table.as_ref(), clock.as_ref(), &key, &mut watch).await;
         }
         clock.sleep(LEASE_INTERVAL).await;
@@ -73,6 +74,15 @@
     }
 }
 
+/// Goes to the root where a parent below it is silent.
+fn seek_root(control: &Rc<RefCell<Control>>) {
+    let mut control = control.borrow_mut();
+    if let Some(root) = control.distant_root() {
+        let fence = control.fence();
+        control.attach(root, fence);
+    }
+}
+
 async fn look(
     control: &Rc<RefCell<Control>>,
     table: &dyn Table,
@@ -93,7 +103,7 @@
             if is_own(&control.borrow(), &lease) {
                 return;
             }
-            control.borrow_mut().follow(lease.address, lease.fence);
+            control.borrow_mut().attach(lease.address, lease.fence);
         }
         LeaseStep::Take(fence) => {
             let found = Found { row, lease };
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -7,12 +7,12 @@
 
 use filbertwheel_backend::Announcement;
 use filbertwheel_core::{
-    Beat, Change, Claim, Clock, Configuration, Delta, Fence, Member, OrganisationId, Pulse, Rate,
-    Status, Tokens, Version, VmId, invariant,
+    Change, Claim, Clock, Configuration, Delta, Fence, Member, OrganisationId, Rate, Status,
+    Tokens, Version, VmId, invariant,
 };
-use filbertwheel_peer::{Controls, SinkError};
+use filbertwheel_peer::Controls;
 use filbertwheel_platform::Table;
-use filbertwheel_policy::{LeaseRow, Link, Purse, Root, RootError, Roster, SHARE_LIFETIME, Voter};
+use filbertwheel_policy::{LeaseRow, Ledger, Link, Purse, Root, Roster, Subtree, Voter};
 
 use crate::control::children::Children;
 use crate::metrics::Metrics;
@@ -20,8 +20,6 @@
 
 /// How long a node may serve keyed routes after its last beat that was answered.
 pub(crate) const SERVING_LEASE: Duration = Duration::from_secs(8);
-/// Time without an answered beat after which a node looks for another root.
-const LOST_TIME: Duration = Duration::from_millis(1_500);
 /// Changes that are kept at hand for nodes that lag.
 const CHANGES_KEPT: usize = 1_000;
 
@@ -42,41 +40,30 @@
 pub(crate) struct Control {
     pub parts: Parts,
     me: Member,
-    roster: Roster,
+    pub(super) roster: Roster,
     config: Configuration,
     changes: VecDeque<Change>,
-    lease: Option<Instant>,
-    /// When the latest beat that was answered was sent.
-    answered: Option<Instant>,
-    link: Link,
+    /// Until when the node may serve keyed routes.
+    pub(super) lease: Option<Instant>,
+    pub(super) link: Link,
+    /// The exchange of the node with itself.
+    pub(super) own: Link,
+    /// The node's shares, and what it has given of them.
+    pub(super) branch: Ledger,
+    pub(super) children: Children,
+    pub(super) subtree: Subtree,
     /// Position of this node's view in its parent's sequence.
-    seen: u64,
+    pub(super) seen: u64,
     /// Version that every live member has confirmed, as the parent says.
-    confirmed: Version,
-    role: Role,
-}
-
-/// Where the node stands in its region's tree.
-#[derive(Debug)]
-enum Role {
-    /// No root is known yet.
-    Lost,
-    /// Another node is the root.
-    Child(SocketAddr),
-    /// This node is the root.
-    Root(Box<Lead>),
-}
-
-/// What a root keeps.
-#[derive(Debug)]
-struct Lead {
-    root: Root,
-    children: Children,
+    pub(super) confirmed: Version,
+    /// The root's state, where this node is the root.
+    root: Option<Box<Root>>,
 }
 
 impl Control {
     /// The state of a node that has just started.
     pub fn open(parts: Parts, me: Member) -> Self {
+        let branch = Ledger::branch(me.vm.clone(), parts.clock.now());
         Self {
             parts,
             me,
@@ -84,11 +71,14 @@
             config: Configuration::default(),
             changes: VecDeque::new(),
             lease: None,
-            answered: None,
             link: Link::default(),
+            own: Link::default(),
+            branch,
+            children: Children::default(),
+            subtree: Subtree::default(),
             seen: 0,
             confirmed: 0,
-            role: Role::Lost,
+            root: None,
         }
     }
 
@@ -109,15 +99,17 @@
 
     /// Whether this node is the root.
     pub fn is_root(&self) -> bool {
-        matches!(self.role, Role::Root(_))
+        self.root.is_some()
     }
 
-    /// The root that this node follows, if it's another node.
+    /// The parent, where this node isn't the root.
     pub fn parent(&self) -> Option<SocketAddr> {
-        match self.role {
-            Role::Child(root) => Some(root),
-            _ => None,
-        }
+        self.link.parent()
+    }
+
+    /// The root above the parent, where the parent isn't it.
+    pub fn distant_root(&self) -> Option<SocketAddr> {
+        self.link.distant_root()
     }
 
     /// Fence of the root that this node follows or is.
@@ -125,33 +117,39 @@
         self.link.fence()
     }
 
-    /// Whether the node needs another root.
+    /// Whether the node needs another parent.
     pub fn is_lost(&self, now: Instant) -> bool {
-        let silent = |at: Instant| now.saturating_duration_since(at) > LOST_TIME;
-        self.parent().is_none() || self.answered.is_none_or(silent)
+        self.link.is_lost(now)
     }
 
     /// The root's state, where this node is the root.
+    pub fn root(&self) -> Option<&Root> {
+        self.root.as_deref()
+    }
+
+    /// The root's state, for changes.
     pub fn root_mut(&mut self) -> Option<&mut Root> {
-        match &mut self.role {
-            Role::Root(lead) => Some(&mut lead.root),
-            _ => None,
-        }
+        self.root.as_deref_mut()
+    }
+
+    /// The shares that this node has given out.
+    pub fn ledger(&self) -> &Ledger {
+        self.root().map_or(&self.branch, Root::ledger)
     }
 
     /// The voters that the root's next renewal names.
     pub fn choose_voters(&self, now: Instant) -> Vec<Voter> {
-        let Role::Root(lead) = &self.role else {
+        let Some(root) = self.root() else {
             return Vec::new();
         };
-        let live = lead.children.names();
-        let members = live.filter_map(|vm| self.roster.member(vm));
-        lead.root.reign().choose(members, now)
+        let names = root.ledger().children();
+        let members = names.filter_map(|vm| self.roster.member(vm));
+        root.reign().choose(members, now)
     }
 
     /// Whether what this root has granted is all that can be in use.
     pub fn is_settled(&self, now: Instant) -> bool {
-        matches!(&self.role, Role::Root(lead) if lead.root.reign().is_settled(now))
+        self.root().is_some_and(|root| root.reign().is_settled(now))
     }
 
     /// Takes note of the backend server.
@@ -170,18 +168,6 @@
         self.publish();
     }
 
-    /// Follows another root, unless it's an earlier one.
-    pub fn follow(&mut self, root: SocketAddr, fence: Fence) {
-        let before = self.fence();
-        if !self.link.follow(fence) {
-            return;
-        }
-        if fence > before {
-            self.seen = 0;
-        }
-        self.role = Role::Child(root);
-    }
-
     /// Becomes the root by a write sent at `sent`, which replaced the row `earlier`.
     pub fn lead(&mut self, fence: Fence, earlier: Option<&LeaseRow>, sent: Instant) {
         invariant!(
@@ -189,124 +175,49 @@
             fence > self.fence(),
             "fence {fence} does not grow"
         );
-        if !self.link.follow(fence) {
-            return;
-        }
         tracing::info!("control: This node is now the root with fence {fence}.");
         let now = self.parts.clock.now();
         let own = Voter {
             vm: self.me.vm.clone(),
             incarnation: self.me.incarnation,
         };
-        self.role = Role::Root(Box::new(Lead {
-            root: Root::open(own, fence, earlier, sent, now),
-            children: Children::default(),
-        }));
+        let mut root = Root::open(own, fence, earlier, sent, now);
+        root.exclude(&self.branch, self.link.is_below_root());
+        self.link.detach(fence);
+        self.root = Some(Box::new(root));
+        let live = self
+            .roster
+            .members()
+            .filter(|member| member.status < Status::Gone);
+        self.subtree.watch(live.map(|member| &member.vm), now);
     }
 
     /// Stops being the root.
     pub fn step_down(&mut self) {
-        if self.is_root() {
+        if self.root.take().is_some() {
             tracing::warn!("control: This node is no longer the root.");
-            self.role = Role::Lost;
-        }
-    }
-
-    /// The node's next beat.
-    pub fn next_beat(&mut self) -> Beat {
-        let now = self.parts.clock.now();
-        self.link.begin(now);
-        let demands = self.purse().demands(now);
-        Beat {
-            member: self.me.clone(),
-            number: self.link.number(),
-            heard: self.link.heard(),
-            fence: self.fence(),
-            config: self.config.version,
-            roster: self.seen,
-            demands,
-        }
-    }
-
-    /// Takes another node's beat.
-    pub fn take_beat(&mut self, beat: &Beat) -> Result<Pulse, SinkError> {
-        let limits = self.limits();
-        let Role::Root(lead) = &mut self.role else {
-            return Err(SinkError::NoRoot);
-        };
-        let now = self.parts.clock.now();
-        let taken = lead.root.take_beat(beat, &limits, now);
-        let fence = lead.root.fence();
-        // A root that may have been replaced doesn't know the latest configuration.
-        let lease = if lead.root.reign().is_live(now) {
-            SERVING_LEASE
-        } else {
-            Duration::ZERO
-        };
-        let shares = taken.map_err(|error| self.turn_down(error))?;
-        self.hear(beat, now);
-        // Positions of an earlier root's sequence mean nothing here.
-        let known = if beat.fence == fence { beat.roster } else { 0 };
-        Ok(Pulse {
-            number: beat.number,
-            fence,
-            lease,
-            lifetime: SHARE_LIFETIME,
-            confirmed: self.confirmed(),
-            delta: self.delta_since(beat.config),
-            roster: self.roster.position(),
-            members: self.roster.since(known),
-            shares,
-        })
-    }
-
-    /// Takes the answer to a beat.
-    pub fn take_pulse(&mut self, pulse: Pulse) {
-        let Some(sent) = self.link.accept(pulse.number, pulse.fence) else {
-            return;
-        };
-        let now = self.parts.clock.now();
-        self.apply(pulse.delta);
-        for member in pulse.members {
-            self.roster.merge(member);
+            let now = self.parts.clock.now();
+            self.branch = Ledger::branch(self.me.vm.clone(), now);
+            self.link.detach(self.fence());
         }
-        self.seen = pulse.roster;
-        self.confirmed = pulse.confirmed;
-        if pulse.lease > Duration::ZERO {
-            self.answered = Some(sent);
-            self.lease = Some(sent + pulse.lease);
-        }
-        if let Some(shares) = pulse.shares {
-            let limits = self.limits();
-            let limit = |organisation: &OrganisationId| limits.get(organisation).copied();
-            self.purse()
-                .adopt(&shares, limit, sent + pulse.lifetime, now);
-        }
-        self.publish();
     }
 
     /// Takes another node's claim.
-    pub fn take_claim(&mut self, claim: &Claim) -> Result<Tokens, SinkError> {
-        if !self.is_root() {
-            return Err(SinkError::NoRoot);
-        }
-        if claim.fence != self.fence() {
-            return Err(SinkError::WrongFence);
-        }
+    pub fn take_claim(&mut self, claim: &Claim) -> Tokens {
         let now = self.parts.clock.now();
         let organisation = &claim.organisation;
         let Some(known) = self.config.organisations.get(organisation) else {
-            return Ok(Tokens {
+            return Tokens {
                 count: 0,
                 retry_after: SERVING_LEASE,
-            });
+            };
         };
         let limit = known.limit;
         let mut purse = self.purse();
         purse.ask(organisation, claim.count, now);
         let count = purse.pay(organisation, limit, claim.count, now);
         let retry_after = Duration::try_from_secs_f64(1.0 / limit.rate).unwrap_or(SERVING_LEASE);
-        Ok(Tokens { count, retry_after })
+        Tokens { count, retry_after }
     }
 
     /// Brings the configuration up to date. Versions never go back.
@@ -335,46 +246,19 @@
 
     /// The configuration's version that every live member has confirmed.
     pub fn confirmed(&self) -> Version {
-        let Role::Root(lead) = &self.role else {
+        let Some(root) = self.root() else {
             return self.confirmed;
         };
         // Nodes that an earlier root still serves haven't been heard yet.
-        if !lead
-            .root
-            .has_outlived(SERVING_LEASE, self.parts.clock.now())
-        {
+        if !root.has_outlived(SERVING_LEASE, self.parts.clock.now()) {
             return self.confirmed;
         }
-        lead.children.confirmed().min(self.config.version)
+        self.children.confirmed(self.config.version)
     }
 
-    /// Children that haven't confirmed a version.
+    /// Children below which a node hasn't confirmed a version.
     pub fn unconfirmed(&self, version: Version) -> Vec<VmId> {
-        match &self.role {
-            Role::Root(lead) => lead.children.unconfirmed(version),
-            _ => Vec::new(),
-        }
-    }
-
-    /// Marks children that have been silent for too long as gone.
-    pub fn expire_children(&mut self) {
-        let now = self.parts.clock.now();
-        let Role::Root(lead) = &mut self.role else {
-            return;
-        };
-        let silent = lead.children.expire(now);
-        for vm in &silent {
-            if let Some(member) = self.roster.member(vm).cloned() {
-                tracing::warn!("control: {vm} is silent and counts as gone.");
-                self.roster.merge(Member {
-                    status: Status::Gone,
-                    ..member
-                });
-            }
-        }
-        if !silent.is_empty() {
-            self.publish();
-        }
+        self.children.unconfirmed(version)
     }
 
     /// Purse of the node, shared with traffic.
@@ -385,25 +269,6 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn hear(&mut self, beat: &Beat, now: Instant) {
-        if let Role::Root(lead) = &mut self.role {
-            lead.children.hear(beat, now);
-        }
-        if self.roster.merge(beat.member.clone()) {
-            self.publish();
-        }
-    }
-
-    fn turn_down(&mut self, error: RootError) -> SinkError {
-        match error {
-            RootError::OutOfOrder => SinkError::OutOfOrder,
-            RootError::Deposed => {
-                self.step_down();
-                SinkError::WrongFence
-            }
-        }
-    }
-
     fn change(&mut self, change: Change) {
         if change.version <= self.config.version {
             return;
@@ -418,7 +283,7 @@
         }
     }
 
-    fn delta_since(&self, version: Version) -> Delta {
+    pub(super) fn delta_since(&self, version: Version) -> Delta {
         let first = self.changes.front().map(|change| change.version);
         let at_hand = first.is_some_and(|first| first <= version + 1);
         if version >= self.config.version || at_hand {
@@ -431,14 +296,14 @@
         Delta::Whole(self.config.clone())
     }
 
-    fn limits(&self) -> BTreeMap<OrganisationId, Rate> {
+    pub(super) fn limits(&self) -> BTreeMap<OrganisationId, Rate> {
         let organisations = self.config.organisations.iter();
         organisations
             .map(|(name, organisation)| (name.clone(), organisation.limit))
             .collect()
     }
 
-    fn publish(&self) {
+    pub(super) fn publish(&self) {
         self.parts.board.store(Arc::new(Snapshot {
             config: Arc::new(self.config.clone()),
             roster: Arc::new(self.roster.clone()),
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -1,11 +1,11 @@
 //! A parent's record of the shares that its children hold.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use derive_more::{Display, Error};
 use filbertwheel_core::{
-    Beat, Incarnation, OrganisationId, Rate, Share, Status, VmId, invariant, token,
+    Beat, Demand, Grant, Incarnation, OrganisationId, Rate, Share, Status, VmId, invariant, token,
 };
 
 use crate::WHOLE;
@@ -23,21 +23,39 @@
 pub struct Ledger {
     own: VmId,
     children: BTreeMap<VmId, Child>,
-    /// Earlier runs of children.
+    /// Earlier runs of children, and children before they chose another parent.
     past: Vec<Past>,
-    takeover: Option<Takeover>,
+    supply: Supply,
+}
+
+/// What a ledger may give out.
+#[derive(Debug)]
+enum Supply {
+    /// Everything, at a root.
+    Whole,
+    /// What children have kept from an earlier root, at a new one.
+    Takeover(Takeover),
+    /// The node's own share, below the root.
+    Share {
+        expires: Instant,
+        portions: Portions,
+    },
 }
 
 #[derive(Debug)]
 struct Child {
     incarnation: Incarnation,
+    /// Number of its first beat since it chose this parent.
+    since: u64,
     number: u64,
+    /// Stamp of the answer to its latest beat.
+    stamp: u64,
     answered: Instant,
     /// When it followed this root for certain.
     support: Option<Instant>,
     expires: Instant,
-    /// Whether its shares are in this ledger.
-    known: bool,
+    /// Since when its shares are in this ledger.
+    known: Option<Instant>,
     /// The most that the child can hold.
     held: Portions,
     demands: BTreeMap<OrganisationId, f64>,
@@ -55,6 +73,8 @@
 struct Takeover {
     until: Instant,
     adopted: Portions,
+    /// Children whose shares come from a parent that may give them to others again.
+    excluded: BTreeSet<VmId>,
 }
 
 type Portions = BTreeMap<OrganisationId, u64>;
@@ -75,19 +95,89 @@
             own,
             children: BTreeMap::new(),
             past: Vec::new(),
-            takeover: None,
+            supply: Supply::Whole,
+        }
+    }
+
+    /// The ledger of a node below the root, which has nothing to give yet.
+    pub fn branch(own: VmId, now: Instant) -> Self {
+        let supply = Supply::Share {
+            expires: now,
+            portions: Portions::new(),
+        };
+        Self {
+            supply,
+            ..Self::open(own)
+        }
+    }
+
+    /// Takes over the node's own shares, of which its children's are parts.
+    pub fn refill(&mut self, shares: &[Share], expires: Instant, now: Instant) {
+        if self.lifetime(now).is_zero() {
+            // No part outlives the whole, so nothing is held any more.
+            self.past.clear();
+            self.children.values_mut().for_each(Child::forget);
         }
+        let portions = shares.iter();
+        self.supply = Supply::Share {
+            expires,
+            portions: portions
+                .map(|share| (share.organisation.clone(), share.portion))
+                .collect(),
+        };
     }
 
     /// Withholds what an earlier root has given out, as far as it isn't adopted. The earlier root
-    /// grants nothing from `settled` on.
-    pub fn withhold(&mut self, settled: Instant) {
-        self.takeover = Some(Takeover {
+    /// grants nothing from `settled` on. Nothing is adopted from the `excluded` children.
+    pub fn withhold(&mut self, settled: Instant, excluded: BTreeSet<VmId>) {
+        self.supply = Supply::Takeover(Takeover {
             until: settled + SHARE_LIFETIME + CLOCK_MARGIN,
             adopted: Portions::new(),
+            excluded,
         });
     }
 
+    /// Stamp for the answer to a child's latest beat.
+    pub fn stamp(&self, vm: &VmId) -> u64 {
+        self.children.get(vm).map_or(0, |child| child.stamp)
+    }
+
+    /// VMs of the children.
+    pub fn children(&self) -> impl Iterator<Item = &VmId> {
+        self.children.keys()
+    }
+
+    /// How long shares may be used that are given now.
+    pub fn lifetime(&self, now: Instant) -> Duration {
+        match &self.supply {
+            Supply::Share { expires, .. } => expires.saturating_duration_since(now),
+            _ => SHARE_LIFETIME,
+        }
+    }
+
+    /// What the node and its children want, and hold together at most.
+    pub fn demands(&self, now: Instant) -> Vec<Demand> {
+        let mut rates: BTreeMap<&OrganisationId, f64> = BTreeMap::new();
+        for child in self.children.values() {
+            for (organisation, rate) in &child.demands {
+                *rates.entry(organisation).or_default() += rate;
+            }
+        }
+        if let Supply::Share { portions, .. } = &self.supply {
+            for organisation in portions.keys() {
+                rates.entry(organisation).or_default();
+            }
+        }
+        rates
+            .into_iter()
+            .map(|(organisation, rate)| Demand {
+                organisation: organisation.clone(),
+                rate,
+                held: self.held(organisation, now),
+            })
+            .collect()
+    }
+
     /// Takes note of a child's beat. Returns when the child followed this root for certain.
     pub fn note(&mut self, beat: &Beat, now: Instant) -> Result<Option<Instant>, LedgerError> {
         self.expire(now);
@@ -97,7 +187,7 @@
         }
         let mut child = Child::of(beat, now);
         match self.children.remove(&beat.member.vm) {
-            Some(last) if last.incarnation == child.incarnation => child.follows(beat, &last),
+            Some(last) if last.is_same(&child) => child.follows(beat, &last),
             Some(last) => self.past.push(last.into()),
             None => {}
         }
@@ -117,14 +207,14 @@
         limits: &BTreeMap<OrganisationId, Rate>,
         settled: Instant,
         now: Instant,
-    ) -> Option<Vec<Share>> {
-        self.adopt(beat, settled, now)?;
+    ) -> Option<Grant> {
+        let fresh = self.adopt(beat, settled, now)?;
         let shares = limits
             .iter()
             .filter_map(|(name, limit)| self.share(&beat.member.vm, name, *limit, now))
             .collect();
         self.check();
-        Some(shares)
+        Some(Grant { fresh, shares })
     }
 
     /// The most that all children together can hold of an organisation's rate.
@@ -139,14 +229,17 @@
 
     /// Takes the child's shares into the ledger. Shares of an earlier root are taken over once the
     /// child has heard from this root after the earlier one's end: until then that one may have
-    /// given them to somebody else.
-    fn adopt(&mut self, beat: &Beat, settled: Instant, now: Instant) -> Option<()> {
-        let child = self.children.get_mut(&beat.member.vm)?;
-        if child.known {
-            return Some(());
+    /// given them to somebody else. Returns whether the child has nothing from this ledger yet, as
+    /// far as it has said.
+    fn adopt(&mut self, beat: &Beat, settled: Instant, now: Instant) -> Option<bool> {
+        let vm = &beat.member.vm;
+        let child = self.children.get_mut(vm)?;
+        if child.known.is_some() {
+            return Some(child.support < child.known);
         }
-        if let Some(takeover) = &mut self.takeover
+        if let Supply::Takeover(takeover) = &mut self.supply
             && now < takeover.until
+            && !takeover.excluded.contains(vm)
         {
             if child.support.is_none_or(|at| at < settled) {
                 return None;
@@ -155,18 +248,38 @@
             for (organisation, portion) in &child.held {
                 *takeover.adopted.entry(organisation.clone()).or_default() += portion;
             }
+            child.known = child.support;
+            return Some(false);
         }
-        child.known = true;
-        Some(())
+        child.known = Some(now);
+        Some(true)
     }
 
     /// What this ledger may give out of an organisation's rate.
     fn capacity(&self, organisation: &OrganisationId, now: Instant) -> u64 {
-        match &self.takeover {
-            Some(takeover) if now < takeover.until => {
-                takeover.adopted.get(organisation).copied().unwrap_or(0)
-            }
-            _ => WHOLE,
+        let portion = |portions: &Portions| portions.get(organisation).copied().unwrap_or(0);
+        match &self.supply {
+            Supply::Takeover(takeover) if now < takeover.until => portion(&takeover.adopted),
+            Supply::Share { expires, .. } if now >= *expires => 0,
+            Supply::Share { portions, .. } => portion(portions),
+            Supply::Whole | Supply::Takeover(_) => WHOLE,
+        }
+    }
+
+    /// The most that the node and its children can hold of the node's share.
+    fn held(&self, organisation: &OrganisationId, now: Instant) -> u64 {
+        if self.lifetime(now).is_zero() {
+            return 0;
+        }
+        self.capacity(organisation, now)
+            .max(self.outstanding(organisation))
+    }
+
+    /// What the ledger gives out in the end, and what of that it keeps for claims.
+    fn total(&self, organisation: &OrganisationId, now: Instant) -> (u64, u64) {
+        match &self.supply {
+            Supply::Share { .. } => (self.capacity(organisation, now), 0),
+            _ => (WHOLE, WHOLE / 100 * RESERVE_PERCENT),
         }
     }
 
@@ -177,7 +290,7 @@
         limit: Rate,
         now: Instant,
     ) -> Option<Share> {
-        let target = self.target(vm, organisation, limit);
+        let target = self.target(vm, organisation, limit, now);
         let free = self
             .capacity(organisation, now)
             .saturating_sub(self.outstanding(organisation));
@@ -193,14 +306,14 @@
     }
 
     /// What a child should hold in the end.
-    fn target(&self, vm: &VmId, organisation: &OrganisationId, limit: Rate) -> u64 {
+    fn target(&self, vm: &VmId, organisation: &OrganisationId, limit: Rate, now: Instant) -> u64 {
         let wishes: Vec<(&VmId, u64)> = self
             .children
             .iter()
             .map(|(child, state)| (child, state.wish(organisation, limit)))
             .collect();
-        let reserve = WHOLE / 100 * RESERVE_PERCENT;
-        let divided = divide(WHOLE - reserve, wishes.iter().map(|(_, wish)| *wish));
+        let (total, reserve) = self.total(organisation, now);
+        let divided = divide(total - reserve, wishes.iter().map(|(_, wish)| *wish));
         let smallest = smallest_portion(limit);
         let useful = |portion: u64| if portion < smallest { 0 } else { portion };
         if *vm == self.own {
@@ -209,7 +322,7 @@
             let given = others
                 .filter(|((other, _), _)| **other != self.own)
                 .map(|(_, portion)| useful(*portion));
-            return WHOLE - given.sum::<u64>();
+            return total.saturating_sub(given.sum());
         }
         let index = wishes.iter().position(|(other, _)| *other == vm);
         index.map_or(0, |index| useful(divided[index]))
@@ -239,11 +352,13 @@
         let demands = beat.demands.iter();
         Self {
             incarnation: beat.member.incarnation,
+            since: beat.since,
             number: beat.number,
+            stamp: rand::random_range(1..=u64::MAX),
             answered: now,
             support: None,
             expires: now + SHARE_LIFETIME + CLOCK_MARGIN,
-            known: false,
+            known: None,
             held: Portions::new(),
             demands: demands
                 .map(|one| (one.organisation.clone(), one.rate))
@@ -254,14 +369,14 @@
     /// Takes over from the beat before. The child sends one beat at a time and drops late answers,
     /// so it holds what it says.
     fn follows(&mut self, beat: &Beat, last: &Self) {
-        self.support = if beat.heard == last.number {
+        self.support = if beat.heard == last.stamp {
             Some(last.answered)
         } else {
             last.support
         };
         self.known = last.known;
         // Until it has heard from this ledger, what it says may be long out of date.
-        if self.known && self.support.is_some() {
+        if self.known.is_some() && self.support >= self.known {
             self.held = held_of(beat);
             self.check_held(last);
         }
@@ -278,6 +393,16 @@
         }
     }
 
+    fn forget(&mut self) {
+        self.held.clear();
+        self.known = None;
+    }
+
+    /// Whether nothing came between: neither a restart nor another parent.
+    fn is_same(&self, next: &Self) -> bool {
+        (self.incarnation, self.since) == (next.incarnation, next.since)
+    }
+
     fn is_after(&self, beat: &Beat) -> bool {
         (self.incarnation, self.number) >= (beat.member.incarnation, beat.number)
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,18 +15,22 @@
 mod root;
 mod roster;
 mod routing;
+mod subtree;
+mod tree;
 
 pub use bucket::{Bucket, Receipt};
 pub use gate::{Entry, Gate, Offer, Release, Ticket};
 pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch, Voter};
 pub use ledger::{Ledger, LedgerError, SHARE_LIFETIME};
-pub use link::Link;
+pub use link::{Attach, LOST_TIME, Link};
 pub use purse::{CLAIM_LIFETIME, Purse, Short};
 pub use reign::{OUTAGE_LIMIT, Reign, SUPPORT_TIME};
 pub use retry::{RETRIES_PER_CALL, RetryRatio};
 pub use root::{Root, RootError};
 pub use roster::Roster;
 pub use routing::{Candidate, choose};
+pub use subtree::{ORPHAN_TIME, Subtree};
+pub use tree::{CLAIM_HOPS, FANOUT, choose_child};
 
 /// A whole rate and burst, in the portions that shares are counted in.
 pub const WHOLE: u64 = 1_000_000_000;
--- a/crates/policy/src/purse.rs
+++ b/crates/policy/src/purse.rs
@@ -7,8 +7,9 @@
 
 use crate::{Bucket, Receipt, WHOLE};
 
-/// Weight of the newest interval in the smoothed demand.
-const DEMAND_WEIGHT: f64 = 0.5;
+/// Weight of the newest interval in a demand that falls. A slow fall keeps the shares of nodes with
+/// few calls from moving with each call: what moves is out of use until both ends have confirmed.
+const FALL_WEIGHT: f64 = 0.05;
 /// Demand in calls a second below which a holding is forgotten.
 const DEMAND_FLOOR: f64 = 0.01;
 /// How long a claimed token may be spent, counted from when the claim was sent.
@@ -130,7 +131,7 @@
             let rate = holding.asked as f64 / elapsed;
             holding.asked = 0;
             // A rise counts at once, a fall is smoothed.
-            let smoothed = holding.demand + (rate - holding.demand) * DEMAND_WEIGHT;
+            let smoothed = holding.demand + (rate - holding.demand) * FALL_WEIGHT;
             holding.demand = smoothed.max(rate);
         }
         self.holdings
--- a/crates/policy/src/reign.rs
+++ b/crates/policy/src/reign.rs
@@ -56,6 +56,11 @@
         reign
     }
 
+    /// The root itself.
+    pub fn own(&self) -> &Voter {
+        &self.own
+    }
+
     /// From when on no earlier root can grant anything, once that's known.
     pub fn settled(&self) -> Option<Instant> {
         self.settled
--- a/crates/policy/src/root.rs
+++ b/crates/policy/src/root.rs
@@ -1,10 +1,10 @@
 //! The root of a region's tree: who follows it, and what it gives them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use derive_more::{Display, Error};
-use filbertwheel_core::{Beat, Fence, OrganisationId, Rate, Share, token};
+use filbertwheel_core::{Beat, Fence, Grant, OrganisationId, Rate, VmId, token};
 
 use crate::reign::CLOCK_MARGIN;
 use crate::{LeaseRow, Ledger, LedgerError, Reign, Voter};
@@ -17,6 +17,8 @@
     ledger: Ledger,
     withheld: Option<Instant>,
     is_first: bool,
+    /// Children whose shares can't be adopted.
+    excluded: BTreeSet<VmId>,
 }
 
 /// Why a root doesn't take a beat.
@@ -55,9 +57,27 @@
             reign: Reign::open(own, earlier, sent, now),
             withheld: None,
             is_first: earlier.is_none(),
+            excluded: BTreeSet::new(),
         }
     }
 
+    /// Adopts nothing from the children of `branch`, the node's ledger before it was the root:
+    /// it has given them parts of its own share, which `is_below_root` says may be adopted.
+    pub fn exclude(&mut self, branch: &Ledger, is_below_root: bool) {
+        let own = &self.reign.own().vm;
+        let children = branch.children().filter(|vm| *vm != own);
+        self.excluded = children.cloned().collect();
+        if !is_below_root {
+            self.excluded.insert(own.clone());
+        }
+    }
+
+    /// Whether a newcomer is taken even where there are enough children: its vote counts here.
+    pub fn takes_all(&self, beat: &Beat, now: Instant) -> bool {
+        let is_voter = |voter: &Voter| voter.vm == beat.member.vm;
+        !self.reign.is_settled(now) || self.reign.voters().iter().any(is_voter)
+    }
+
     /// Its fence.
     pub fn fence(&self) -> Fence {
         self.fence
@@ -90,7 +110,7 @@
         beat: &Beat,
         limits: &BTreeMap<OrganisationId, Rate>,
         now: Instant,
-    ) -> Result<Option<Vec<Share>>, RootError> {
+    ) -> Result<Option<Grant>, RootError> {
         if beat.fence > self.fence {
             return Err(RootError::Deposed);
         }
@@ -119,7 +139,8 @@
     /// Withholds once what an earlier root may have given out.
     fn withhold(&mut self, settled: Instant) {
         if self.withheld.is_none() && !self.is_first {
-            self.ledger.withhold(settled);
+            self.ledger
+                .withhold(settled, std::mem::take(&mut self.excluded));
             self.withheld = Some(settled);
         }
     }
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -49,10 +49,10 @@
             .collect()
     }
 
-    /// Takes over a record unless a newer one is known. Returns whether anything changed.
+    /// Takes over a record unless a later run is known. Returns whether anything changed.
     pub fn merge(&mut self, member: Member) -> bool {
         let known = self.entries.get(&member.vm).map(|entry| &entry.member);
-        if known.is_some_and(|known| !replaces(&member, known)) {
+        if known.is_some_and(|known| member.incarnation < known.incarnation || member == *known) {
             return false;
         }
         self.position += 1;
@@ -64,10 +64,3 @@
         true
     }
 }
-
-/// Within one run, a record that differs but doesn't go back in status replaces the known one.
-fn replaces(member: &Member, known: &Member) -> bool {
-    member.supersedes(known)
-        || (member.incarnation, member.status) == (known.incarnation, known.status)
-            && member != known
-}
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -3,21 +3,20 @@
 mod network;
 mod table;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::{
-    Beat, Clock, Incarnation, Member, OrganisationId, PausedClock, Rate, Status, Text,
+    Beat, Clock, Demand, Incarnation, Member, OrganisationId, PausedClock, Rate, Status, Text,
 };
-use filbertwheel_policy::{LeaseRow, LeaseWatch, Link, Purse, Receipt, Root};
+use filbertwheel_policy::{CLAIM_HOPS, LeaseRow, LeaseWatch, Ledger, Link, Purse, Receipt, Root};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use network::{Mail, Message, take_beat, take_pulse};
+use network::{Mail, Message, take_beat};
 
 /// Time between beats.
 pub const BEAT: Duration = Duration::from_millis(500);
-/// Silence after which a node looks at the lease.
-const LOST: Duration = Duration::from_millis(1_500);
 /// The organisation that spends.
 pub const ORGANISATION: OrganisationId = Text::from_static("ward");
 /// Its limit.
@@ -39,10 +38,12 @@
     member: Member,
     link: Link,
     purse: Purse,
+    /// The exchange with itself, as a child of its own.
+    own: Link,
+    branch: Ledger,
     root: Option<Root>,
     watch: LeaseWatch,
-    follows: Option<usize>,
-    answered: Option<Instant>,
+    live: Option<Instant>,
     pub frozen: bool,
     pub dead: bool,
     receipts: Vec<(usize, Receipt)>,
@@ -66,12 +67,14 @@
     sides: Vec<u8>,
     /// Percent of messages that meet a fault.
     pub faults: u32,
+    /// Children of one parent.
+    fanout: usize,
     spent: Vec<Option<Instant>>,
     pub refused: usize,
 }
 
 impl Fleet {
-    pub fn open(vms: usize, seed: u64) -> Self {
+    pub fn open(vms: usize, fanout: usize, seed: u64) -> Self {
         let mut fleet = Self {
             clock: PausedClock::new(),
             rng: StdRng::seed_from_u64(seed),
@@ -82,6 +85,7 @@
             mail: Vec::new(),
             sides: vec![0; vms],
             faults: 0,
+            fanout,
             spent: Vec::new(),
             refused: 0,
         };
@@ -131,7 +135,6 @@
         let now = self.now();
         let node = &mut self.nodes[process];
         let Some(root) = node.root.take() else { return };
-        node.follows = None;
         node.dead = true;
         let settled = root.reign().is_settled(now);
         if let Some((version, row)) = self.read(process).ok().flatten()
@@ -214,6 +217,7 @@
     }
 
     fn start(&mut self, vm: usize, incarnation: Incarnation) {
+        let now = self.now();
         self.nodes.push(Process {
             member: Member {
                 vm: name(vm),
@@ -227,10 +231,11 @@
             },
             link: Link::default(),
             purse: Purse::default(),
+            own: Link::default(),
+            branch: Ledger::branch(name(vm), now),
             root: None,
             watch: LeaseWatch::default(),
-            follows: None,
-            answered: None,
+            live: None,
             frozen: false,
             dead: false,
             receipts: Vec::new(),
@@ -250,39 +255,62 @@
     fn claim(&mut self, process: usize) {
         let now = self.now();
         let node = &mut self.nodes[process];
-        let fence = node.link.fence();
         if node.root.is_some() && node.purse.pay(&ORGANISATION, LIMIT, 1, now) > 0 {
             self.spent.push(Some(now));
             return;
         }
         // Refused until the token comes.
         self.refused += 1;
-        if let (None, Some(root)) = (&node.root, node.follows) {
-            self.send(process, root, Message::Claim(fence, now));
+        if let (None, Some(parent)) = (&node.root, node.link.parent()) {
+            let parent = self.at(parent);
+            self.send(process, parent, Message::Claim(process, CLAIM_HOPS, now));
         }
     }
 
+    /// The process at an address.
+    fn at(&self, address: SocketAddr) -> usize {
+        let found = self.nodes.iter();
+        let mut found = found.map(|node| node.member.address);
+        found
+            .position(|one| one == address)
+            .expect("nobody makes addresses up")
+    }
+
     fn beat(&mut self, process: usize) {
         let now = self.now();
         let node = &mut self.nodes[process];
         let demands = node.purse.demands(now);
-        let heard = node.link.heard();
-        node.link.begin(now);
-        let beat = Beat {
-            member: node.member.clone(),
-            number: node.link.number(),
-            heard,
-            fence: node.link.fence(),
+        node.own.begin(now);
+        let own = node.beat_of(&node.own, demands);
+        if let Some(pulse) = take_beat(node, &own, now)
+            && let Some(sent) = node.own.accept(&pulse)
+            && let Some(grant) = pulse.grant
+        {
+            let expires = sent + pulse.lifetime;
+            node.purse
+                .adopt(&grant.shares, |_| Some(LIMIT), expires, now);
+        }
+        if let (None, Some(parent)) = (&node.root, node.link.parent()) {
+            node.link.begin(now);
+            let beat = node.beat_of(&node.link, node.branch.demands(now));
+            let parent = self.at(parent);
+            self.send(process, parent, Message::Beat(beat));
+        }
+    }
+}
+
+impl Process {
+    fn beat_of(&self, link: &Link, demands: Vec<Demand>) -> Beat {
+        Beat {
+            member: self.member.clone(),
+            number: link.number(),
+            since: link.since(),
+            heard: link.heard(),
+            fence: self.link.fence(),
             config: 0,
             roster: 0,
+            members: Vec::new(),
             demands,
-        };
-        if node.root.is_some() {
-            if let Some(Message::Pulse(number, fence, shares)) = take_beat(node, &beat, now) {
-                take_pulse(node, number, fence, shares, now);
-            }
-        } else if let Some(root) = node.follows {
-            self.send(process, root, Message::Beat(beat));
         }
     }
 }
--- a/crates/policy/tests/fleet/network.rs
+++ b/crates/policy/tests/fleet/network.rs
@@ -1,19 +1,23 @@
 //! Messages between the nodes: lost, late, repeated and out of order.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use filbertwheel_core::{Beat, Share};
-use filbertwheel_policy::{CLAIM_LIFETIME, SHARE_LIFETIME};
+use filbertwheel_core::{Beat, Delta, Pulse, VmId};
+use filbertwheel_policy::{Attach, CLAIM_LIFETIME, Ledger, Root, SHARE_LIFETIME, choose_child};
 use rand::Rng;
 
 use super::{Fleet, LIMIT, ORGANISATION, Process};
 
+/// How long a node may serve after a pulse of the root.
+const SERVING_LEASE: Duration = Duration::from_secs(8);
+
 #[derive(Clone)]
 pub enum Message {
     Beat(Beat),
-    Pulse(u64, u64, Option<Vec<Share>>),
-    Claim(u64, Instant),
+    Pulse(Pulse),
+    Claim(usize, u8, Instant),
     Tokens(u32, Instant),
 }
 
@@ -26,6 +30,32 @@
 }
 
 impl Fleet {
+    /// Sends a newcomer on where there's no room.
+    fn redirect(&self, process: usize, beat: &Beat) -> Option<Pulse> {
+        let node = &self.nodes[process];
+        let ledger = node.root.as_ref().map_or(&node.branch, Root::ledger);
+        let children: Vec<&VmId> = ledger
+            .children()
+            .filter(|vm| **vm != node.member.vm)
+            .collect();
+        let full = children.len() >= self.fanout;
+        let known = children.contains(&&beat.member.vm);
+        let takes_all = node
+            .root
+            .as_ref()
+            .is_some_and(|root| root.takes_all(beat, self.now()));
+        if !full || known || takes_all {
+            return None;
+        }
+        let child = choose_child(&beat.member.vm, children.into_iter())?;
+        let child = self.nodes.iter().rfind(|one| one.member.vm == *child)?;
+        Some(Pulse {
+            lease: Duration::ZERO,
+            parent: Some(child.member.address),
+            ..pulse_of(node, beat, self.now())?
+        })
+    }
+
     fn faulty(&mut self) -> bool {
         self.rng.random_range(0..100) < self.faults
     }
@@ -82,15 +112,23 @@
         let node = &mut self.nodes[mail.to];
         match mail.message {
             Message::Beat(beat) => {
-                if let Some(reply) = take_beat(node, &beat, now) {
-                    self.send(mail.to, mail.from, reply);
+                if let Some(pulse) = self.redirect(mail.to, &beat) {
+                    return self.send(mail.to, mail.from, Message::Pulse(pulse));
+                }
+                let node = &mut self.nodes[mail.to];
+                if let Some(pulse) = take_beat(node, &beat, now) {
+                    self.send(mail.to, mail.from, Message::Pulse(pulse));
                 }
             }
-            Message::Pulse(number, fence, shares) => take_pulse(node, number, fence, shares, now),
-            Message::Claim(fence, sent) => {
-                if node.root.as_ref().is_some_and(|root| root.fence() == fence) {
-                    let count = node.purse.pay(&ORGANISATION, LIMIT, 1, now);
-                    self.send(mail.to, mail.from, Message::Tokens(count, sent));
+            Message::Pulse(pulse) => take_pulse(node, pulse, now),
+            Message::Claim(origin, hops, sent) => {
+                let count = node.purse.pay(&ORGANISATION, LIMIT, 1, now);
+                let parent = node.link.parent().filter(|_| count == 0 && hops > 0);
+                if let Some(parent) = parent {
+                    let parent = self.at(parent);
+                    self.send(mail.to, parent, Message::Claim(origin, hops - 1, sent));
+                } else {
+                    self.send(mail.to, origin, Message::Tokens(count, sent));
                 }
             }
             Message::Tokens(count, sent) => {
@@ -103,28 +141,79 @@
     }
 }
 
-pub fn take_beat(node: &mut Process, beat: &Beat, now: Instant) -> Option<Message> {
+/// Answers a beat, at the root or below it.
+pub fn take_beat(node: &mut Process, beat: &Beat, now: Instant) -> Option<Pulse> {
     let limits = BTreeMap::from([(ORGANISATION, LIMIT)]);
-    let root = node.root.as_mut()?;
-    match root.take_beat(beat, &limits, now) {
-        Ok(shares) => Some(Message::Pulse(beat.number, root.fence(), shares)),
-        Err(_) => None,
-    }
+    let (grant, lifetime) = match &mut node.root {
+        Some(root) => (root.take_beat(beat, &limits, now).ok()?, SHARE_LIFETIME),
+        None => {
+            if beat.fence > node.link.fence() {
+                return None;
+            }
+            node.branch.note(beat, now).ok()?;
+            let grant = node.branch.settle(beat, &limits, now, now);
+            (grant, node.branch.lifetime(now))
+        }
+    };
+    Some(Pulse {
+        grant,
+        lifetime,
+        ..pulse_of(node, beat, now)?
+    })
 }
 
-pub fn take_pulse(
-    node: &mut Process,
-    number: u64,
-    fence: u64,
-    shares: Option<Vec<Share>>,
-    now: Instant,
-) {
-    let Some(sent) = node.link.accept(number, fence) else {
+fn pulse_of(node: &Process, beat: &Beat, now: Instant) -> Option<Pulse> {
+    let lease = match &node.root {
+        Some(root) if root.reign().is_live(now) => SERVING_LEASE,
+        Some(_) => Duration::ZERO,
+        None => node.live?.saturating_duration_since(now),
+    };
+    let own = Some(node.member.address).filter(|_| node.root.is_some());
+    let root = own.or(node.link.distant_root()).or(node.link.parent());
+    Some(Pulse {
+        number: beat.number,
+        stamp: node
+            .root
+            .as_ref()
+            .map_or(&node.branch, Root::ledger)
+            .stamp(&beat.member.vm),
+        fence: node.link.fence(),
+        root: root.unwrap_or(node.member.address),
+        parent: None,
+        lease,
+        lifetime: SHARE_LIFETIME,
+        confirmed: 0,
+        delta: Delta::Changes(Vec::new()),
+        roster: 0,
+        members: Vec::new(),
+        grant: None,
+    })
+}
+
+fn take_pulse(node: &mut Process, pulse: Pulse, now: Instant) {
+    let Some(sent) = node.link.accept(&pulse) else {
         return;
     };
-    node.answered = Some(sent);
-    if let Some(shares) = shares {
-        let expires = sent + SHARE_LIFETIME;
-        node.purse.adopt(&shares, |_| Some(LIMIT), expires, now);
+    if pulse.lease > Duration::ZERO {
+        node.live = Some(sent + pulse.lease);
+        node.link.refresh(sent);
+    }
+    if let Some(parent) = pulse.parent {
+        return node.attach(parent, pulse.fence, now);
+    }
+    if let Some(grant) = pulse.grant {
+        if grant.fresh {
+            node.branch = Ledger::branch(node.member.vm.clone(), now);
+        }
+        node.branch
+            .refill(&grant.shares, sent + pulse.lifetime, now);
+    }
+}
+
+impl Process {
+    pub fn attach(&mut self, parent: SocketAddr, fence: u64, now: Instant) {
+        if self.link.attach(parent, fence, now) == Attach::Fresh {
+            self.branch = Ledger::branch(self.member.vm.clone(), now);
+        }
     }
 }
--- a/crates/policy/tests/fleet/table.rs
+++ b/crates/policy/tests/fleet/table.rs
@@ -2,20 +2,22 @@
 
 use std::time::Duration;
 
-use filbertwheel_core::Member;
-use filbertwheel_policy::{LeaseRow, LeaseStep, Root, Voter};
+use filbertwheel_core::{Member, VmId};
+use filbertwheel_policy::{LeaseRow, LeaseStep, Ledger, Root, Voter};
 use rand::Rng;
 
-use super::{Fleet, LOST, LateWrite, Process, TableMode};
+use super::{Fleet, LateWrite, Process, TableMode};
 
 impl Fleet {
     pub fn keep_lease(&mut self, process: usize) {
         let now = self.now();
-        let node = &self.nodes[process];
-        let lost = node.answered.is_none_or(|at| now - at > LOST);
+        let node = &mut self.nodes[process];
         if node.root.is_some() {
             self.renew(process);
-        } else if node.follows.is_none() || lost {
+        } else if node.link.is_lost(now) {
+            if let Some(root) = node.link.distant_root() {
+                node.attach(root, node.link.fence(), now);
+            }
             self.look(process);
         }
     }
@@ -31,14 +33,7 @@
         let step = node.watch.observe(row, now);
         match (step, row) {
             (LeaseStep::Take(fence), _) => self.take(process, fence, found),
-            (LeaseStep::Follow, Some(row)) if !own && node.link.follow(row.fence) => {
-                let address = row.address;
-                let root = self
-                    .nodes
-                    .iter()
-                    .position(|one| one.member.address == address);
-                self.nodes[process].follows = root;
-            }
+            (LeaseStep::Follow, Some(row)) if !own => node.attach(row.address, row.fence, now),
             _ => {}
         }
     }
@@ -59,8 +54,11 @@
         let version = found.as_ref().map(|(version, _)| *version);
         if self.write(process, version, row) == Some(true) {
             let node = &mut self.nodes[process];
-            if node.link.follow(fence) {
-                node.root = Some(Root::open(own, fence, earlier, now, now));
+            if fence > node.link.fence() {
+                let mut root = Root::open(own, fence, earlier, now, now);
+                root.exclude(&node.branch, node.link.is_below_root());
+                node.root = Some(root);
+                node.link.detach(fence);
             }
         }
     }
@@ -72,14 +70,21 @@
         };
         let node = &self.nodes[process];
         let Some((version, row)) = found.filter(|(_, row)| is_own(row, node)) else {
-            self.nodes[process].root = None;
-            self.nodes[process].follows = None;
+            let node = &mut self.nodes[process];
+            node.root = None;
+            node.branch = Ledger::branch(node.member.vm.clone(), now);
+            node.link.detach(0);
             return;
         };
+        let children: Vec<&VmId> = node
+            .root
+            .iter()
+            .flat_map(|root| root.ledger().children())
+            .collect();
         let live: Vec<Member> = self
             .nodes
             .iter()
-            .filter(|one| !one.dead)
+            .filter(|one| children.contains(&&one.member.vm))
             .map(|one| one.member.clone())
             .collect();
         let node = &mut self.nodes[process];
--- a/crates/policy/tests/shares.rs
+++ b/crates/policy/tests/shares.rs
@@ -11,7 +11,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, RngSeed, TestRunner};
 
-const VMS: usize = 5;
+/// VMs of the random runs, and of the scenarios.
+const VMS: usize = 7;
+const FEW: usize = 5;
 const SEED: u64 = 20_261_204;
 const CASES: u32 = 300;
 
@@ -41,7 +43,7 @@
         4 => Just(Step::Thaw),
         2 => vm.clone().prop_map(Step::Kill),
         4 => vm.clone().prop_map(Step::Restart),
-        3 => (1u8..32).prop_map(Step::Cut),
+        3 => (1u8..128).prop_map(Step::Cut),
         4 => Just(Step::Heal),
         2 => Just(Step::Table(TableMode::Down)),
         2 => Just(Step::Table(TableMode::Faulty)),
@@ -90,10 +92,14 @@
     };
     let steps = AtomicUsize::new(0);
     let spent = AtomicUsize::new(0);
-    let cases = (any::<u64>(), prop::collection::vec(step(), 40..160));
-    let outcome = TestRunner::new(config).run(&cases, |(seed, list)| {
-        let mut fleet = Fleet::open(VMS, seed);
-        (0..4).for_each(|_| fleet.tick());
+    let cases = (
+        any::<u64>(),
+        2usize..9,
+        prop::collection::vec(step(), 40..160),
+    );
+    let outcome = TestRunner::new(config).run(&cases, |(seed, fanout, list)| {
+        let mut fleet = Fleet::open(VMS, fanout, seed);
+        (0..8).for_each(|_| fleet.tick());
         for one in &list {
             apply(&mut fleet, one);
         }
@@ -113,10 +119,14 @@
 
 /// Runs a fleet that asks for less than its rate, with a fault in the middle.
 fn scenario(fault: impl FnOnce(&mut Fleet, usize)) -> Fleet {
-    let mut fleet = Fleet::open(VMS, SEED);
+    scenario_in(FEW, FEW, fault)
+}
+
+fn scenario_in(vms: usize, fanout: usize, fault: impl FnOnce(&mut Fleet, usize)) -> Fleet {
+    let mut fleet = Fleet::open(vms, fanout, SEED);
     let steady = |fleet: &mut Fleet, ticks: u32| {
         for tick in 0..ticks {
-            (0..4).for_each(|call| fleet.spend(fleet.process((tick + call) as usize % VMS), 1));
+            (0..4).for_each(|call| fleet.spend(fleet.process((tick + call) as usize % vms), 1));
             fleet.tick();
         }
     };
@@ -143,14 +153,14 @@
 #[test]
 fn a_killed_root_is_replaced() {
     let fleet = scenario(|fleet, root| fleet.nodes[root].dead = true);
-    let roots = (0..VMS).filter(|vm| fleet.is_root(*vm) && !fleet.nodes[*vm].dead);
+    let roots = (0..FEW).filter(|vm| fleet.is_root(*vm) && !fleet.nodes[*vm].dead);
     assert_eq!(roots.count(), 1);
 }
 
 #[test]
 fn a_planned_stop_hands_over() {
     let fleet = scenario(|fleet, root| fleet.release(root));
-    assert_eq!((0..VMS).filter(|vm| fleet.is_root(*vm)).count(), 1);
+    assert_eq!((0..FEW).filter(|vm| fleet.is_root(*vm)).count(), 1);
 }
 
 #[test]
@@ -162,6 +172,12 @@
     });
     let old = old.expect("the scenario has a root");
     assert!(!fleet.may_grant(old));
-    let granting = (0..VMS).filter(|vm| fleet.may_grant(*vm));
+    let granting = (0..FEW).filter(|vm| fleet.may_grant(*vm));
     assert_eq!(granting.count(), 1);
 }
+
+#[test]
+fn a_tree_keeps_the_limit_when_its_root_is_killed() {
+    let kill = |fleet: &mut Fleet, root: usize| fleet.nodes[root].dead = true;
+    assert!(scenario_in(VMS, 2, kill).spent() > 0);
+}
