--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -5,10 +5,11 @@
 
 use derive_more::{Display, Error};
 use filbertwheel_core::{
-    Beat, Demand, Grant, Incarnation, OrganisationId, Rate, Share, Status, VmId, invariant, token,
+    Beat, Demand, Grant, OrganisationId, Rate, Share, Status, VmId, invariant, token,
 };
 
 use crate::WHOLE;
+use crate::child::{Child, Past, Portions, held_of};
 use crate::divide::divide;
 use crate::reign::CLOCK_MARGIN;
 
@@ -42,32 +43,6 @@
     },
 }
 
-#[derive(Debug)]
-struct Child {
-    incarnation: Incarnation,
-    /// Number of its first beat since it chose this parent.
-    since: u64,
-    number: u64,
-    /// Stamp of the answer to its latest beat.
-    stamp: u64,
-    answered: Instant,
-    /// When it followed this root for certain.
-    support: Option<Instant>,
-    expires: Instant,
-    /// Since when its shares are in this ledger.
-    known: Option<Instant>,
-    /// The most that the child can hold.
-    held: Portions,
-    demands: BTreeMap<OrganisationId, f64>,
-}
-
-/// What an earlier run of a child may still hold.
-#[derive(Debug)]
-struct Past {
-    expires: Instant,
-    held: Portions,
-}
-
 /// Shares of an earlier root, which hold until they run out or are taken over.
 #[derive(Debug)]
 struct Takeover {
@@ -77,8 +52,6 @@
     excluded: BTreeSet<VmId>,
 }
 
-type Portions = BTreeMap<OrganisationId, u64>;
-
 /// Why a beat isn't taken.
 #[token]
 #[derive(Display, Error)]
@@ -347,87 +320,6 @@
     }
 }
 
-impl Child {
-    fn of(beat: &Beat, now: Instant) -> Self {
-        let demands = beat.demands.iter();
-        Self {
-            incarnation: beat.member.incarnation,
-            since: beat.since,
-            number: beat.number,
-            stamp: rand::random_range(1..=u64::MAX),
-            answered: now,
-            support: None,
-            expires: now + SHARE_LIFETIME + CLOCK_MARGIN,
-            known: None,
-            held: Portions::new(),
-            demands: demands
-                .map(|one| (one.organisation.clone(), one.rate))
-                .collect(),
-        }
-    }
-
-    /// Takes over from the beat before. The child sends one beat at a time and drops late answers,
-    /// so it holds what it says.
-    fn follows(&mut self, beat: &Beat, last: &Self) {
-        self.support = if beat.heard == last.stamp {
-            Some(last.answered)
-        } else {
-            last.support
-        };
-        self.known = last.known;
-        // Until it has heard from this ledger, what it says may be long out of date.
-        if self.known.is_some() && self.support >= self.known {
-            self.held = held_of(beat);
-            self.check_held(last);
-        }
-    }
-
-    fn check_held(&self, last: &Self) {
-        for (organisation, portion) in &self.held {
-            let given = last.held.get(organisation).copied().unwrap_or(0);
-            invariant!(
-                "held-as-granted",
-                *portion <= given,
-                "{portion} billionths of {organisation} are held, {given} were given"
-            );
-        }
-    }
-
-    fn forget(&mut self) {
-        self.held.clear();
-        self.known = None;
-    }
-
-    /// Whether nothing came between: neither a restart nor another parent.
-    fn is_same(&self, next: &Self) -> bool {
-        (self.incarnation, self.since) == (next.incarnation, next.since)
-    }
-
-    fn is_after(&self, beat: &Beat) -> bool {
-        (self.incarnation, self.number) >= (beat.member.incarnation, beat.number)
-    }
-
-    fn wish(&self, organisation: &OrganisationId, limit: Rate) -> u64 {
-        let rate = self.demands.get(organisation).copied().unwrap_or_default();
-        ((rate / limit.rate) * WHOLE as f64) as u64
-    }
-}
-
-impl From<Child> for Past {
-    fn from(child: Child) -> Self {
-        Self {
-            expires: child.expires,
-            held: child.held,
-        }
-    }
-}
-
-fn held_of(beat: &Beat) -> Portions {
-    let held = beat.demands.iter().filter(|one| one.held > 0);
-    held.map(|one| (one.organisation.clone(), one.held))
-        .collect()
-}
-
 /// The smallest portion whose burst holds one token.
 fn smallest_portion(limit: Rate) -> u64 {
     if limit.burst <= 1.0 {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! `filbertwheel-core`, so that tests drive it with a clock of their own.
 
 mod bucket;
+mod child;
 mod divide;
 mod gate;
 mod lease;
