--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,11 +11,13 @@
 mod server;
 mod stop;
 mod verdict;
+mod wire;
 
-pub use client::{Pool, SendError};
+pub use client::{OnSilence, Pool, SendError};
 pub use limits::Limits;
 pub use message::{Fault, Request, Response};
 pub use parse::{Particulars, passed_headers};
 pub use server::{Handler, Listener, LocalFuture};
 pub use stop::{Stop, Stopper};
 pub use verdict::{refusal_of, respond};
+pub use wire::Wire;
--- a/crates/node/src/control/children.rs
+++ b/crates/node/src/control/children.rs
@@ -38,6 +38,12 @@
         late.map(|(vm, _)| vm.clone()).collect()
     }
 
+    /// Configuration version of each live child.
+    pub fn versions(&self) -> Vec<(VmId, Version)> {
+        let versions = self.0.iter().map(|(vm, heard)| (vm.clone(), heard.config));
+        versions.collect()
+    }
+
     /// Takes note of a beat.
     pub fn hear(&mut self, beat: &Beat, now: Instant) {
         if beat.member.status == Status::Gone {
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -1,6 +1,7 @@
 //! Beats and pulses: what a node tells its parent and answers its children.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::{Beat, Demand, Grant, Member, OrganisationId, Pulse, Status, Version};
@@ -63,6 +64,9 @@
             return;
         };
         let now = self.parts.clock.now();
+        if pulse.parent.is_none() {
+            self.observe(&pulse, sent, now);
+        }
         self.apply(pulse.delta);
         for member in pulse.members {
             self.roster.merge(member);
@@ -152,7 +156,7 @@
             lease: parent.map_or_else(|| self.lease_left(now), |_| Duration::ZERO),
             lifetime,
             confirmed: self.confirmed(),
-            delta: self.delta_since(beat.config),
+            delta: self.config.since(beat.config),
             roster: self.roster.position(),
             members: self.roster.since(known),
             grant,
@@ -194,8 +198,12 @@
         let Some(sent) = self.own.accept(&pulse) else {
             return;
         };
-        if self.is_root() && pulse.lease > Duration::ZERO {
-            self.lease = Some(sent + pulse.lease);
+        if self.is_root() {
+            self.observe(&pulse, sent, now);
+            self.seen = pulse.roster;
+            if pulse.lease > Duration::ZERO {
+                self.lease = Some(sent + pulse.lease);
+            }
             self.publish();
         }
         if let Some(grant) = pulse.grant {
@@ -206,6 +214,12 @@
         }
     }
 
+    /// Takes note of what the root says of the members, for requests that run at most once.
+    fn observe(&mut self, pulse: &Pulse, sent: Instant, now: Instant) {
+        let lease = sent + pulse.lease;
+        Arc::make_mut(&mut self.tenure).observe(pulse.fence, &pulse.members, lease, now);
+    }
+
     fn refill(&mut self, grant: Option<Grant>, expires: Instant, now: Instant) {
         let Some(grant) = grant else { return };
         if grant.fresh {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -10,12 +10,13 @@
 mod message;
 mod pulse;
 mod root;
+mod show;
 mod state;
 
 pub(crate) use claims::{answer_claim, serve_claims};
 pub(crate) use config::watch_changes;
 pub(crate) use desk::{ControlDesk, take_messages};
-pub(crate) use message::{ClaimReply, Message};
+pub use message::{ClaimReply, Message};
 pub(crate) use pulse::{run_pulses, send_beat};
 pub(crate) use root::{hold_lease, release_lease};
-pub(crate) use state::{Control, Parts};
+pub(crate) use state::{Control, Parts, SERVING_LEASE};
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,18 +1,18 @@
 //! The control state.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use filbertwheel_backend::Announcement;
 use filbertwheel_core::{
-    Change, Claim, Clock, Configuration, Delta, Fence, Member, OrganisationId, Rate, Status,
+    Claim, Clock, ConfigLog, Configuration, Delta, Fence, Member, OrganisationId, Rate, Status,
     Tokens, Version, VmId, invariant,
 };
 use filbertwheel_peer::Controls;
-use filbertwheel_platform::Table;
-use filbertwheel_policy::{LeaseRow, Ledger, Link, Purse, Root, Roster, Subtree, Voter};
+use filbertwheel_platform::{Objects, Table};
+use filbertwheel_policy::{LeaseRow, Ledger, Link, Purse, Root, Roster, Subtree, Tenure, Voter};
 
 use crate::control::children::Children;
 use crate::metrics::Metrics;
@@ -20,14 +20,13 @@
 
 /// How long a node may serve keyed routes after its last beat that was answered.
 pub(crate) const SERVING_LEASE: Duration = Duration::from_secs(8);
-/// Changes that are kept at hand for nodes that lag.
-const CHANGES_KEPT: usize = 1_000;
 
 /// What the control state works with.
 #[derive(Debug)]
 pub(crate) struct Parts {
     pub clock: Arc<dyn Clock>,
     pub table: Arc<dyn Table>,
+    pub objects: Arc<dyn Objects>,
     pub controls: Arc<dyn Controls>,
     pub purse: Arc<Mutex<Purse>>,
     pub board: Board,
@@ -41,8 +40,8 @@
     pub parts: Parts,
     me: Member,
     pub(super) roster: Roster,
-    config: Configuration,
-    changes: VecDeque<Change>,
+    pub(super) tenure: Arc<Tenure>,
+    pub(super) config: ConfigLog,
     /// Until when the node may serve keyed routes.
     pub(super) lease: Option<Instant>,
     pub(super) link: Link,
@@ -66,10 +65,10 @@
         let branch = Ledger::branch(me.vm.clone(), parts.clock.now());
         Self {
             parts,
+            tenure: Arc::new(Tenure::open(me.vm.clone(), SERVING_LEASE)),
             me,
             roster: Roster::default(),
-            config: Configuration::default(),
-            changes: VecDeque::new(),
+            config: ConfigLog::default(),
             lease: None,
             link: Link::default(),
             own: Link::default(),
@@ -94,7 +93,7 @@
 
     /// The configuration in force.
     pub fn config(&self) -> &Configuration {
-        &self.config
+        self.config.current()
     }
 
     /// Whether this node is the root.
@@ -159,6 +158,7 @@
         if self.me.status < Status::Draining {
             self.me.status = announcement.status;
         }
+        self.heed_drain();
         self.publish();
     }
 
@@ -176,6 +176,7 @@
             "fence {fence} does not grow"
         );
         tracing::info!("control: This node is now the root with fence {fence}.");
+        self.seen = 0;
         let now = self.parts.clock.now();
         let own = Voter {
             vm: self.me.vm.clone(),
@@ -184,6 +185,8 @@
         let mut root = Root::open(own, fence, earlier, sent, now);
         root.exclude(&self.branch, self.link.is_below_root());
         self.link.detach(fence);
+        // The first view of a root's time has all members.
+        self.seen = 0;
         self.root = Some(Box::new(root));
         let live = self
             .roster
@@ -206,7 +209,7 @@
     pub fn take_claim(&mut self, claim: &Claim) -> Tokens {
         let now = self.parts.clock.now();
         let organisation = &claim.organisation;
-        let Some(known) = self.config.organisations.get(organisation) else {
+        let Some(known) = self.config().organisations.get(organisation) else {
             return Tokens {
                 count: 0,
                 retry_after: SERVING_LEASE,
@@ -222,26 +225,16 @@
 
     /// Brings the configuration up to date. Versions never go back.
     pub fn apply(&mut self, delta: Delta) {
-        let before = self.config.version;
-        match delta {
-            Delta::Changes(changes) => changes.into_iter().for_each(|change| self.change(change)),
-            Delta::Whole(config) if config.version > before => {
-                self.config = config;
-                self.changes.clear();
-            }
-            Delta::Whole(_) => {}
-        }
-        let after = self.config.version;
-        invariant!(
-            "config-never-reverts",
-            after >= before,
-            "{before} became {after}"
-        );
-        if after > before {
-            tracing::info!("control: Configuration {after} is in force.");
-            self.parts.metrics.config.set(after as i64);
-            self.publish();
+        match self.config.apply(delta) {
+            Ok(false) => return,
+            Ok(true) => {}
+            Err(error) => tracing::error!("control: A change does not fit: {error}."),
         }
+        let version = self.config().version;
+        tracing::info!("control: Configuration {version} is in force.");
+        self.parts.metrics.config.set(version as i64);
+        self.heed_drain();
+        self.publish();
     }
 
     /// The configuration's version that every live member has confirmed.
@@ -253,7 +246,7 @@
         if !root.has_outlived(SERVING_LEASE, self.parts.clock.now()) {
             return self.confirmed;
         }
-        self.children.confirmed(self.config.version)
+        self.children.confirmed(self.config().version)
     }
 
     /// Children below which a node hasn't confirmed a version.
@@ -261,6 +254,11 @@
         self.children.unconfirmed(version)
     }
 
+    /// Configuration version of each node that reports to this one; `None` unless it's the root.
+    pub fn versions(&self) -> Option<Vec<(VmId, Version)>> {
+        self.root().map(|_| self.children.versions())
+    }
+
     /// Purse of the node, shared with traffic.
     pub fn purse(&self) -> MutexGuard<'_, Purse> {
         self.parts
@@ -269,35 +267,17 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn change(&mut self, change: Change) {
-        if change.version <= self.config.version {
-            return;
-        }
-        if let Err(error) = self.config.apply(&change) {
-            tracing::error!("control: Change {} does not fit: {error}.", change.version);
-            return;
-        }
-        self.changes.push_back(change);
-        if self.changes.len() > CHANGES_KEPT {
-            self.changes.pop_front();
-        }
-    }
-
-    pub(super) fn delta_since(&self, version: Version) -> Delta {
-        let first = self.changes.front().map(|change| change.version);
-        let at_hand = first.is_some_and(|first| first <= version + 1);
-        if version >= self.config.version || at_hand {
-            let newer = self
-                .changes
-                .iter()
-                .filter(|change| change.version > version);
-            return Delta::Changes(newer.cloned().collect());
+    /// Takes no new work once an operator has drained this VM.
+    fn heed_drain(&mut self) {
+        let drained = self.config().is_drained(&self.me.vm, self.me.incarnation);
+        if drained && self.me.status < Status::Draining {
+            tracing::info!("control: An operator drains this VM.");
+            self.me.status = Status::Draining;
         }
-        Delta::Whole(self.config.clone())
     }
 
     pub(super) fn limits(&self) -> BTreeMap<OrganisationId, Rate> {
-        let organisations = self.config.organisations.iter();
+        let organisations = self.config().organisations.iter();
         organisations
             .map(|(name, organisation)| (name.clone(), organisation.limit))
             .collect()
@@ -305,8 +285,9 @@
 
     pub(super) fn publish(&self) {
         self.parts.board.store(Arc::new(Snapshot {
-            config: Arc::new(self.config.clone()),
+            config: Arc::new(self.config().clone()),
             roster: Arc::new(self.roster.clone()),
+            tenure: Arc::clone(&self.tenure),
             me: self.me.clone(),
             lease: self.lease,
         }));
--- /dev/null
+++ b/crates/node/src/dispatch.rs
@@ -0,0 +1,176 @@
+//! Routing and retries of a call.
+
+use std::time::Duration;
+
+use filbertwheel_core::{
+    Answer, Call, CutOff, Doubt, Failure, Member, Refusal, RefusalKind, Verdict, VmId, invariant,
+};
+use filbertwheel_peer::{ForwardError, Load};
+use filbertwheel_policy::{RequestKey, owner};
+
+use crate::engine::Engine;
+use crate::outlook::Target;
+use crate::snapshot::Snapshot;
+
+/// Longest pause before a retry.
+const BACKOFF: Duration = Duration::from_millis(20);
+
+impl Engine {
+    /// Runs a call at some backend server, with retries as far as they're given. The cut-off
+    /// that came back last comes with the verdict.
+    pub(super) async fn dispatch(&self, call: Call) -> (Verdict, Option<CutOff>) {
+        let given = call.retries;
+        let mut left = given;
+        let mut tried = Vec::new();
+        let mut doubt = None;
+        loop {
+            if let Some(cut) = self.outlook.sheds(&call, self.clock.now()) {
+                let shed = Err(RefusalKind::OverloadedDeep.into());
+                return (with_retries(with_doubt(shed, doubt), left), Some(cut));
+            }
+            let (verdict, cut) = self.attempt(&call, &mut left, &mut tried).await;
+            if verdict.is_ok() {
+                self.outlook.earn(&call.service);
+            }
+            invariant!(
+                "retries-bounded",
+                left <= given,
+                "{left} retries are left of {given}"
+            );
+            let again = may_retry(&call, &verdict) && left > 0;
+            let late = self.clock.now() + BACKOFF >= call.deadline;
+            if !again || late || !self.outlook.spend(&call.service) {
+                return (with_retries(with_doubt(verdict, doubt), left), cut);
+            }
+            if let Err(Failure::Unknown(found)) = verdict {
+                doubt = Some(found);
+            }
+            invariant!(
+                "runs-at-most-once",
+                call.idempotent || doubt.is_none(),
+                "a call that may have run is tried again"
+            );
+            left -= 1;
+            self.metrics.retries.inc();
+            self.clock.sleep(BACKOFF.mul_f64(rand::random())).await;
+        }
+    }
+
+    /// Runs a call at this node, as its owner or at its backend server.
+    pub(super) async fn run_here(&self, call: &Call) -> (Verdict, Load) {
+        match call.once {
+            Some(once) if !once.admitted => {
+                let (verdict, cut) = Box::pin(self.run_owned(call, once)).await;
+                let wait = self.runner.wait();
+                (verdict, Load { wait, cut })
+            }
+            _ => self.runner.run(call).await,
+        }
+    }
+
+    /// Tries one backend server. Takes from `left` what that one spends.
+    async fn attempt(
+        &self,
+        call: &Call,
+        left: &mut u32,
+        tried: &mut Vec<VmId>,
+    ) -> (Verdict, Option<CutOff>) {
+        let snapshot = self.board.load_full();
+        let Some(target) = self.target(&snapshot, call, tried) else {
+            return (Err(RefusalKind::Unavailable.into()), None);
+        };
+        tried.push(target.vm.clone());
+        // One retry stays here, for the case that the target's answer is lost.
+        let kept = (*left).min(1);
+        let call = Call {
+            retries: *left - kept,
+            ..call.clone()
+        };
+        *left = kept;
+        let (verdict, cut) = if target.vm == snapshot.me.vm {
+            let (verdict, load) = self.run_here(&call).await;
+            let now = self.clock.now();
+            self.outlook.hear(&target.vm, &call, &load, now);
+            (verdict, load.cut)
+        } else {
+            self.send(&target, &call).await
+        };
+        *left += returned(&verdict).min(call.retries);
+        (verdict, cut)
+    }
+
+    async fn send(&self, target: &Target, call: &Call) -> (Verdict, Option<CutOff>) {
+        let pending = self.outlook.begin(&target.vm, self.clock.now());
+        let reply = self.forward.forward(target.address, call).await;
+        drop(pending);
+        let now = self.clock.now();
+        let failure = match reply {
+            Ok((verdict, load)) => {
+                self.outlook.hear(&target.vm, call, &load, now);
+                return (verdict, load.cut);
+            }
+            Err(ForwardError::NotSent) => {
+                self.outlook.miss(&target.vm, now);
+                Failure::Refused(Refusal::new(RefusalKind::Unavailable).with_retries(call.retries))
+            }
+            Err(ForwardError::Lost) => Doubt::Lost.into(),
+            Err(ForwardError::Late) => Doubt::Late.into(),
+            Err(ForwardError::Broken) => Doubt::Broken.into(),
+        };
+        (Err(failure), None)
+    }
+
+    fn target(&self, snapshot: &Snapshot, call: &Call, tried: &[VmId]) -> Option<Target> {
+        match call.once {
+            Some(once) if !once.admitted => owner_of(snapshot, call).map(|member| Target {
+                vm: member.vm.clone(),
+                address: member.address,
+            }),
+            _ => {
+                let (wait, now) = (self.runner.wait(), self.clock.now());
+                self.outlook.pick(snapshot, call, tried, wait, now)
+            }
+        }
+    }
+}
+
+/// The node that answers for a call's request id.
+fn owner_of<'a>(snapshot: &'a Snapshot, call: &'a Call) -> Option<&'a Member> {
+    let key = RequestKey::of(call)?;
+    let serving = snapshot.roster.serving(&call.service);
+    let vm = owner(serving.map(|member| &member.vm), &key)?;
+    snapshot.roster.member(vm)
+}
+
+fn may_retry(call: &Call, verdict: &Verdict) -> bool {
+    match verdict {
+        Ok(_) => false,
+        Err(Failure::Refused(refusal)) => refusal.kind.may_retry(),
+        Err(Failure::Unknown(doubt)) => call.idempotent && *doubt != Doubt::Late,
+    }
+}
+
+/// Retries that came back with a verdict.
+pub(crate) fn returned(verdict: &Verdict) -> u32 {
+    match verdict {
+        Ok(answer) => answer.retries,
+        Err(Failure::Refused(refusal)) => refusal.retries,
+        Err(Failure::Unknown(_)) => 0,
+    }
+}
+
+fn with_retries(verdict: Verdict, retries: u32) -> Verdict {
+    match verdict {
+        Ok(answer) => Ok(Answer { retries, ..answer }),
+        Err(Failure::Refused(refusal)) => Err(refusal.with_retries(retries).into()),
+        unknown @ Err(Failure::Unknown(_)) => unknown,
+    }
+}
+
+/// A refusal after a try that may have run doesn't mean that nothing ran.
+fn with_doubt(verdict: Verdict, doubt: Option<Doubt>) -> Verdict {
+    match (verdict, doubt) {
+        (Err(Failure::Refused(_)), Some(doubt)) => Err(doubt.into()),
+        (verdict, _) => verdict,
+    }
+}
