--- a/crates/node/src/control/desk.rs
+++ b/crates/node/src/control/desk.rs
@@ -13,7 +13,7 @@
 
 use crate::control::config::{commit, invalid, refresh};
 use crate::control::show::{refusals, show};
-use crate::control::{Control, Message, serve_claims};
+use crate::control::{Control, Message, answer_claim, serve_claims};
 use crate::metrics::Metrics;
 use crate::snapshot::Board;
 
@@ -86,7 +86,8 @@
                 let _gone = reply.try_send(control.borrow_mut().take_beat(&beat));
             }
             Message::Claim(claim, reply) => {
-                let _gone = reply.try_send(control.borrow_mut().take_claim(&claim));
+                let control = Rc::clone(&control);
+                executor.spawn(answer_claim(control, claim, reply)).detach();
             }
             Message::Want {
                 organisation,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! `filbertwheel-core`, so that tests drive it with a clock of their own.
 
 mod bucket;
+mod child;
 mod cutoff;
 mod divide;
 mod gate;
@@ -22,7 +23,9 @@
 mod root;
 mod roster;
 mod routing;
+mod subtree;
 mod tenure;
+mod tree;
 
 pub use bucket::{Bucket, Receipt};
 pub use cutoff::{CUT_OFF_LIFETIME, CutOffs};
@@ -30,7 +33,7 @@
 pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch, Voter};
 pub use ledger::{Ledger, LedgerError, SHARE_LIFETIME};
 pub use limit::{Answering, FixedLimit, LatencyLimit, Limit, Spent};
-pub use link::Link;
+pub use link::{Attach, LOST_TIME, Link};
 pub use memory::{Admission, CLOCK_ERROR, Memory, REPEAT_WINDOW};
 pub use owner::{RequestKey, owner};
 pub use purse::{CLAIM_LIFETIME, Purse, Short};
@@ -41,7 +44,9 @@
 pub use root::{Root, RootError};
 pub use roster::Roster;
 pub use routing::{Candidate, Loads, choose};
+pub use subtree::{ORPHAN_TIME, Subtree};
 pub use tenure::Tenure;
+pub use tree::{CLAIM_HOPS, FANOUT, choose_child};
 
 /// A whole rate and burst, in the portions that shares are counted in.
 pub const WHOLE: u64 = 1_000_000_000;
--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -43,6 +43,8 @@
     Beat {
         member: member(number),
         number: 1,
+        since: 0,
+        members: Vec::new(),
         heard: 0,
         fence: 1,
         config: 1,
