Copy less and watch less for each exchange

Cause: the read buffer was an array within the futures, which was copied with each move of them; an idle connection was looked at through the reactor; and two timers ran for each exchange, one for each wait of a server.

Change: the buffer is on the heap, the look at an idle connection asks the socket itself, one timer runs for an exchange, and a server's idle timer outlives its requests.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,10 +10,10 @@
 use async_h1::client::{Encoder, decode};
 use derive_more::{Display, Error};
 use filbertwheel_core::{Clock, token};
-use futures_lite::future::poll_once;
 use futures_lite::{AsyncReadExt as _, FutureExt as _};
 use http_types::Url;
 use http_types::headers::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use smol::Async;
 use smol::net::TcpStream;
 
 use crate::message::{Framing, framing, headers_from, is_framing, read_chunks};
@@ -116,19 +116,12 @@
     ) -> Result<Response, SendError> {
         let (encoded, method) = self.encode(request).await?;
         let (mut wire, used) = self.connection(deadline).await?;
-        let silent = async {
-            if !used {
-                return std::future::pending().await;
-            }
-            self.found_silent(deadline).await;
-            match on_silence {
-                OnSilence::Wait => std::future::pending().await,
-                OnSilence::GiveUp => Err(SendError::Lost),
-            }
-        };
         let received = self.send_and_receive(&mut wire, &encoded, method);
-        let received = received.or(silent);
         let late = async {
+            // One timer at a time: each costs a system call.
+            if used && self.is_silent(deadline).await && on_silence == OnSilence::GiveUp {
+                return Err(SendError::Lost);
+            }
             self.sleep_until(deadline).await;
             Err(SendError::Late)
         };
@@ -149,16 +142,17 @@
         self.lock().clear();
     }
 
-    /// Completes where half of the time until a deadline has passed and a new connection can be
-    /// opened. Then a connection that was used before and has been silent so far is probably
-    /// dead, and so are idle ones of its age.
-    async fn found_silent(&self, deadline: Instant) {
+    /// Whether a new connection can be opened once half of the time until a deadline has passed.
+    /// Then a connection that was used before and has been silent so far is probably dead, and
+    /// so are idle ones of its age.
+    async fn is_silent(&self, deadline: Instant) -> bool {
         let left = deadline.saturating_duration_since(self.clock.now());
         self.clock.sleep(left / 2).await;
-        match self.connect(deadline).await {
-            Ok(_probe) => self.discard_idle(),
-            Err(_) => std::future::pending().await,
+        let probe = self.connect(deadline).await;
+        if probe.is_ok() {
+            self.discard_idle();
         }
+        probe.is_ok()
     }
 
     async fn encode(&self, request: Request) -> Result<(Vec<u8>, http_types::Method), SendError> {
@@ -192,7 +186,7 @@
     /// An open connection, and whether it was used before.
     async fn connection(&self, deadline: Instant) -> Result<(Wire, bool), SendError> {
         while let Some(wire) = self.take_idle() {
-            if is_quiet(wire.stream()).await {
+            if is_quiet(wire.stream()) {
                 return Ok((wire, true));
             }
         }
@@ -330,8 +324,10 @@
     }
 }
 
-/// Whether nothing has arrived on an idle connection, neither bytes nor its end.
-async fn is_quiet(stream: &TcpStream) -> bool {
-    let mut byte = [0];
-    poll_once(stream.peek(&mut byte)).await.is_none()
+/// Whether nothing has arrived on an idle connection, neither bytes nor its end. The runtime isn't
+/// asked to watch it, which would cost a system call.
+fn is_quiet(stream: &TcpStream) -> bool {
+    let stream: Arc<Async<std::net::TcpStream>> = stream.clone().into();
+    let peeked = stream.get_ref().peek(&mut [0]);
+    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use async_h1::server::Encoder;
-use filbertwheel_core::{Clock, Text};
+use filbertwheel_core::{Clock, Sleep, Text};
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
 use http_types::StatusCode;
 use http_types::headers::{CONTENT_LENGTH, HeaderValues, TRANSFER_ENCODING};
@@ -77,6 +77,7 @@
             };
             let connection = Connection {
                 wire,
+                timer: self.clock.sleep(self.limits.idle),
                 limits: self.limits,
                 clock: Arc::clone(&self.clock),
                 stop: self.stop.clone(),
@@ -114,6 +115,7 @@
 
 struct Connection {
     wire: Wire,
+    timer: Sleep,
     limits: Limits,
     clock: Arc<dyn Clock>,
     stop: Stop,
@@ -136,10 +138,18 @@
             return true;
         }
         let (clock, limits, stop) = (&self.clock, self.limits, &self.stop);
+        let since = clock.now();
         let arrived = async { matches!(self.wire.fill().await, Ok(true)) };
+        // The timer outlives many requests, because each timer costs a system call.
         let idle = async {
-            clock.sleep(limits.idle).await;
-            false
+            loop {
+                (&mut self.timer).await;
+                let idle = clock.now().saturating_duration_since(since);
+                if idle >= limits.idle {
+                    return false;
+                }
+                self.timer = clock.sleep(limits.idle - idle);
+            }
         };
         let stopped = async {
             stop.given().await;
--- a/crates/http/src/wire.rs
+++ b/crates/http/src/wire.rs
@@ -19,7 +19,7 @@
 /// Largest head in bytes.
 const HEAD_LIMIT: usize = 8 * 1024;
 /// Bytes that are read at once.
-const READ_SIZE: usize = 8 * 1024;
+const READ_SIZE: usize = 4 * 1024;
 /// End of a head.
 const BLANK_LINE: &[u8] = b"\r\n\r\n";
 
@@ -74,11 +74,15 @@
 
     /// Waits for more bytes. Returns whether any came before the other end closed.
     pub async fn fill(&mut self) -> io::Result<bool> {
-        let mut bytes = [0; READ_SIZE];
         let mut stream = self.stream.clone();
-        let count = self.bounded(stream.read(&mut bytes)).await?;
-        self.unused.extend_from_slice(&bytes[..count]);
-        Ok(count > 0)
+        let mut unused = std::mem::take(&mut self.unused);
+        let known = unused.len();
+        // On the heap: an array would be copied with each move of the future.
+        unused.resize(known + READ_SIZE, 0);
+        let read = self.bounded(stream.read(&mut unused[known..])).await;
+        unused.truncate(known + read.as_ref().map_or(0, |count| *count));
+        self.unused = unused;
+        Ok(read? > 0)
     }
 
     /// Writes a message.
