--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -37,6 +37,34 @@
     Critical,
 }
 
+/// Says which of an organisation's calls are shed somewhere.
+#[token]
+pub struct CutOff {
+    /// Everything less critical is shed as well.
+    pub criticality: Criticality,
+    /// Largest rank that's kept at this criticality.
+    pub rank: u32,
+    /// When it no longer counts, wherever it was passed on to.
+    pub expires: Instant,
+}
+
+impl CutOff {
+    /// Whether it sheds a call.
+    pub fn sheds(&self, criticality: Criticality, rank: u32) -> bool {
+        criticality < self.criticality || criticality == self.criticality && rank > self.rank
+    }
+
+    /// The one of two that sheds more.
+    pub fn stricter(self, other: Self) -> Self {
+        let order = |cut: &Self| (cut.criticality, std::cmp::Reverse(cut.rank));
+        if order(&other) > order(&self) {
+            other
+        } else {
+            self
+        }
+    }
+}
+
 /// A request on its way through the fleet.
 #[value]
 pub struct Call {
@@ -198,6 +226,9 @@
     /// There's no capacity for the request.
     #[display("the service is overloaded")]
     Overloaded,
+    /// A service that the request needs further down has no capacity for it.
+    #[display("a service further down is overloaded")]
+    OverloadedDeep,
     /// The deadline passed before the request ran.
     #[display("the deadline passed before the request ran")]
     Expired,
@@ -216,6 +247,14 @@
 }
 
 impl RefusalKind {
+    /// What it means one hop further up, where another backend server doesn't help.
+    pub fn from_below(self) -> Self {
+        match self {
+            Self::Overloaded => Self::OverloadedDeep,
+            other => other,
+        }
+    }
+
     /// Whether another backend server may be tried instead.
     pub fn may_retry(self) -> bool {
         matches!(self, Self::Overloaded | Self::Draining | Self::Unavailable)
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,12 +3,13 @@
 use std::fmt::Debug;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use async_h1::server::Encoder;
 use filbertwheel_core::{Clock, Sleep, Text};
+use futures_lite::future::poll_once;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
 use http_types::StatusCode;
 use http_types::headers::{CONTENT_LENGTH, HeaderValues, TRANSFER_ENCODING};
@@ -70,36 +71,62 @@
     /// Accepts connections and serves them on `executor`. Returns once the stop signal was given
     /// and the last connection has ended.
     pub async fn run(self, executor: Rc<LocalExecutor<'static>>, handler: Arc<dyn Handler>) {
+        let tasks = self.accept_all(&executor, &handler).await;
+        // Callers that come later are turned down at once. In the backlog of an open socket they
+        // would wait and then be cut.
+        drop(self);
+        for task in tasks {
+            task.await;
+        }
+    }
+
+    async fn accept_all(
+        &self,
+        executor: &LocalExecutor<'static>,
+        handler: &Arc<dyn Handler>,
+    ) -> Vec<smol::Task<()>> {
         let mut tasks = Vec::new();
-        while let Some(stream) = self.accept().await {
-            let Ok(wire) = Wire::open(stream) else {
-                continue;
-            };
-            let connection = Connection {
-                wire,
-                timer: self.clock.sleep(self.limits.idle),
-                limits: self.limits,
-                clock: Arc::clone(&self.clock),
-                stop: self.stop.clone(),
-                handler: Arc::clone(&handler),
-            };
+        let mut lingered = pin!(self.lingered());
+        while let Some(stream) = self.accept(lingered.as_mut()).await {
             tasks.retain(|task: &smol::Task<()>| !task.is_finished());
-            tasks.push(executor.spawn(connection.serve()));
+            tasks.extend(self.serve(stream, executor, handler));
         }
-        for task in tasks {
-            task.await;
+        for _ in 0..BACKLOG {
+            let Some(Ok((stream, _))) = poll_once(self.socket.accept()).await else {
+                break;
+            };
+            tasks.extend(self.serve(stream, executor, handler));
         }
+        tasks
     }
 
-    async fn accept(&self) -> Option<TcpStream> {
+    fn serve(
+        &self,
+        stream: TcpStream,
+        executor: &LocalExecutor<'static>,
+        handler: &Arc<dyn Handler>,
+    ) -> Option<smol::Task<()>> {
+        let connection = Connection {
+            wire: Wire::open(stream).ok()?,
+            timer: self.clock.sleep(self.limits.idle),
+            limits: self.limits,
+            clock: Arc::clone(&self.clock),
+            stop: self.stop.clone(),
+            handler: Arc::clone(handler),
+        };
+        Some(executor.spawn(connection.serve()))
+    }
+
+    /// Accepts a connection, unless `lingered` completes first. That one is the same for all
+    /// connections, else a listener to which callers keep connecting would never stop.
+    async fn accept(&self, mut lingered: Pin<&mut impl Future<Output = ()>>) -> Option<TcpStream> {
         loop {
             let accepted = async { Some(self.socket.accept().await) };
-            let lingering = async {
-                self.stop.given().await;
-                self.clock.sleep(self.limits.linger).await;
+            let over = async {
+                lingered.as_mut().await;
                 None
             };
-            match accepted.or(lingering).await? {
+            match over.or(accepted).await? {
                 Ok((stream, _)) => return Some(stream),
                 Err(error) => {
                     tracing::warn!("http: Accepting failed: {error}.");
@@ -108,8 +135,16 @@
             }
         }
     }
+
+    /// Completes some time after the stop signal.
+    async fn lingered(&self) {
+        self.stop.given().await;
+        self.clock.sleep(self.limits.linger).await;
+    }
 }
 
+/// Most connections that wait to be accepted when a listener ends.
+const BACKLOG: usize = 1_024;
 /// Pause after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -1,46 +1,46 @@
 //! Routing and retries of a call.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use filbertwheel_core::{
-    Answer, Call, Doubt, Failure, Member, Refusal, RefusalKind, Verdict, VmId, invariant,
+    Answer, Call, CutOff, Doubt, Failure, Member, Refusal, RefusalKind, Verdict, VmId, invariant,
 };
-use filbertwheel_peer::ForwardError;
-use filbertwheel_policy::{RequestKey, choose, owner};
+use filbertwheel_peer::{ForwardError, Load};
+use filbertwheel_policy::{RequestKey, owner};
 
 use crate::engine::Engine;
+use crate::outlook::Target;
 use crate::snapshot::Snapshot;
 
 /// Longest pause before a retry.
 const BACKOFF: Duration = Duration::from_millis(20);
-/// Wait that's assumed of a node that wasn't reached, in microseconds.
-const UNREACHED_WAIT_US: u64 = 1_000_000;
-
-/// Where a call can run.
-#[derive(Debug, Clone)]
-struct Target {
-    vm: VmId,
-    address: SocketAddr,
-}
 
 impl Engine {
-    /// Runs a call at some backend server, with retries as far as they're given.
-    pub(super) async fn dispatch(&self, call: Call) -> Verdict {
+    /// Runs a call at some backend server, with retries as far as they're given. The cut-off
+    /// that came back last comes with the verdict.
+    pub(super) async fn dispatch(&self, call: Call) -> (Verdict, Option<CutOff>) {
         let given = call.retries;
         let mut left = given;
         let mut tried = Vec::new();
         let mut doubt = None;
         loop {
-            let verdict = self.attempt(&call, &mut left, &mut tried).await;
+            if let Some(cut) = self.outlook.sheds(&call, self.clock.now()) {
+                let shed = Err(RefusalKind::OverloadedDeep.into());
+                return (with_retries(with_doubt(shed, doubt), left), Some(cut));
+            }
+            let (verdict, cut) = self.attempt(&call, &mut left, &mut tried).await;
+            if verdict.is_ok() {
+                self.outlook.earn(&call.service);
+            }
             invariant!(
                 "retries-bounded",
                 left <= given,
                 "{left} retries are left of {given}"
             );
             let again = may_retry(&call, &verdict) && left > 0;
-            if !again || self.clock.now() + BACKOFF >= call.deadline {
-                return with_retries(with_doubt(verdict, doubt), left);
+            let late = self.clock.now() + BACKOFF >= call.deadline;
+            if !again || late || !self.outlook.spend(&call.service) {
+                return (with_retries(with_doubt(verdict, doubt), left), cut);
             }
             if let Err(Failure::Unknown(found)) = verdict {
                 doubt = Some(found);
@@ -57,18 +57,27 @@
     }
 
     /// Runs a call at this node, as its owner or at its backend server.
-    pub(super) async fn run_here(&self, call: &Call) -> Verdict {
+    pub(super) async fn run_here(&self, call: &Call) -> (Verdict, Load) {
         match call.once {
-            Some(once) if !once.admitted => Box::pin(self.run_owned(call, once)).await,
+            Some(once) if !once.admitted => {
+                let (verdict, cut) = Box::pin(self.run_owned(call, once)).await;
+                let wait = self.runner.wait();
+                (verdict, Load { wait, cut })
+            }
             _ => self.runner.run(call).await,
         }
     }
 
     /// Tries one backend server. Takes from `left` what that one spends.
-    async fn attempt(&self, call: &Call, left: &mut u32, tried: &mut Vec<VmId>) -> Verdict {
+    async fn attempt(
+        &self,
+        call: &Call,
+        left: &mut u32,
+        tried: &mut Vec<VmId>,
+    ) -> (Verdict, Option<CutOff>) {
         let snapshot = self.board.load_full();
         let Some(target) = self.target(&snapshot, call, tried) else {
-            return Err(RefusalKind::Unavailable.into());
+            return (Err(RefusalKind::Unavailable.into()), None);
         };
         tried.push(target.vm.clone());
         // One retry stays here, for the case that the target's answer is lost.
@@ -78,64 +87,50 @@
             ..call.clone()
         };
         *left = kept;
-        let verdict = if target.vm == snapshot.me.vm {
-            self.run_here(&call).await
+        let (verdict, cut) = if target.vm == snapshot.me.vm {
+            let (verdict, load) = self.run_here(&call).await;
+            let now = self.clock.now();
+            self.outlook.hear(&target.vm, &call, &load, now);
+            (verdict, load.cut)
         } else {
             self.send(&target, &call).await
         };
         *left += returned(&verdict).min(call.retries);
-        verdict
+        (verdict, cut)
     }
 
-    async fn send(&self, target: &Target, call: &Call) -> Verdict {
-        let pending = self.loads.pending(&target.vm);
+    async fn send(&self, target: &Target, call: &Call) -> (Verdict, Option<CutOff>) {
+        let pending = self.outlook.begin(&target.vm, self.clock.now());
         let reply = self.forward.forward(target.address, call).await;
         drop(pending);
-        match reply {
+        let now = self.clock.now();
+        let failure = match reply {
             Ok((verdict, load)) => {
-                self.loads.note_wait(&target.vm, (load * 1e6) as u64);
-                verdict
+                self.outlook.hear(&target.vm, call, &load, now);
+                return (verdict, load.cut);
             }
             Err(ForwardError::NotSent) => {
-                self.loads.note_wait(&target.vm, UNREACHED_WAIT_US);
-                Err(Refusal::new(RefusalKind::Unavailable)
-                    .with_retries(call.retries)
-                    .into())
+                self.outlook.miss(&target.vm, now);
+                Failure::Refused(Refusal::new(RefusalKind::Unavailable).with_retries(call.retries))
             }
-            Err(ForwardError::Lost) => Err(Doubt::Lost.into()),
-            Err(ForwardError::Late) => Err(Doubt::Late.into()),
-            Err(ForwardError::Broken) => Err(Doubt::Broken.into()),
-        }
-    }
-
-    fn target(&self, snapshot: &Snapshot, call: &Call, tried: &[VmId]) -> Option<Target> {
-        let member = match call.once {
-            Some(once) if !once.admitted => owner_of(snapshot, call),
-            _ => self.pick(snapshot, call, tried),
+            Err(ForwardError::Lost) => Doubt::Lost.into(),
+            Err(ForwardError::Late) => Doubt::Late.into(),
+            Err(ForwardError::Broken) => Doubt::Broken.into(),
         };
-        member.map(|member| Target {
-            vm: member.vm.clone(),
-            address: member.address,
-        })
+        (Err(failure), None)
     }
 
-    fn pick<'a>(
-        &self,
-        snapshot: &'a Snapshot,
-        call: &'a Call,
-        tried: &[VmId],
-    ) -> Option<&'a Member> {
-        let members = snapshot.roster.serving(&call.service);
-        let members: Vec<_> = members
-            .filter(|member| !tried.contains(&member.vm))
-            .collect();
-        let me = &snapshot.me;
-        let mut candidates = self.loads.candidates(members.iter().copied(), &me.domain);
-        if let Some(own) = members.iter().position(|member| member.vm == me.vm) {
-            candidates[own].wait_us = (self.runner.wait() * 1e6) as u64;
+    fn target(&self, snapshot: &Snapshot, call: &Call, tried: &[VmId]) -> Option<Target> {
+        match call.once {
+            Some(once) if !once.admitted => owner_of(snapshot, call).map(|member| Target {
+                vm: member.vm.clone(),
+                address: member.address,
+            }),
+            _ => {
+                let (wait, now) = (self.runner.wait(), self.clock.now());
+                self.outlook.pick(snapshot, call, tried, wait, now)
+            }
         }
-        let index = choose(&candidates, |count| rand::random_range(0..count))?;
-        members.get(index).copied()
     }
 }
 
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -1,7 +1,7 @@
 //! The path of calls through a node, from its three doors.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use filbertwheel_backend::{Announcement, Neighbour, NestedRequest};
@@ -10,17 +10,20 @@
     Call, Clock, Failure, OrganisationId, Rate, Refusal, RefusalKind, Verdict,
 };
 use filbertwheel_http::LocalFuture;
-use filbertwheel_peer::{CallSink, Forward};
-use filbertwheel_policy::{Memory, Purse, Receipt};
+use filbertwheel_peer::{CallSink, Forward, Load};
+use filbertwheel_policy::{Memory, Purse, Receipt, retry_after};
 
 use crate::control::{ClaimReply, Message};
 use crate::dispatch::returned;
 use crate::entry::{entry_call, identify, nested_call, route_of};
-use crate::loads::Loads;
 use crate::metrics::Metrics;
+use crate::outlook::Outlook;
 use crate::runner::Runner;
 use crate::snapshot::{Board, Snapshot};
 
+/// Pause that a caller is asked for after a refusal under overload, before jitter.
+const CALLER_PAUSE: Duration = Duration::from_secs(1);
+
 /// The path of calls through this node. Shared by the traffic threads.
 #[derive(Debug)]
 pub struct Engine {
@@ -31,7 +34,7 @@
     pub(super) forward: Arc<dyn Forward>,
     control: Sender<Message>,
     pub(super) metrics: Arc<Metrics>,
-    pub(super) loads: Loads,
+    pub(super) outlook: Outlook,
     pub(super) memory: Mutex<Memory>,
 }
 
@@ -54,7 +57,7 @@
             forward,
             control,
             metrics,
-            loads: Loads::default(),
+            outlook: Outlook::default(),
             memory: Mutex::new(Memory::open()),
         }
     }
@@ -87,12 +90,12 @@
         let route = route_of(snapshot, &request.particulars, request.method.as_bytes())?;
         let call = entry_call(request, organisation.clone(), route, now, self.clock.wall());
         let Some(organisation) = organisation else {
-            return self.dispatch(call).await;
+            return self.dispatch(call).await.0;
         };
         let limit = snapshot.config.organisations.get(&organisation);
         let limit = limit.ok_or(Refusal::new(RefusalKind::BadKey))?.limit;
         let receipt = self.charge(&organisation, limit, call.deadline).await?;
-        let verdict = self.dispatch(call).await;
+        let (verdict, _) = self.dispatch(call).await;
         if let (Some(receipt), Err(Failure::Refused(_))) = (receipt, &verdict) {
             self.purse()
                 .put_back(&organisation, receipt, self.clock.now());
@@ -143,12 +146,19 @@
         let wall = self.clock.wall();
         let call = nested_call(&self.board.load(), &pass, request, now, wall);
         let verdict = match call {
-            Ok(call) => self.dispatch(call).await,
+            Ok(call) => {
+                let (verdict, cut) = self.dispatch(call).await;
+                if let Some(cut) = cut {
+                    self.runner.passes().hear(&token, cut);
+                }
+                verdict.map_err(failed_below)
+            }
             Err(refusal) => Err(refusal.with_retries(pass.retries).into()),
         };
+        let took = self.clock.now().saturating_duration_since(now);
         self.runner
             .passes()
-            .give_back(&token, pass.retries, returned(&verdict));
+            .give_back(&token, pass.retries, returned(&verdict), took);
         verdict
     }
 
@@ -163,6 +173,7 @@
             let began = self.clock.now();
             let service = request.particulars.service.clone();
             let (organisation, verdict) = self.entered(request).await;
+            let verdict = verdict.map_err(paced);
             let took = self.clock.now().saturating_duration_since(began);
             let name = organisation
                 .as_ref()
@@ -182,10 +193,13 @@
 }
 
 impl CallSink for Engine {
-    fn run(&self, call: Call) -> LocalFuture<'_, Verdict> {
+    fn run(&self, call: Call) -> LocalFuture<'_, (Verdict, Load)> {
         Box::pin(async move {
             let snapshot = self.board.load_full();
-            let refuse = |kind| Err(Refusal::new(kind).with_retries(call.retries).into());
+            let refuse = |kind| {
+                let refusal = Refusal::new(kind).with_retries(call.retries);
+                (Err(refusal.into()), Load::default())
+            };
             if snapshot.me.service.as_ref() != Some(&call.service) {
                 return refuse(RefusalKind::Unavailable);
             }
@@ -195,10 +209,6 @@
             self.run_here(&call).await
         })
     }
-
-    fn load(&self) -> f64 {
-        self.runner.wait()
-    }
 }
 
 impl Neighbour for Engine {
@@ -217,3 +227,29 @@
         Box::pin(self.nested(request))
     }
 }
+
+/// A failure as the caller of the next hop up sees it.
+fn failed_below(failure: Failure) -> Failure {
+    match failure {
+        Failure::Refused(refusal) => Failure::Refused(Refusal {
+            kind: refusal.kind.from_below(),
+            ..refusal
+        }),
+        unknown @ Failure::Unknown(_) => unknown,
+    }
+}
+
+/// Asks the caller for a pause after a refusal under overload.
+fn paced(failure: Failure) -> Failure {
+    match failure {
+        Failure::Refused(refusal) if is_overload(refusal.kind) => Failure::Refused(Refusal {
+            retry_after: Some(retry_after(CALLER_PAUSE, rand::random())),
+            ..refusal
+        }),
+        other => other,
+    }
+}
+
+fn is_overload(kind: RefusalKind) -> bool {
+    matches!(kind, RefusalKind::Overloaded | RefusalKind::OverloadedDeep)
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,7 +16,7 @@
 use filbertwheel_http::{Handler, Limits, Listener, Stop, Stopper};
 use filbertwheel_operator::OperatorDoor;
 use filbertwheel_peer::{CallSink, ControlSink, Controls, Forward, PeerClient, PeerDoor};
-use filbertwheel_platform::Table;
+use filbertwheel_platform::Platform;
 use filbertwheel_policy::{Purse, Roster, Tenure};
 use filbertwheel_rpc::Guard;
 use smol::LocalExecutor;
@@ -82,7 +82,7 @@
     /// control thread when it calls `run`.
     pub async fn spawn(
         settings: &NodeSettings,
-        table: Arc<dyn Table>,
+        platform: Platform,
         clock: Arc<dyn Clock>,
     ) -> Result<Self, NodeError> {
         let (stopper, stop) = Stopper::open();
@@ -107,8 +107,10 @@
             local: local.address(),
             peer: peer.address(),
             operator: operator.address(),
+            advertise: listen.advertise,
         };
-        let me = member(settings, peer.address(), clock.as_ref());
+        let address = listen.advertise.unwrap_or(peer.address());
+        let me = member(settings, address, clock.as_ref());
         let metrics = Arc::new(Metrics::open());
         let board = board(&me);
         let purse = Arc::new(Mutex::new(Purse::default()));
@@ -155,7 +157,8 @@
 
         let parts = Parts {
             clock: Arc::clone(&clock),
-            table,
+            table: platform.table,
+            objects: platform.objects,
             controls: peers as Arc<dyn Controls>,
             purse,
             board,
--- a/crates/node/src/runner.rs
+++ b/crates/node/src/runner.rs
@@ -2,12 +2,13 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use filbertwheel_backend::{Announcement, Backend, BackendError, BackendReply, Connect};
-use filbertwheel_core::{Call, Clock, Doubt, Failure, Refusal, RefusalKind, Text, Verdict};
-use filbertwheel_policy::{Entry, Gate, Offer, Release, Ticket};
+use filbertwheel_core::{Call, Clock, CutOff, Doubt, Failure, Refusal, RefusalKind, Text, Verdict};
+use filbertwheel_peer::Load;
+use filbertwheel_policy::{Entry, Gate, Offer, Release, Spent, Ticket};
 use futures_lite::FutureExt as _;
 
 use crate::metrics::Metrics;
@@ -83,9 +84,9 @@
         state.gate.resize(announcement.slots);
     }
 
-    /// How long a new call would wait, in seconds.
-    pub fn wait(&self) -> f64 {
-        self.lock().gate.wait().as_secs_f64()
+    /// How long a new call would wait.
+    pub fn wait(&self) -> Duration {
+        self.lock().gate.wait()
     }
 
     /// Calls that run or wait.
@@ -94,8 +95,25 @@
         state.gate.running() + state.gate.queued()
     }
 
-    /// Runs a call once the gate lets it through.
-    pub async fn run(&self, call: &Call) -> Verdict {
+    /// Runs a call once the gate lets it through. The load comes with the verdict.
+    pub async fn run(&self, call: &Call) -> (Verdict, Load) {
+        let mut below = None;
+        let verdict = self.verdict(call, &mut below).await;
+        let state = self.lock();
+        let now = self.clock.now();
+        let own = state
+            .gate
+            .cut_off(&call.organisation, call.criticality, now);
+        let cut = match (own, below) {
+            (Some(own), Some(below)) => Some(own.stricter(below)),
+            (own, below) => own.or(below),
+        };
+        let wait = state.gate.wait();
+        (verdict, Load { wait, cut })
+    }
+
+    /// Runs a call. `below` becomes the cut-off that its nested calls heard of.
+    async fn verdict(&self, call: &Call, below: &mut Option<CutOff>) -> Verdict {
         let Some(target) = self.lock().backend.clone() else {
             return Err(Refusal::new(RefusalKind::Unavailable)
                 .with_retries(call.retries)
@@ -110,7 +128,8 @@
         }
         let token = slot.token.clone();
         let reply = target.backend.run(call, token).await;
-        let retries = slot.close();
+        let (retries, cut) = slot.close();
+        *below = cut;
         verdict_of(reply, retries)
     }
 
@@ -182,10 +201,21 @@
         }
     }
 
-    fn finish(&self, began: Instant) {
+    /// Ends a running call that spent `nested` on calls to other services.
+    fn finish(&self, began: Instant, nested: Duration) {
         let now = self.clock.now();
+        let elapsed = now.saturating_duration_since(began);
+        let own = elapsed.saturating_sub(nested);
+        let mut state = self.lock();
+        let releases = state.gate.finish(&Spent { elapsed, own }, now);
+        state.release(releases);
+        self.gauge(&state);
+    }
+
+    /// Gives back the place of a call that was let through but never ran.
+    fn abandon(&self) {
         let mut state = self.lock();
-        let releases = state.gate.finish(now.saturating_duration_since(began), now);
+        let releases = state.gate.abandon(self.clock.now());
         state.release(releases);
         self.gauge(&state);
     }
@@ -201,7 +231,7 @@
 }
 
 /// How often a waiting call looks whether it has waited too long.
-const EXPIRY_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 
 enum Admitted {
     Now,
@@ -241,7 +271,7 @@
         drop(state);
         if let Ok(Ok(())) = self.released.try_recv() {
             // It was let through, but nobody is left to run it.
-            self.runner.finish(self.runner.clock.now());
+            self.runner.abandon();
         }
     }
 }
@@ -255,15 +285,17 @@
 }
 
 impl Slot<'_> {
-    /// Ends the call. Returns the retries that are left.
-    fn close(mut self) -> u32 {
+    /// Ends the call. Returns the retries that are left, and the cut-off that it heard of.
+    fn close(mut self) -> (u32, Option<CutOff>) {
         self.end()
     }
 
-    fn end(&mut self) -> u32 {
+    fn end(&mut self) -> (u32, Option<CutOff>) {
         self.ended = true;
-        self.runner.finish(self.began);
-        self.runner.passes.end(&self.token)
+        let pass = self.runner.passes.end(&self.token);
+        let nested = pass.as_ref().map_or(Duration::ZERO, |pass| pass.nested);
+        self.runner.finish(self.began, nested);
+        pass.map_or((0, None), |pass| (pass.retries, pass.cut))
     }
 }
 
--- a/crates/slopes/src/growth.rs
+++ b/crates/slopes/src/growth.rs
@@ -138,7 +138,7 @@
                 number,
                 ..beat.clone()
             };
-            drop(black_box(ledger.note(&next, now).is_ok()));
+            let _taken = black_box(ledger.note(&next, now).is_ok());
             drop(black_box(ledger.settle(&next, &limits, now, now)));
         }
     }
