--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use async_h1::server::Encoder;
-use filbertwheel_core::{Clock, Text};
+use filbertwheel_core::{Clock, Sleep, Text};
 use futures_lite::future::poll_once;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
 use http_types::StatusCode;
@@ -108,6 +108,7 @@
     ) -> Option<smol::Task<()>> {
         let connection = Connection {
             wire: Wire::open(stream).ok()?,
+            timer: self.clock.sleep(self.limits.idle),
             limits: self.limits,
             clock: Arc::clone(&self.clock),
             stop: self.stop.clone(),
@@ -149,6 +150,7 @@
 
 struct Connection {
     wire: Wire,
+    timer: Sleep,
     limits: Limits,
     clock: Arc<dyn Clock>,
     stop: Stop,
@@ -171,10 +173,18 @@
             return true;
         }
         let (clock, limits, stop) = (&self.clock, self.limits, &self.stop);
+        let since = clock.now();
         let arrived = async { matches!(self.wire.fill().await, Ok(true)) };
+        // The timer outlives many requests, because each timer costs a system call.
         let idle = async {
-            clock.sleep(limits.idle).await;
-            false
+            loop {
+                (&mut self.timer).await;
+                let idle = clock.now().saturating_duration_since(since);
+                if idle >= limits.idle {
+                    return false;
+                }
+                self.timer = clock.sleep(limits.idle - idle);
+            }
         };
         let stopped = async {
             stop.given().await;
