--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -226,6 +226,12 @@
         let left = entry.deadline.saturating_duration_since(now);
         let service = Duration::from_secs_f64(self.service);
         let needed = service.min(left / 2);
-        now + (left - needed).min(service.clamp(SHORTEST_BOUND, LONGEST_WAIT))
+        // Before the first call has ended, nothing is known of the service time.
+        let bound = if service.is_zero() {
+            LONGEST_WAIT
+        } else {
+            service.clamp(SHORTEST_BOUND, LONGEST_WAIT)
+        };
+        now + (left - needed).min(bound)
     }
 }
