--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -282,13 +282,3 @@
     #[display("a request with this id is running or has run")]
     Repeated,
 }
-
-/// Whether the organisation's rate was charged for a call.
-#[message]
-#[derive(Copy, Eq)]
-pub enum Charge {
-    /// One token was spent.
-    Spent,
-    /// The route is open to all.
-    Open,
-}
--- a/crates/core/src/config_log.rs
+++ b/crates/core/src/config_log.rs
@@ -1,6 +1,7 @@
 //! The configuration in force at one node, with the changes that led to it.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use crate::{Change, ConfigError, Configuration, Delta, Version, invariant};
 
@@ -10,7 +11,7 @@
 /// The configuration in force. Its version never goes back.
 #[derive(Debug, Clone, Default)]
 pub struct ConfigLog {
-    current: Configuration,
+    current: Arc<Configuration>,
     recent: VecDeque<Change>,
 }
 
@@ -20,6 +21,11 @@
         &self.current
     }
 
+    /// The configuration in force, without a copy.
+    pub fn share(&self) -> Arc<Configuration> {
+        Arc::clone(&self.current)
+    }
+
     /// What a node at `version` needs to catch up.
     pub fn since(&self, version: Version) -> Delta {
         let first = self.recent.front().map(|change| change.version);
@@ -28,7 +34,7 @@
             let newer = self.recent.iter().filter(|change| change.version > version);
             return Delta::Changes(newer.cloned().collect());
         }
-        Delta::Whole(self.current.clone())
+        Delta::Whole(Configuration::clone(&self.current))
     }
 
     /// Takes over what's newer. Returns whether the version grew.
@@ -56,7 +62,7 @@
         if change.version <= self.current.version {
             return Ok(());
         }
-        self.current.apply(&change)?;
+        Arc::make_mut(&mut self.current).apply(&change)?;
         self.recent.push_back(change);
         if self.recent.len() > CHANGES_KEPT {
             self.recent.pop_front();
@@ -66,7 +72,7 @@
 
     fn replace(&mut self, config: Configuration) {
         if config.version > self.current.version {
-            self.current = config;
+            self.current = Arc::new(config);
             self.recent.clear();
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,8 +18,8 @@
 mod text;
 
 pub use call::{
-    Answer, Call, Charge, Criticality, CutOff, Doubt, Failure, Header, Method, Once, Refusal,
-    RefusalKind, Verdict,
+    Answer, Call, Criticality, CutOff, Doubt, Failure, Header, Method, Once, Refusal, RefusalKind,
+    Verdict,
 };
 pub use clock::{Clock, PausedClock, Sleep, SystemClock};
 pub use config::{Change, ConfigError, Configuration, Edit, Key, Organisation, Rate, Route};
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -42,10 +42,3 @@
     /// Where it stands.
     pub status: Status,
 }
-
-impl Member {
-    /// Whether this record replaces `other` of the same VM.
-    pub fn supersedes(&self, other: &Self) -> bool {
-        (self.incarnation, self.status) > (other.incarnation, other.status)
-    }
-}
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -20,7 +20,7 @@
         let demands = self.purse().demands(now);
         self.own.begin(now);
         let beat = self.beat(&self.own, self.config().version, demands);
-        if self.roster.merge(beat.member.clone()) {
+        if self.merge(beat.member.clone()) {
             self.subtree.announce(beat.member.clone());
             self.publish();
         }
@@ -69,7 +69,7 @@
         }
         self.apply(pulse.delta);
         for member in pulse.members {
-            self.roster.merge(member);
+            self.merge(member);
         }
         self.seen = pulse.roster;
         self.confirmed = pulse.confirmed;
@@ -235,7 +235,7 @@
         for member in beat.members.iter().chain([&beat.member]) {
             let known = self.roster.member(&member.vm);
             if member.vm != self.me().vm && self.subtree.hear(child, member, known) {
-                changed |= self.roster.merge(member.clone());
+                changed |= self.merge(member.clone());
             }
         }
         if changed {
@@ -257,7 +257,7 @@
         };
         // Below the root, the word of the root decides: the member may have another parent.
         if self.is_root() {
-            self.roster.merge(gone);
+            self.merge(gone);
             self.publish();
         } else {
             self.subtree.announce(gone);
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -39,11 +39,12 @@
 pub(crate) struct Control {
     pub parts: Parts,
     me: Member,
-    pub(super) roster: Roster,
+    pub(super) roster: Arc<Roster>,
     pub(super) tenure: Arc<Tenure>,
     pub(super) config: ConfigLog,
     /// Until when the node may serve keyed routes.
     pub(super) lease: Option<Instant>,
+    leaving: bool,
     pub(super) link: Link,
     /// The exchange of the node with itself.
     pub(super) own: Link,
@@ -67,9 +68,10 @@
             parts,
             tenure: Arc::new(Tenure::open(me.vm.clone(), SERVING_LEASE)),
             me,
-            roster: Roster::default(),
+            roster: Arc::default(),
             config: ConfigLog::default(),
             lease: None,
+            leaving: false,
             link: Link::default(),
             own: Link::default(),
             branch,
@@ -98,7 +100,7 @@
 
     /// Whether the node is on its way out.
     pub fn is_leaving(&self) -> bool {
-        self.me.status >= Status::Draining
+        self.leaving
     }
 
     /// Whether this node is the root.
@@ -160,15 +162,16 @@
     pub fn announce(&mut self, announcement: &Announcement) {
         self.me.service = Some(announcement.service.clone());
         self.me.slots = announcement.slots;
-        if self.me.status < Status::Draining {
+        if !self.leaving {
             self.me.status = announcement.status;
         }
         self.heed_drain();
         self.publish();
     }
 
-    /// Starts or ends the node's leave.
-    pub fn set_status(&mut self, status: Status) {
+    /// Starts or ends the node's leave. What its backend server announces no longer matters.
+    pub fn leave(&mut self, status: Status) {
+        self.leaving = true;
         self.me.status = status;
         self.publish();
     }
@@ -288,10 +291,15 @@
             .collect()
     }
 
+    /// Takes over a member's record. The roster is shared with traffic and copied only for news.
+    pub(super) fn merge(&mut self, member: Member) -> bool {
+        self.roster.is_news(&member) && Arc::make_mut(&mut self.roster).merge(member)
+    }
+
     pub(super) fn publish(&self) {
         self.parts.board.store(Arc::new(Snapshot {
-            config: Arc::new(self.config().clone()),
-            roster: Arc::new(self.roster.clone()),
+            config: self.config.share(),
+            roster: Arc::clone(&self.roster),
             tenure: Arc::clone(&self.tenure),
             me: self.me.clone(),
             lease: self.lease,
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -39,7 +39,7 @@
             );
             let again = may_retry(&call, &verdict) && left > 0;
             let late = self.clock.now() + BACKOFF >= call.deadline;
-            if !again || late || !self.outlook.spend(&call.service) {
+            if !again || late || !(is_leaving(&verdict) || self.outlook.spend(&call.service)) {
                 return (with_retries(with_doubt(verdict, doubt), left), cut);
             }
             if let Err(Failure::Unknown(found)) = verdict {
@@ -145,6 +145,11 @@
     snapshot.roster.member(vm)
 }
 
+/// Whether the target only is on its way out. A retry elsewhere adds no load to the service.
+fn is_leaving(verdict: &Verdict) -> bool {
+    matches!(verdict, Err(Failure::Refused(refusal)) if refusal.kind == RefusalKind::Draining)
+}
+
 /// Whether an answer was cut or its connection lost, so that other targets are better for a while.
 fn is_unsound(verdict: &Verdict) -> bool {
     matches!(verdict, Err(Failure::Unknown(Doubt::Broken | Doubt::Lost)))
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -208,7 +208,7 @@
     /// Leaves: takes no new work, finishes what runs, then stops.
     async fn close(self) {
         tracing::info!("node: Draining.");
-        self.control.borrow_mut().set_status(Status::Draining);
+        self.control.borrow_mut().leave(Status::Draining);
         let pause = self.control.borrow().parts.beat * DRAIN_BEATS;
         send_beat(&self.control).await;
         self.clock.sleep(pause).await;
@@ -220,7 +220,7 @@
         // The threads end once their last connection has; control goes on meanwhile.
         let threads = self.threads;
         smol::unblock(move || threads.into_iter().for_each(TrafficThread::close)).await;
-        self.control.borrow_mut().set_status(Status::Gone);
+        self.control.borrow_mut().leave(Status::Gone);
         // Nothing is spent any more; the root learns of it with the last beat.
         self.control.borrow().purse().clear();
         send_beat(&self.control).await;
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -49,10 +49,15 @@
             .collect()
     }
 
+    /// Whether a record differs from what's known and isn't of an earlier run.
+    pub fn is_news(&self, member: &Member) -> bool {
+        let known = self.member(&member.vm);
+        known.is_none_or(|known| member.incarnation >= known.incarnation && member != known)
+    }
+
     /// Takes over a record unless a later run is known. Returns whether anything changed.
     pub fn merge(&mut self, member: Member) -> bool {
-        let known = self.entries.get(&member.vm).map(|entry| &entry.member);
-        if known.is_some_and(|known| member.incarnation < known.incarnation || member == *known) {
+        if !self.is_news(&member) {
             return false;
         }
         self.position += 1;
