--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -18,22 +18,25 @@
 /// Deepest call chain.
 const DEPTH_LIMIT: u8 = 16;
 
-/// Finds out for whom a request runs, or refuses it.
+/// Finds out for whom a request runs, or refuses it. Routes open to all need no current
+/// configuration.
 pub(crate) fn identify(
     snapshot: &Snapshot,
     request: &EntryRequest,
     now: Instant,
 ) -> Result<Option<OrganisationId>, Refusal> {
-    let route = route_of(snapshot, &request.particulars, request.method.as_bytes());
-    if !snapshot.is_current(now) {
-        return Err(RefusalKind::Stale.into());
-    }
+    let current = snapshot.is_current(now);
     let Some(hash) = &request.key else {
+        let route = route_of(snapshot, &request.particulars, request.method.as_bytes());
         return match route {
             Ok(route) if route.open => Ok(None),
+            _ if !current => Err(RefusalKind::Stale.into()),
             _ => Err(RefusalKind::NoKey.into()),
         };
     };
+    if !current {
+        return Err(RefusalKind::Stale.into());
+    }
     let key = snapshot
         .config
         .keys
