--- a/crates/node/tests/engine/chain.rs
+++ b/crates/node/tests/engine/chain.rs
@@ -82,3 +82,13 @@
     assert_eq!(verdict, Err(Failure::Unknown(Doubt::Lost)));
     assert_eq!(fleet.fakes.total(), 1);
 }
+
+/// Runs of a call that goes round until the depth limit refuses it.
+const RUNS_TO_THE_LIMIT: u32 = 17;
+
+#[test]
+fn a_call_that_goes_round_ends_at_the_depth_limit() {
+    let fleet = Fleet::open(&[("round", Some("round"))], smooth(), smooth());
+    let _failed_below = fleet.enter(0, request("round", None));
+    assert_eq!(fleet.fakes.total(), RUNS_TO_THE_LIMIT);
+}
