--- a/scripts/footprint.sh
+++ b/scripts/footprint.sh
@@ -31,6 +31,7 @@
 echo "idle child: $(resident "$child"), $(threads "$child") threads, $(share "$child" 20) of a core"
 "$FLEET_BIN/filbertwheel-slopes" connections --target "127.0.0.1:$((FLEET_PORT + 20))" \
   --count 1200 --seconds 12 &
+holder=$!
 sleep 4
 echo "child with 1,200 connections: $(resident "$child"), $(share "$child" 5) of a core"
-wait %1 2>/dev/null || true
+wait "$holder"
