Build a header line in one place

Cause: requests and responses built the same line each for themselves. Seen: cargo test -p filbertwheel-http, 20 passed; formatter and clippy of the package clean.

--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -78,10 +78,7 @@
 
     /// The same request with one more header.
     pub fn with(mut self, name: &'static str, value: impl Into<Text>) -> Self {
-        self.headers.push(Header {
-            name: Text::from_static(name),
-            value: value.into(),
-        });
+        self.headers.push(line(name, value.into()));
         self
     }
 
@@ -112,14 +109,18 @@
 
     /// The same response with one more header.
     pub fn with(mut self, name: &'static str, value: impl Into<Text>) -> Self {
-        self.headers.push(Header {
-            name: Text::from_static(name),
-            value: value.into(),
-        });
+        self.headers.push(line(name, value.into()));
         self
     }
 }
 
+fn line(name: &'static str, value: Text) -> Header {
+    Header {
+        name: Text::from_static(name),
+        value,
+    }
+}
+
 fn find<'a>(headers: &'a [Header], name: &str) -> Option<&'a Text> {
     headers
         .iter()
