Order requests by the route's priority too, and learn what they cost by working time

The logged plan showed three faults: - All organisations have one priority there, which replaced the priority of the route, so there was one class only. - Calls were attributed by calls a run, weighted by what runs. Long runs are seen running more often, so each step gave them more: a deposit was charged 90 calls in place of 10, an availability check 0.5 in place of 10. Congestion moved calls to routes that make none. - Each planning step changed what is planned with by up to a fifth, while its effect takes half a second to show.

Ruled out: matching a call to its run by time limit (the calls carry their own, shorter one).

Rank = priority of the organisation, then of the route. Calls are attributed by calls a second of work; runs that wait for a call do not count as working. Smaller steps, and the queue of a service is drained by what is held back for it. Routes that together take a tenth of a short service's slots are not cut.

The two attribution tests fail with the earlier weights.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,6 @@
 pub use logging::{LogFormat, init_json_logging, init_logging};
 pub use member::{Member, Status};
 pub use proof::{FleetSecret, Proof, ProofError, hash_key};
-pub use rules::{Bounds, Path, Rules, Target, Terms};
+pub use rules::{Bounds, Path, Rank, Rules, Target, Terms};
 pub use settings::{BadValue, SettingsError, SettingsFault, load_settings};
 pub use text::Text;
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbertwheel_macros::value;
+use filbertwheel_macros::{message, value};
 
 use crate::{OrganisationId, Priority, Rate, RouteId, ServiceId, Text, Version};
 
@@ -59,6 +59,16 @@
     pub attempts: u32,
 }
 
+/// The order in which requests are taken where there isn't room for all; the least goes first.
+#[message]
+#[derive(Copy, Eq, PartialOrd, Ord, Hash)]
+pub struct Rank {
+    /// Priority of the organisation, or of the route where the organisation has none.
+    pub organisation: Priority,
+    /// Priority of the route, which decides among organisations of one priority.
+    pub route: Priority,
+}
+
 /// One of the services that a route leads to.
 #[value]
 pub struct Target {
@@ -93,6 +103,12 @@
     }
 }
 
+impl std::fmt::Display for Rank {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{}", self.organisation, self.route)
+    }
+}
+
 impl Rules {
     /// Rules with these routes, and nothing else.
     pub fn open(version: Version, paths: impl IntoIterator<Item = Path>) -> Self {
@@ -135,11 +151,14 @@
         self.names.values()
     }
 
-    /// The priority of an organisation's requests on a route.
-    pub fn priority(&self, path: &Path, organisation: Option<&OrganisationId>) -> Priority {
+    /// The rank of an organisation's requests on a route.
+    pub fn rank(&self, path: &Path, organisation: Option<&OrganisationId>) -> Rank {
         let terms = organisation.and_then(|name| self.organisations.get(name));
         let own = terms.and_then(|terms| terms.priority);
-        own.unwrap_or(path.priority)
+        Rank {
+            organisation: own.unwrap_or(path.priority),
+            route: path.priority,
+        }
     }
 
     /// Rate and burst of an organisation, where it has a limit.
--- a/crates/engine/src/control/plan.rs
+++ b/crates/engine/src/control/plan.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbertwheel_core::{Priority, RouteId, ServiceId, Status};
+use filbertwheel_core::{Rank, RouteId, ServiceId, Status};
 use filbertwheel_policy::{Asked, CallGraph, Capacity, Cut, Cuts, Planner, RouteProfile};
 
 use super::state::Control;
@@ -33,28 +33,24 @@
     /// Takes up what callers asked for since the last time.
     pub(super) fn measure(&mut self, interval: Duration) {
         let counts = self.parts.engine.take_asked();
-        let mut smoothed: HashMap<(RouteId, Priority), f32> = self
+        let mut smoothed: HashMap<(RouteId, Rank), f32> = self
             .plan
             .own_asked
             .drain(..)
-            .map(|asked| ((asked.route, asked.priority), asked.rate))
+            .map(|asked| ((asked.route, asked.rank), asked.rate))
             .collect();
         for rate in smoothed.values_mut() {
             *rate *= 1.0 - ASKED_WEIGHT as f32;
         }
         for asked in rates(counts, interval) {
-            let rate = smoothed.entry((asked.route, asked.priority)).or_default();
+            let rate = smoothed.entry((asked.route, asked.rank)).or_default();
             *rate += asked.rate * ASKED_WEIGHT as f32;
         }
         let known = smoothed
             .into_iter()
             .filter(|(_, rate)| *rate >= ASKED_FLOOR);
         self.plan.own_asked = known
-            .map(|((route, priority), rate)| Asked {
-                route,
-                priority,
-                rate,
-            })
+            .map(|((route, rank), rate)| Asked { route, rank, rate })
             .collect();
         self.parts.engine.shed().fade();
     }
@@ -91,7 +87,7 @@
         let known = &self.plan.logged_cuts;
         let moved = |service: &ServiceId, cut: &Cut| {
             known.get(service).is_none_or(|before| {
-                before.priority != cut.priority || before.kept.abs_diff(cut.kept) > LOGGED_CHANGE
+                before.rank != cut.rank || before.kept.abs_diff(cut.kept) > LOGGED_CHANGE
             })
         };
         for (service, cut) in &cuts.services {
@@ -99,11 +95,11 @@
                 let capacity = capacities.get(service).copied().unwrap_or_default();
                 tracing::info!(
                     service = %service,
-                    priority = cut.priority,
+                    rank = %cut.rank,
                     kept = cut.kept,
                     slots = capacity.slots,
                     busy = capacity.busy,
-                    "control: A service is short; requests of this priority are cut."
+                    "control: A service is short; requests of this rank are cut."
                 );
             }
         }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use filbertwheel_backend::StatusReport;
 use filbertwheel_core::{
-    Attempt, BackendId, Clock, Member, OrganisationId, Path, Priority, Refusal, RefusalKind,
-    RouteId, Rules, ServiceId, Verdict, Version,
+    Attempt, BackendId, Clock, Member, OrganisationId, Path, Rank, Refusal, RefusalKind, RouteId,
+    Rules, ServiceId, Verdict, Version,
 };
 use filbertwheel_http::LocalFuture;
 use filbertwheel_peer::{LinkSink, News, Report};
@@ -50,7 +50,7 @@
     budget: Mutex<RetryBudget>,
     shed: Mutex<FairShed>,
     split: Mutex<Split>,
-    asked: Mutex<HashMap<(RouteId, Priority), u32>>,
+    asked: Mutex<HashMap<(RouteId, Rank), u32>>,
     /// Until when claims for an organisation are pointless.
     dry: Mutex<HashMap<OrganisationId, Instant>>,
     /// Until when the holder isn't asked, because it didn't answer.
@@ -149,13 +149,13 @@
     }
 
     /// Takes note of a caller's request.
-    pub(crate) fn note_asked(&self, path: &Path, priority: Priority) {
+    pub(crate) fn note_asked(&self, path: &Path, rank: Rank) {
         let mut asked = lock(&self.asked);
-        *asked.entry((path.id.clone(), priority)).or_default() += 1;
+        *asked.entry((path.id.clone(), rank)).or_default() += 1;
     }
 
     /// The requests that callers sent since the last call.
-    pub(crate) fn take_asked(&self) -> HashMap<(RouteId, Priority), u32> {
+    pub(crate) fn take_asked(&self) -> HashMap<(RouteId, Rank), u32> {
         std::mem::take(&mut lock(&self.asked))
     }
 
@@ -308,13 +308,13 @@
 }
 
 /// The requests of an interval as rates.
-pub(crate) fn rates(counts: HashMap<(RouteId, Priority), u32>, interval: Duration) -> Vec<Asked> {
+pub(crate) fn rates(counts: HashMap<(RouteId, Rank), u32>, interval: Duration) -> Vec<Asked> {
     let seconds = interval.as_secs_f64().max(0.001);
     let counts = counts.into_iter();
     counts
-        .map(|((route, priority), count)| Asked {
+        .map(|((route, rank), count)| Asked {
             route,
-            priority,
+            rank,
             rate: (f64::from(count) / seconds) as f32,
         })
         .collect()
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::{
-    Attempt, Failure, OrganisationId, Path, Priority, Refusal, RefusalKind, RouteId, Rules, Verdict,
+    Attempt, Failure, OrganisationId, Path, Rank, Refusal, RefusalKind, RouteId, Rules, Verdict,
 };
 use filbertwheel_policy::Receipt;
 
@@ -13,6 +13,7 @@
 use crate::dispatch::{Dispatched, with_hint};
 use crate::engine::Engine;
 use crate::journal::Entry;
+use crate::runner::CallUnderWay;
 
 /// How long a sender waits that doesn't say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
@@ -24,12 +25,12 @@
 const HINT_SPREAD: f64 = 0.6;
 
 /// A request that may run, with what it was charged.
-struct Admitted {
+struct Admitted<'a> {
     path: Arc<Path>,
     organisation: Option<OrganisationId>,
-    priority: Priority,
     receipt: Option<Receipt>,
-    nested: bool,
+    /// Set where it's a call of the backend server on this VM.
+    call: Option<CallUnderWay<'a>>,
 }
 
 impl Engine {
@@ -109,7 +110,7 @@
         snapshot: &Snapshot,
         arrival: &Arrival,
         now: Instant,
-    ) -> Result<Admitted, (Option<RouteId>, Refusal)> {
+    ) -> Result<Admitted<'_>, (Option<RouteId>, Refusal)> {
         let Some(rules) = &snapshot.rules else {
             let refusal = Refusal::retry_after(RefusalKind::Stale, START_HINT);
             return Err((None, refusal));
@@ -121,7 +122,7 @@
         let refused = |refusal: Refusal| (Some(path.id.clone()), refusal);
         let organisation =
             organisation(rules, &path, arrival).map_err(|kind| refused(kind.into()))?;
-        let priority = rules.priority(&path, organisation.as_ref());
+        let rank = rules.rank(&path, organisation.as_ref());
         let receipt = match &organisation {
             Some(name) => self
                 .charge(snapshot, rules, name, now)
@@ -130,11 +131,10 @@
             None => None,
         };
         let nested = is_nested(rules, &path, arrival);
-        if nested {
-            self.runner.called(&path.id);
-        } else {
-            self.note_asked(&path, priority);
-            if let Err(refusal) = self.make_room(snapshot, &path, priority, &organisation) {
+        let call = nested.then(|| self.runner.called(&path.id));
+        if call.is_none() {
+            self.note_asked(&path, rank);
+            if let Err(refusal) = self.make_room(snapshot, &path, rank, &organisation) {
                 self.put_back(&organisation, receipt);
                 return Err((Some(path.id.clone()), refusal));
             }
@@ -142,9 +142,8 @@
         Ok(Admitted {
             path,
             organisation,
-            priority,
             receipt,
-            nested,
+            call,
         })
     }
 
@@ -153,12 +152,12 @@
         &self,
         snapshot: &Snapshot,
         path: &Path,
-        priority: Priority,
+        rank: Rank,
         organisation: &Option<OrganisationId>,
     ) -> Result<(), Refusal> {
-        let kept = snapshot.cuts.kept(&path.id, priority);
+        let kept = snapshot.cuts.kept(&path.id, rank);
         let part = kept.map_or(1_000, |(part, _)| part);
-        if self.shed().admit(&path.id, priority, organisation, part) {
+        if self.shed().admit(&path.id, rank, organisation, part) {
             return Ok(());
         }
         let refusal = Refusal::retry_after(RefusalKind::OverloadedDeep, spread(ROOM_HINT));
@@ -169,15 +168,14 @@
         &self,
         snapshot: &Snapshot,
         arrival: Arrival,
-        admitted: Admitted,
+        admitted: Admitted<'_>,
         began: Instant,
     ) -> Dispatched {
         let Admitted {
             path,
             organisation,
-            priority,
             receipt,
-            nested,
+            call,
         } = admitted;
         let patience = arrival.patience.unwrap_or(DEFAULT_PATIENCE);
         let patience = path
@@ -199,9 +197,9 @@
             service,
             organisation,
             caller: self.service.clone(),
-            priority,
+            priority: path.priority,
             idempotent: path.idempotent,
-            nested,
+            nested: call.is_some(),
             deadline: began + patience,
             objective: path.objective,
             method: arrival.method,
@@ -210,6 +208,7 @@
             body: arrival.body,
         };
         let dispatched = self.dispatch(snapshot, &path, &attempt).await;
+        drop(call);
         if matches!(dispatched.verdict, Err(Failure::Refused(_))) {
             self.put_back(&attempt.organisation, receipt);
         }
@@ -230,10 +229,7 @@
         RefusalKind::OverloadedDeep => {
             let short = snapshot.cuts.short(route?);
             let short = short.map(|(service, cut)| {
-                format!(
-                    "{service} keeps {} of 1000 of priority {}",
-                    cut.kept, cut.priority
-                )
+                format!("{service} keeps {} of 1000 of rank {}", cut.kept, cut.rank)
             });
             Some(short.collect::<Vec<_>>().join(", "))
         }
--- a/crates/engine/src/runner.rs
+++ b/crates/engine/src/runner.rs
@@ -12,7 +12,7 @@
     Verdict,
 };
 use filbertwheel_policy::{
-    Ask, Health, Intake, IntakeOffer, IntakeTicket, Load, Profiler, RouteProfile,
+    Ask, Calling, Health, Intake, IntakeOffer, IntakeTicket, Load, Profiler, RouteProfile,
 };
 use futures_lite::FutureExt as _;
 
@@ -182,8 +182,13 @@
     }
 
     /// Takes note of a call that the backend server makes.
-    pub fn called(&self, route: &RouteId) {
-        self.lock().profiler.call(route);
+    pub fn called(&self, route: &RouteId) -> CallUnderWay<'_> {
+        let now = self.clock.now();
+        let calling = self.lock().profiler.call(route, now);
+        CallUnderWay {
+            runner: self,
+            calling: Some(calling),
+        }
     }
 
     /// What was learnt of the routes that run here; older lessons fade.
@@ -303,7 +308,7 @@
     }
 
     fn slot(&self, mut state: MutexGuard<'_, State>, attempt: &Attempt) -> Slot<'_> {
-        state.profiler.begin(&attempt.route);
+        state.profiler.begin(&attempt.route, self.clock.now());
         self.gauge(&state);
         Slot {
             runner: self,
@@ -351,6 +356,21 @@
     }
 }
 
+/// A call of the backend server that's under way until it's dropped.
+pub(crate) struct CallUnderWay<'a> {
+    runner: &'a Runner,
+    calling: Option<Calling>,
+}
+
+impl Drop for CallUnderWay<'_> {
+    fn drop(&mut self) {
+        if let Some(calling) = self.calling.take() {
+            let now = self.runner.clock.now();
+            self.runner.lock().profiler.returned(calling, now);
+        }
+    }
+}
+
 /// A waiting call. Dropped early, it leaves the queue.
 struct Waiting<'a> {
     runner: &'a Runner,
@@ -402,7 +422,8 @@
     fn end(&mut self, elapsed: Option<Duration>) {
         self.ended = true;
         let mut state = self.runner.lock();
-        state.profiler.end(&self.route, elapsed);
+        let now = self.runner.clock.now();
+        state.profiler.end(&self.route, elapsed, now);
         let released = state.intake.finish();
         state.release(released);
         self.runner.gauge(&state);
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use filbertwheel_core::{OrganisationId, Priority, RouteId, ServiceId, message, value};
+use filbertwheel_core::{OrganisationId, Rank, RouteId, ServiceId, message, value};
 
 use crate::graph::Cost;
 
@@ -20,24 +20,30 @@
     (0.75, 1.06),
     (0.88, 1.015),
     (1.0, 1.0),
-    (1.6, 0.96),
+    (1.6, 0.985),
 ];
 /// The factor above the last of these.
-const CROWDED_STEP: f64 = 0.88;
+const CROWDED_STEP: f64 = 0.96;
+/// What's held back for each call that waits there, in slots, so that the queue drains without a
+/// change of what is planned with.
+const DRAIN: f64 = 0.15;
 /// Bounds on the trim.
 const TRIM_RANGE: (f64, f64) = (0.4, 6.0);
 /// Part of the way back to none that the trim of a service goes at each step that isn't short.
 const TRIM_RETURN: f64 = 0.1;
 /// Slot-seconds a request below which it doesn't count as using a service.
 const SLIGHT_COST: f64 = 0.000_5;
+/// Part of the slots of a service that its least demanding routes may take without being cut:
+/// refusing them would give little room to others.
+const SLIGHT_DEMAND: f64 = 0.1;
 
 /// Requests that callers asked for at one node.
 #[message]
 pub struct Asked {
     /// Their route.
     pub route: RouteId,
-    /// Their priority.
-    pub priority: Priority,
+    /// Their rank.
+    pub rank: Rank,
     /// Requests a second.
     pub rate: f32,
 }
@@ -55,9 +61,9 @@
 #[value]
 #[derive(Copy)]
 pub struct Cut {
-    /// Requests with a lower rank than this priority are refused, those above are taken.
-    pub priority: Priority,
-    /// Part of the requests of this priority that's taken, in thousandths.
+    /// Requests that come behind this rank are refused, those before it are taken.
+    pub rank: Rank,
+    /// Part of the requests of this rank that's taken, in thousandths.
     pub kept: u32,
 }
 
@@ -79,20 +85,20 @@
 
     /// The strictest cut that a request falls under: the part of such requests that's taken, in
     /// thousandths, and the service that's short.
-    pub fn kept(&self, route: &RouteId, priority: Priority) -> Option<(u32, &ServiceId)> {
+    pub fn kept(&self, route: &RouteId, rank: Rank) -> Option<(u32, &ServiceId)> {
         let needed = self.routes.get(route)?;
         let parts = needed.iter().filter_map(|service| {
             let cut = self.services.get(service)?;
-            Some((cut.part(priority), service))
+            Some((cut.part(rank), service))
         });
         parts.min_by_key(|(part, _)| *part)
     }
 }
 
 impl Cut {
-    /// The part of the requests of a priority that's taken, in thousandths.
-    fn part(&self, priority: Priority) -> u32 {
-        match priority.cmp(&self.priority) {
+    /// The part of the requests of a rank that's taken, in thousandths.
+    fn part(&self, rank: Rank) -> u32 {
+        match rank.cmp(&self.rank) {
             std::cmp::Ordering::Less => 1_000,
             std::cmp::Ordering::Equal => self.kept,
             std::cmp::Ordering::Greater => 0,
@@ -114,13 +120,16 @@
         costs: &HashMap<RouteId, Cost>,
         capacities: &BTreeMap<ServiceId, Capacity>,
     ) -> Cuts {
-        let mut demands: BTreeMap<&ServiceId, BTreeMap<Priority, f64>> = BTreeMap::new();
+        let mut demands: BTreeMap<&ServiceId, BTreeMap<Rank, f64>> = BTreeMap::new();
+        let mut by_route: BTreeMap<&ServiceId, BTreeMap<&RouteId, f64>> = BTreeMap::new();
         for asked in asked {
             for (service, visit) in costs.get(&asked.route).into_iter().flatten() {
                 if visit.slot_seconds >= SLIGHT_COST {
+                    let slots = f64::from(asked.rate) * visit.slot_seconds;
                     let demand = demands.entry(service).or_default();
-                    *demand.entry(asked.priority).or_default() +=
-                        f64::from(asked.rate) * visit.slot_seconds;
+                    *demand.entry(asked.rank).or_default() += slots;
+                    let demand = by_route.entry(service).or_default();
+                    *demand.entry(&asked.route).or_default() += slots;
                 }
             }
         }
@@ -130,22 +139,25 @@
                 continue;
             };
             let trim = self.trims.get(service).copied().unwrap_or(1.0);
-            let cut = cut(&demand, capacity.slots * PLANNED_SLOTS * trim);
+            let queued = (capacity.busy - capacity.slots).max(0.0);
+            let given = capacity.slots * PLANNED_SLOTS * trim - queued * DRAIN;
+            let cut = cut(&demand, given.max(0.0));
             self.adjust(service, *capacity, cut.is_some());
             if let Some(cut) = cut {
                 services.insert(service.clone(), cut);
             }
         }
-        let routes = costs.iter().map(|(route, cost)| {
-            let needed = cost.iter().filter(|(service, visit)| {
-                visit.slot_seconds >= SLIGHT_COST && services.contains_key(*service)
-            });
-            (
-                route.clone(),
-                needed.map(|(service, _)| service.clone()).collect(),
-            )
-        });
-        let routes = routes.collect();
+        let mut routes: HashMap<RouteId, Vec<ServiceId>> = HashMap::new();
+        for (service, demand) in by_route {
+            if !services.contains_key(service) {
+                continue;
+            }
+            let slots = capacities.get(service).map_or(0.0, |one| one.slots);
+            for route in demanding(&demand, slots * SLIGHT_DEMAND) {
+                let needed = routes.entry(route.clone()).or_default();
+                needed.push(service.clone());
+            }
+        }
         Cuts { services, routes }
     }
 
@@ -163,16 +175,28 @@
     }
 }
 
-/// The cut that brings a demand down to what can be given, the highest priority first.
-fn cut(demand: &BTreeMap<Priority, f64>, given: f64) -> Option<Cut> {
+/// The routes without the least demanding ones, which together take up to `slight` slots.
+fn demanding<'a>(
+    demand: &BTreeMap<&'a RouteId, f64>,
+    slight: f64,
+) -> impl Iterator<Item = &'a RouteId> {
+    let mut routes: Vec<(&RouteId, f64)> =
+        demand.iter().map(|(route, one)| (*route, *one)).collect();
+    routes.sort_by(|one, other| one.1.total_cmp(&other.1));
+    let mut total = 0.0;
+    routes.into_iter().filter_map(move |(route, slots)| {
+        total += slots;
+        (total > slight).then_some(route)
+    })
+}
+
+/// The cut that brings a demand down to what can be given, the first rank first.
+fn cut(demand: &BTreeMap<Rank, f64>, given: f64) -> Option<Cut> {
     let mut left = given;
-    for (priority, wanted) in demand {
+    for (rank, wanted) in demand {
         if *wanted > left {
             let kept = (left / wanted * 1_000.0) as u32;
-            return Some(Cut {
-                priority: *priority,
-                kept,
-            });
+            return Some(Cut { rank: *rank, kept });
         }
         left -= wanted;
     }
@@ -191,7 +215,7 @@
 }
 
 /// Requests that are cut alike.
-type Lane = (RouteId, Priority, Option<OrganisationId>);
+type Lane = (RouteId, Rank, Option<OrganisationId>);
 
 #[derive(Debug, Default)]
 struct Usage {
@@ -208,11 +232,11 @@
     pub fn admit(
         &mut self,
         route: &RouteId,
-        priority: Priority,
+        rank: Rank,
         organisation: &Option<OrganisationId>,
         kept: u32,
     ) -> bool {
-        let lane = (route.clone(), priority, organisation.clone());
+        let lane = (route.clone(), rank, organisation.clone());
         self.lanes.entry(lane.clone()).or_default().count += 1.0;
         if kept >= 1_000 {
             return true;
@@ -238,11 +262,11 @@
 
     /// The part of a lane that's taken, if all lanes beside it share what is kept max-min fairly.
     fn part(&self, lane: &Lane, kept: f64) -> f64 {
-        let (route, priority, _) = lane;
+        let (route, rank, _) = lane;
         let beside = self
             .lanes
             .iter()
-            .filter(|((other, rank, _), _)| other == route && rank == priority);
+            .filter(|((other, level, _), _)| other == route && level == rank);
         let mut wanted: Vec<f64> = beside
             .map(|(_, usage)| usage.asked.max(ASKED_FLOOR))
             .collect();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,7 +40,7 @@
 pub use budget::{RetryBudget, RetryTerms};
 pub use cutoff::{CUT_OFF_LIFETIME, CutOffs};
 pub use gate::{Entry, Gate, Offer, Release, Ticket};
-pub use graph::{CallGraph, Cost, Profiler, RouteProfile, Visit};
+pub use graph::{CallGraph, Calling, Cost, Profiler, RouteProfile, Visit};
 pub use intake::{Ask, Intake, Offer as IntakeOffer, Ticket as IntakeTicket};
 pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch, Voter};
 pub use ledger::{Ledger, LedgerError, SHARE_LIFETIME};
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -2,13 +2,21 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use filbertwheel_core::{OrganisationId, RouteId, ServiceId};
+use filbertwheel_core::{OrganisationId, Priority, Rank, RouteId, ServiceId};
 use filbertwheel_policy::{Asked, Capacity, Cost, Cuts, FairShed, Planner, Visit};
 
-fn asked(route: &str, priority: u32, rate: f32) -> Asked {
+/// The rank of requests of an organisation without a priority.
+fn rank(route: Priority) -> Rank {
+    Rank {
+        organisation: route,
+        route,
+    }
+}
+
+fn asked(route: &str, priority: Priority, rate: f32) -> Asked {
     Asked {
         route: route.into(),
-        priority,
+        rank: rank(priority),
         rate,
     }
 }
@@ -52,8 +60,8 @@
     Planner::default().plan(&asked, &costs(), &capacities(54.0))
 }
 
-fn kept(cuts: &Cuts, route: &str, priority: u32) -> u32 {
-    cuts.kept(&route.into(), priority)
+fn kept(cuts: &Cuts, route: &str, priority: Priority) -> u32 {
+    cuts.kept(&route.into(), rank(priority))
         .map_or(1_000, |(part, _)| part)
 }
 
@@ -98,9 +106,9 @@
     let mut taken = (0, 0);
     for _ in 0..100 {
         for _ in 0..20 {
-            taken.0 += u32::from(shed.admit(&route, 2, &large, 500));
+            taken.0 += u32::from(shed.admit(&route, rank(2), &large, 500));
         }
-        taken.1 += u32::from(shed.admit(&route, 2, &small, 500));
+        taken.1 += u32::from(shed.admit(&route, rank(2), &small, 500));
         shed.fade();
     }
     assert!(taken.1 >= 95, "{} of 100 of the small one", taken.1);
@@ -127,3 +135,51 @@
         kept(&cuts, "sheets", 2)
     );
 }
+
+#[test]
+fn organisations_of_one_priority_are_served_by_the_priority_of_the_route() {
+    let rank = |route| Rank {
+        organisation: 1,
+        route,
+    };
+    let asked = |route: &str, priority, rate| Asked {
+        route: route.into(),
+        rank: rank(priority),
+        rate,
+    };
+    let asked = [asked("sheets", 2, 200.0), asked("tickets", 0, 100.0)];
+    let cuts = Planner::default().plan(&asked, &costs(), &capacities(54.0));
+    let kept = |route: &str, priority| {
+        let kept = cuts.kept(&route.into(), rank(priority));
+        kept.map_or(1_000, |(part, _)| part)
+    };
+    assert_eq!(kept("tickets", 0), 1_000);
+    assert!((500..750).contains(&kept("sheets", 2)));
+}
+
+#[test]
+fn a_route_that_hardly_uses_a_short_service_is_not_cut() {
+    let mut costs = costs();
+    costs.insert("photos".into(), cost("desk", 0.01));
+    let asked = [
+        asked("sheets", 2, 400.0),
+        asked("tickets", 0, 100.0),
+        asked("photos", 2, 100.0),
+    ];
+    let cuts = Planner::default().plan(&asked, &costs, &capacities(54.0));
+    assert!(kept(&cuts, "sheets", 2) < 500);
+    assert_eq!(kept(&cuts, "photos", 2), 1_000);
+}
+
+#[test]
+fn many_routes_that_each_use_little_are_cut_all_the_same() {
+    let names: Vec<String> = (0..50).map(|number| format!("r{number}")).collect();
+    let costs = names
+        .iter()
+        .map(|name| (name.as_str().into(), cost("desk", 0.1)));
+    let costs: HashMap<RouteId, Cost> = costs.collect();
+    let asked: Vec<Asked> = names.iter().map(|name| asked(name, 2, 30.0)).collect();
+    let cuts = Planner::default().plan(&asked, &costs, &capacities(54.0));
+    let whole = names.iter().filter(|name| kept(&cuts, name, 2) == 1_000);
+    assert!(whole.count() <= 5);
+}
--- a/crates/policy/tests/graph.rs
+++ b/crates/policy/tests/graph.rs
@@ -1,9 +1,12 @@
 //! What requests cost further down, learnt from calls that carry no link to their request.
 
-use std::time::Duration;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use filbertwheel_core::{Path, RouteId, Rules, Target};
 use filbertwheel_policy::{CallGraph, Profiler, RouteProfile};
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
 
 fn path(route: &str, service: &str) -> Path {
     Path {
@@ -39,18 +42,22 @@
 fn calls_are_attributed_to_the_route_that_makes_them() {
     let mut profiler = Profiler::default();
     let (caller, other, called) = ("sheets".into(), "photos".into(), "rates".into());
+    let start = Instant::now();
     // Both routes overlap most of the time, but only one of them makes calls.
-    for round in 0..3_000 {
-        profiler.begin(&caller);
+    for round in 0..3_000_u32 {
+        let at = |millis| start + Duration::from_millis(u64::from(round) * 100_u64 + millis);
+        profiler.begin(&caller, at(0));
         if round % 3 != 0 {
-            profiler.begin(&other);
+            profiler.begin(&other, at(0));
         }
-        profiler.call(&called);
-        profiler.call(&called);
-        profiler.end(&caller, Some(Duration::from_millis(100)));
+        let first = profiler.call(&called, at(20));
+        profiler.returned(first, at(22));
         if round % 3 != 0 {
-            profiler.end(&other, Some(Duration::from_millis(50)));
+            profiler.end(&other, Some(Duration::from_millis(50)), at(50));
         }
+        let second = profiler.call(&called, at(70));
+        profiler.returned(second, at(72));
+        profiler.end(&caller, Some(Duration::from_millis(100)), at(100));
         if round % 20 == 0 {
             profiler.fade();
         }
@@ -66,6 +73,105 @@
     assert!(per_run(&other) < 0.3, "{}", per_run(&other));
 }
 
+#[test]
+fn long_runs_are_not_taken_for_the_cause_of_what_short_ones_call() {
+    let mut profiler = Profiler::default();
+    let (long, short, called) = ("charges".into(), "tariffs".into(), "status".into());
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(11);
+    // Ten short runs for each long one, which lasts three times as long. A long run makes two
+    // calls, a short one makes one.
+    let mut events: Vec<(u64, u8)> = Vec::new();
+    for round in 0..600_u64 {
+        let at = round * 40 + rng.random_range(0..40);
+        events.extend([(at, 0), (at + 100, 1), (at + 200, 1), (at + 300, 2)]);
+        for _ in 0..10 {
+            let at = round * 40 + rng.random_range(0..40);
+            events.extend([(at, 3), (at + 50, 4), (at + 100, 5)]);
+        }
+    }
+    events.sort_unstable();
+    for (number, (millis, event)) in events.iter().enumerate() {
+        let now = start + Duration::from_millis(*millis);
+        match event {
+            0 => profiler.begin(&long, now),
+            2 => profiler.end(&long, Some(Duration::from_millis(300)), now),
+            3 => profiler.begin(&short, now),
+            5 => profiler.end(&short, Some(Duration::from_millis(100)), now),
+            _ => {
+                let calling = profiler.call(&called, now);
+                profiler.returned(calling, now);
+            }
+        }
+        if number % 400 == 0 {
+            profiler.fade();
+        }
+    }
+    let profiles = profiler.profiles();
+    let per_run = |route: &RouteId| {
+        let profile = profiles.iter().find(|profile| profile.route == *route);
+        let calls = profile.expect("the route was learnt").calls.iter();
+        calls.map(|(_, per_run)| *per_run).sum::<f32>()
+    };
+    assert!((per_run(&long) - 2.0).abs() < 1.0, "{}", per_run(&long));
+    assert!((per_run(&short) - 1.0).abs() < 0.2, "{}", per_run(&short));
+}
+
+#[test]
+fn a_called_service_that_is_slow_by_turns_does_not_move_calls_to_other_routes() {
+    let mut profiler = Profiler::default();
+    let (caller, other, called) = ("status".into(), "photos".into(), "warnings".into());
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(12);
+    // Each run of one route makes five calls one after another, which take long by turns. The
+    // other route makes none and runs all the time.
+    let mut events: Vec<(u64, u64, u8)> = Vec::new();
+    for number in 0..16_000_u64 {
+        let at = number * 5_000 + rng.random_range(0..5_000);
+        let slow = (at / 1_000_000).is_multiple_of(2);
+        let wait = if slow { 200_000 } else { 20_000 };
+        events.push((at, number, 0));
+        for call in 0..5 {
+            let begins = at + 15_000 + call * wait;
+            events.extend([(begins, number, 1), (begins + wait - 1, number, 2)]);
+        }
+        events.push((at + 15_000 + 5 * wait, number, 3));
+        let at = number * 5_000 + rng.random_range(0..5_000);
+        events.extend([(at, number, 4), (at + 65_000, number, 5)]);
+    }
+    events.sort_unstable();
+    let mut under_way = BTreeMap::new();
+    let mut faded = 0;
+    for (micros, number, event) in events {
+        let now = start + Duration::from_micros(micros);
+        while faded < micros / 500_000 {
+            profiler.fade();
+            faded += 1;
+        }
+        match event {
+            0 => profiler.begin(&caller, now),
+            1 => {
+                let calling = profiler.call(&called, now);
+                under_way.insert(number, calling);
+            }
+            2 => {
+                let calling = under_way.remove(&number).expect("a call is under way");
+                profiler.returned(calling, now);
+            }
+            3 => profiler.end(&caller, Some(Duration::from_millis(500)), now),
+            4 => profiler.begin(&other, now),
+            _ => profiler.end(&other, Some(Duration::from_millis(65)), now),
+        }
+    }
+    let profiles = profiler.profiles();
+    let calls = |route: &RouteId| {
+        let profile = profiles.iter().find(|profile| profile.route == *route);
+        let calls = profile.into_iter().flat_map(|profile| &profile.calls);
+        calls.map(|(_, per_run)| *per_run).sum::<f32>()
+    };
+    assert!(calls(&other) < 0.3, "{}", calls(&other));
+}
+
 #[test]
 fn costs_add_up_along_a_chain() {
     let rules = Rules::open(
