Refuse requests that crash the backend servers which run them

Nothing kept a request that crashes each backend server from being tried again at every node: with whole nodes, a caller that repeats it got 502 for ever and each try cost a backend server.

Ruled out: letting suspects of other nodes run alone everywhere (one crash of a busy backend server would hold up a hundred innocent requests); counting every crash (backend servers that die together have a common request in flight by chance).

What was lost since the last answer of a backend server that then can't be reached, or begins a new life, was in flight when it died. The quarantine keeps the crashes of all nodes, which tell each other; three bar the request. One that completes clears its name. Suspects that ran alone are blamed before merely known ones (an innocent was barred otherwise of the random run).

Two more tests of the policy.

--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -371,8 +371,10 @@
             News::Up(member) => {
                 // Where the store can't be read, the nodes that know this one link to it.
                 self.joined = true;
+                let vm = member.vm.clone();
                 self.meet(member);
                 self.publish();
+                self.tell_suspicions(&vm);
             }
             News::Down(vm) => tracing::info!(vm = %vm, "control: The link to a node was lost."),
             News::Rules(_, document) => {
@@ -386,6 +388,26 @@
                 }
             }
             News::Grant(fence, grant) => self.take_grant(fence, &grant),
+            News::Suspicions(suspicions) => self.parts.engine.runner.suspect(&suspicions),
+        }
+    }
+
+    /// Tells a node that has just come of all requests that are suspected.
+    fn tell_suspicions(&self, vm: &VmId) {
+        let known = self.parts.engine.runner.suspicions();
+        if let (Some(other), false) = (self.others.get(vm), known.is_empty()) {
+            other.link.suspect(known);
+        }
+    }
+
+    /// Tells all others of the requests that came under suspicion beside this node.
+    pub(super) fn spread_suspicions(&self) {
+        let fresh = self.parts.engine.runner.take_suspicions();
+        if fresh.is_empty() {
+            return;
+        }
+        for other in self.others.values() {
+            other.link.suspect(fresh.clone());
         }
     }
 
--- a/crates/engine/src/control/ticks.rs
+++ b/crates/engine/src/control/ticks.rs
@@ -38,6 +38,7 @@
         control.measure(now.saturating_duration_since(last));
         last = now;
         control.check_backend();
+        control.spread_suspicions();
         control.report(turn.is_multiple_of(PROFILE_TURNS));
         control.replan();
         if turn.is_multiple_of(ASK_TURNS) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,7 @@
 mod arrival;
 mod board;
 mod control;
+mod crashes;
 mod dispatch;
 mod engine;
 mod entry;
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -95,6 +95,7 @@
         let board: Board = Arc::new(ArcSwap::from_pointee(Snapshot::open(me.clone())));
         let (journal, metrics) = (Arc::new(Journal::default()), Arc::new(Metrics::open()));
         let runner = Runner::open(
+            me.vm.clone(),
             Arc::clone(&sources.backends),
             Arc::clone(&clock),
             Arc::clone(&board),
--- a/crates/engine/src/runner.rs
+++ b/crates/engine/src/runner.rs
@@ -9,14 +9,16 @@
 use filbertwheel_backend::{BackendError, OpenServer, Server, StatusReport};
 use filbertwheel_core::{
     Attempt, BackendId, Clock, Doubt, Failure, Refusal, RefusalKind, RouteId, ServiceId, Status,
-    Verdict,
+    Verdict, VmId,
 };
 use filbertwheel_policy::{
     Ask, Calling, Health, Intake, IntakeOffer, IntakeTicket, Load, Profiler, RouteProfile,
+    Suspicion,
 };
 use futures_lite::FutureExt as _;
 
 use crate::board::Board;
+use crate::crashes::{Crashes, Pass};
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 
@@ -34,6 +36,7 @@
     journal: Arc<Journal>,
     metrics: Arc<Metrics>,
     state: Mutex<State>,
+    crashes: Mutex<Crashes>,
 }
 
 #[derive(Debug)]
@@ -68,6 +71,7 @@
 
 impl Runner {
     pub fn open(
+        vm: VmId,
         backends: Arc<dyn OpenServer>,
         clock: Arc<dyn Clock>,
         board: Board,
@@ -88,9 +92,25 @@
                 health: Health::open(now),
                 profiler: Profiler::default(),
             }),
+            crashes: Mutex::new(Crashes::open(vm)),
         }
     }
 
+    /// Takes note of requests that other nodes suspect of crashing backend servers.
+    pub fn suspect(&self, suspicions: &[Suspicion]) {
+        self.crashes().suspect(suspicions, self.clock.now());
+    }
+
+    /// All requests that are suspected.
+    pub fn suspicions(&self) -> Vec<Suspicion> {
+        self.crashes().all(self.clock.now())
+    }
+
+    /// The requests that came under suspicion here since the last call.
+    pub fn take_suspicions(&self) -> Vec<Suspicion> {
+        self.crashes().take(self.clock.now())
+    }
+
     /// Calls that run or wait.
     pub fn in_flight(&self) -> usize {
         let state = self.lock();
@@ -129,6 +149,10 @@
         let server = match same {
             Some(life) => Arc::clone(&life.server),
             None => {
+                let served = state.life.as_ref().map(|life| life.status);
+                if served == Some(Status::Serving) {
+                    self.crashes().died();
+                }
                 state.health = Health::open(now);
                 tracing::info!(
                     backend = %report.backend,
@@ -222,10 +246,12 @@
         let slot = self.admit(attempt, began).await?;
         // The backend server may have left while the call waited.
         let life = self.life_for(attempt)?;
+        let pass = Pass::obtain(&self.crashes, attempt, self.clock.as_ref())?;
         let started = self.clock.now();
         let ran = life.server.run(attempt, &life.backend).await;
         let elapsed = self.clock.now().saturating_duration_since(started);
         slot.close(&ran, elapsed);
+        pass.close(&ran);
         match ran {
             Ok(answer) => Ok(answer),
             Err(BackendError::NotSent) => Err(RefusalKind::Unavailable.into()),
@@ -322,6 +348,10 @@
         self.metrics.queued.set(state.intake.queued() as i64);
     }
 
+    fn crashes(&self) -> MutexGuard<'_, Crashes> {
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/peer/src/link/accept.rs
+++ b/crates/peer/src/link/accept.rs
@@ -206,6 +206,10 @@
                 sink.note(News::Rules(version, document));
                 true
             }
+            Frame::Suspicions(suspicions) => {
+                sink.note(News::Suspicions(suspicions));
+                true
+            }
             Frame::PortionAsk(ask) => {
                 let answering = Answering(Arc::clone(&self.outbox));
                 sink.note(News::Ask(ask, answering));
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -13,7 +13,7 @@
     Attempt, Clock, Fence, FleetSecret, OrganisationId, Verdict, Version, VmId,
 };
 use filbertwheel_http::{prepare, reset_on_close};
-use filbertwheel_policy::{Load, PortionAsk};
+use filbertwheel_policy::{Load, PortionAsk, Suspicion};
 use filbertwheel_runtime::TcpStream;
 use futures_lite::FutureExt as _;
 
@@ -197,6 +197,11 @@
         self.push(&Frame::PortionAsk(ask));
     }
 
+    /// Tells of requests that were in flight when a backend server died.
+    pub fn suspect(&self, suspicions: Vec<Suspicion>) {
+        self.push(&Frame::Suspicions(suspicions));
+    }
+
     /// Ends the link and doesn't open it again.
     pub fn close(self) {
         self.0.closed.store(true, Ordering::Relaxed);
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -10,7 +10,7 @@
     Answer, Attempt, Doubt, Failure, Fence, Header, Member, Method, OrganisationId, Priority,
     Refusal, RefusalKind, RequestId, RouteId, ServiceId, Text, Verdict, Version, message, value,
 };
-use filbertwheel_policy::{Asked, Load, PortionAsk, PortionGrant, RouteProfile};
+use filbertwheel_policy::{Asked, Load, PortionAsk, PortionGrant, RouteProfile, Suspicion};
 
 /// Bytes of the length before a frame.
 const LENGTH_BYTES: usize = 4;
@@ -49,6 +49,8 @@
     Claim(CallNumber, OrganisationId, u32),
     /// The holder's answer: how many, and after how many milliseconds there may be more.
     Tokens(CallNumber, u32, u32),
+    /// Requests that were in flight when a backend server died.
+    Suspicions(Vec<Suspicion>),
 }
 
 /// What a node tells all others regularly.
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -17,7 +17,7 @@
     Attempt, Fence, FleetSecret, Member, OrganisationId, Text, Verdict, Version, VmId,
 };
 use filbertwheel_http::LocalFuture;
-use filbertwheel_policy::{Load, PortionAsk, PortionGrant};
+use filbertwheel_policy::{Load, PortionAsk, PortionGrant, Suspicion};
 use filbertwheel_runtime::TcpStream;
 use futures_lite::AsyncReadExt as _;
 
@@ -61,6 +61,8 @@
     Ask(PortionAsk, Answering),
     /// The holder's answer.
     Grant(Fence, PortionGrant),
+    /// Requests that were in flight when a backend server died.
+    Suspicions(Vec<Suspicion>),
 }
 
 /// Sends an answer back on the link that its question came by.
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -2,18 +2,25 @@
 //!
 //! What was in flight when a backend server died is suspect. A suspect runs alone; if its backend
 //! server dies again, only the suspect can be the cause. One that completes has cleared its name.
+//! Each node tells the others of the crashes beside it; a fingerprint's crashes are those of all nodes.
+//! Where several backend servers die together, a common fingerprint was in flight at each of them by
+//! chance, so crashes that come together count once, unless it was the very same request.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::{
-    Call, Method, OrganisationId, RefusalKind, ServiceId, Text, message, token,
+    Attempt, Method, OrganisationId, RefusalKind, RequestId, ServiceId, Text, VmId, message, token,
 };
 
 /// Crashes after which a fingerprint is quarantined.
 pub const CRASH_LIMIT: u32 = 3;
 /// How long a suspicion or a quarantine lasts after the last crash.
 const MEMORY: Duration = Duration::from_secs(600);
+/// Crashes on different VMs, of different requests, that are closer together than this count once.
+const TOGETHER: Duration = Duration::from_millis(50);
+/// Crashes of one fingerprint that are remembered, at most.
+const CRASHES: usize = 16;
 /// Fingerprints that are remembered, at most.
 const CAPACITY: usize = 1_000;
 
@@ -33,14 +40,16 @@
     pub body: Text,
 }
 
-/// What one node tells the others of the service about a fingerprint.
+/// Tells that a fingerprint was in flight when a backend server died.
 #[message]
 pub struct Suspicion {
-    /// Whose it is.
+    /// The fingerprint.
     pub fingerprint: Fingerprint,
-    /// Crashes that it was in flight at, all nodes together as far as the sender knows.
-    pub crashes: u32,
-    /// How long ago the last one was.
+    /// VM of the backend server.
+    pub vm: VmId,
+    /// The request that was in flight there.
+    pub request: RequestId,
+    /// How long ago it was.
     pub age: Duration,
 }
 
@@ -58,43 +67,64 @@
 /// The fingerprints that one node suspects.
 #[derive(Debug, Default)]
 pub struct Quarantine {
+    own: VmId,
     suspects: BTreeMap<Fingerprint, Suspect>,
     /// The suspects that run here. More than one run only until the first crash shows them.
     alone: BTreeSet<Fingerprint>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Suspect {
-    crashes: u32,
-    last: Instant,
+    /// The crashes, the earliest first.
+    crashes: Vec<Crash>,
+}
+
+#[derive(Debug, Clone)]
+struct Crash {
+    vm: VmId,
+    request: RequestId,
+    at: Instant,
 }
 
 impl Fingerprint {
-    /// The fingerprint of a call. `hash` hashes its body.
-    pub fn of(call: &Call, hash: impl Fn(&[u8]) -> Text) -> Self {
-        let path = call.path.as_bytes().split(|byte| *byte == b'?').next();
+    /// The fingerprint of an attempt. `hash` hashes its body.
+    pub fn of(attempt: &Attempt, hash: impl Fn(&[u8]) -> Text) -> Self {
+        let path = attempt.path.as_bytes().split(|byte| *byte == b'?').next();
         Self {
-            organisation: call.organisation.clone(),
-            service: call.service.clone(),
-            method: call.method.clone(),
+            organisation: attempt.organisation.clone(),
+            service: attempt.service.clone(),
+            method: attempt.method.clone(),
             path: String::from_utf8_lossy(path.unwrap_or_default())
                 .into_owned()
                 .into(),
-            body: hash(&call.body),
+            body: hash(&attempt.body),
         }
     }
 }
 
 impl Quarantine {
+    /// The quarantine of the node on VM `own`.
+    pub fn open(own: VmId) -> Self {
+        Self {
+            own,
+            ..Self::default()
+        }
+    }
+
     /// How a call may run now.
     pub fn passage(&self, fingerprint: &Fingerprint, now: Instant) -> Passage {
         let suspect = self.suspects.get(fingerprint);
         let Some(suspect) = suspect.filter(|suspect| suspect.counts(now)) else {
             return Passage::Free;
         };
-        if suspect.crashes >= CRASH_LIMIT {
+        let total = suspect.total();
+        if total >= CRASH_LIMIT {
             return Passage::Barred(RefusalKind::Quarantined);
         }
+        // A single crash elsewhere had many in flight; it's no reason yet to hold them up here.
+        if total == 1 && suspect.crashes.iter().all(|crash| crash.vm != self.own) {
+            return Passage::Free;
+        }
         if self.alone.is_empty() {
             Passage::Alone
         } else {
@@ -116,45 +146,73 @@
     pub fn clear(&mut self, fingerprint: &Fingerprint) {
         self.alone.remove(fingerprint);
         let suspect = self.suspects.get(fingerprint);
-        if suspect.is_some_and(|suspect| suspect.crashes < CRASH_LIMIT) {
+        if suspect.is_some_and(|suspect| suspect.total() < CRASH_LIMIT) {
             self.suspects.remove(fingerprint);
         }
     }
 
     /// Takes note of a backend server that died with calls in flight. Returns what the other nodes
-    /// of the service should know. Where a suspect was among them, the others stay free.
-    pub fn crash(&mut self, in_flight: &BTreeSet<Fingerprint>, now: Instant) -> Vec<Suspicion> {
+    /// should know. Where a suspect was among them, the others stay free.
+    pub fn crash(
+        &mut self,
+        in_flight: &BTreeMap<Fingerprint, RequestId>,
+        now: Instant,
+    ) -> Vec<Suspicion> {
         self.forget(now);
-        let known: BTreeSet<_> = in_flight
+        // One that ran alone explains the crash better than one that's merely known.
+        let ran_alone = |print: &Fingerprint| self.alone.contains(print);
+        let known = |print: &Fingerprint| self.suspects.contains_key(print);
+        let any_alone = in_flight.keys().any(ran_alone);
+        let any_known = in_flight.keys().any(known);
+        let blamed: Vec<Suspicion> = in_flight
             .iter()
-            .filter(|fingerprint| self.suspects.contains_key(*fingerprint))
-            .cloned()
+            .filter(|(print, _)| !any_alone || ran_alone(print))
+            .filter(|(print, _)| !any_known || known(print))
+            .map(|(print, request)| Suspicion {
+                fingerprint: print.clone(),
+                vm: self.own.clone(),
+                request: request.clone(),
+                age: Duration::ZERO,
+            })
             .collect();
-        let blamed = if known.is_empty() { in_flight } else { &known };
-        for fingerprint in blamed {
-            self.alone.remove(fingerprint);
-            self.blame(fingerprint.clone(), 1, now);
+        for suspicion in &blamed {
+            self.alone.remove(&suspicion.fingerprint);
+            self.blame(suspicion, now);
         }
         blamed
-            .iter()
-            .filter_map(|fingerprint| self.suspicion(fingerprint, now))
-            .collect()
     }
 
-    /// Takes over what another node of the service knows. Returns whether anything is new.
+    /// Takes over what another node knows. Returns whether it's new.
     pub fn merge(&mut self, suspicion: &Suspicion, now: Instant) -> bool {
         self.forget(now);
-        let known = self.suspects.get(&suspicion.fingerprint);
-        let known = known.map_or(0, |suspect| suspect.crashes);
-        if known >= suspicion.crashes || suspicion.age >= MEMORY {
+        let suspect = self.suspects.get(&suspicion.fingerprint);
+        let known = suspect.is_some_and(|suspect| suspect.knows(suspicion));
+        if known || suspicion.age >= MEMORY {
             return false;
         }
-        let last = now.checked_sub(suspicion.age).unwrap_or(now);
-        let more = suspicion.crashes - known;
-        self.blame(suspicion.fingerprint.clone(), more, last);
+        self.blame(suspicion, now);
         true
     }
 
+    /// All that's known, for a node that has just come.
+    pub fn all(&self, now: Instant) -> Vec<Suspicion> {
+        let suspects = self.suspects.iter();
+        let told = suspects.flat_map(|(fingerprint, suspect)| {
+            suspect.crashes.iter().map(|crash| Suspicion {
+                fingerprint: fingerprint.clone(),
+                vm: crash.vm.clone(),
+                request: crash.request.clone(),
+                age: now.saturating_duration_since(crash.at),
+            })
+        });
+        told.collect()
+    }
+
+    /// Crashes of a fingerprint over all nodes.
+    pub fn total(&self, fingerprint: &Fingerprint) -> u32 {
+        self.suspects.get(fingerprint).map_or(0, Suspect::total)
+    }
+
     /// Fingerprints that are remembered.
     pub fn len(&self) -> usize {
         self.suspects.len()
@@ -165,20 +223,14 @@
         self.suspects.is_empty()
     }
 
-    fn suspicion(&self, fingerprint: &Fingerprint, now: Instant) -> Option<Suspicion> {
-        let suspect = self.suspects.get(fingerprint)?;
-        Some(Suspicion {
-            fingerprint: fingerprint.clone(),
-            crashes: suspect.crashes,
-            age: now.saturating_duration_since(suspect.last),
-        })
-    }
-
-    fn blame(&mut self, fingerprint: Fingerprint, crashes: u32, last: Instant) {
-        let suspect = self.suspects.entry(fingerprint);
-        let suspect = suspect.or_insert(Suspect { crashes: 0, last });
-        suspect.crashes += crashes;
-        suspect.last = suspect.last.max(last);
+    fn blame(&mut self, suspicion: &Suspicion, now: Instant) {
+        let suspect = self.suspects.entry(suspicion.fingerprint.clone());
+        let crash = Crash {
+            vm: suspicion.vm.clone(),
+            request: suspicion.request.clone(),
+            at: now.checked_sub(suspicion.age).unwrap_or(now),
+        };
+        suspect.or_default().add(crash);
         if self.suspects.len() > CAPACITY {
             self.drop_oldest();
         }
@@ -189,7 +241,7 @@
         let least = self
             .suspects
             .iter()
-            .min_by_key(|(_, suspect)| (suspect.crashes, suspect.last))
+            .min_by_key(|(_, suspect)| (suspect.total(), suspect.last()))
             .map(|(fingerprint, _)| fingerprint.clone());
         if let Some(fingerprint) = least {
             self.suspects.remove(&fingerprint);
@@ -202,7 +254,41 @@
 }
 
 impl Suspect {
+    /// Whether a crash that's told is known already.
+    fn knows(&self, told: &Suspicion) -> bool {
+        let same = |known: &Crash| known.vm == told.vm && known.request == told.request;
+        self.crashes.iter().any(same)
+    }
+
+    fn add(&mut self, crash: Crash) {
+        if self.crashes.len() < CRASHES {
+            let place = self.crashes.partition_point(|known| known.at <= crash.at);
+            self.crashes.insert(place, crash);
+        }
+    }
+
+    /// The crashes, those that came together as one.
+    fn total(&self) -> u32 {
+        let mut counted: Vec<&Crash> = Vec::new();
+        for crash in &self.crashes {
+            let together = counted.iter().any(|earlier| {
+                earlier.vm != crash.vm
+                    && earlier.request != crash.request
+                    && crash.at.saturating_duration_since(earlier.at) < TOGETHER
+            });
+            if !together {
+                counted.push(crash);
+            }
+        }
+        counted.len() as u32
+    }
+
+    fn last(&self) -> Option<Instant> {
+        self.crashes.last().map(|crash| crash.at)
+    }
+
     fn counts(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.last) < MEMORY
+        let last = self.last();
+        last.is_some_and(|last| now.saturating_duration_since(last) < MEMORY)
     }
 }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -1,9 +1,9 @@
 //! Quarantine: the guilty are found, the innocent go free.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use filbertwheel_core::RefusalKind;
+use filbertwheel_core::{RefusalKind, RequestId};
 use filbertwheel_policy::{CRASH_LIMIT, Fingerprint, Passage, Quarantine};
 use proptest::prelude::any;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -23,40 +23,51 @@
     }
 }
 
+/// Calls in flight, under ids that end with `name`.
+fn flight(kinds: &[usize], name: &str) -> BTreeMap<Fingerprint, RequestId> {
+    let flying = kinds.iter();
+    flying
+        .map(|kind| (fingerprint(*kind), format!("{kind}{name}").into()))
+        .collect()
+}
+
 /// Sends random calls to two nodes that tell each other. Returns the crashes, and whether an
 /// innocent request was ever quarantined.
 fn play(seed: u64) -> (u32, bool) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut nodes = [Quarantine::default(), Quarantine::default()];
+    let mut nodes = ["a", "b"].map(|vm| Quarantine::open(vm.into()));
+    let mut number = 0;
     let mut now = Instant::now();
     let (mut crashes, mut wronged) = (0, false);
     for _ in 0..500 {
         now += Duration::from_millis(100);
         let node = rng.random_range(0..2);
-        let mut in_flight = BTreeSet::new();
+        let mut in_flight = BTreeMap::new();
         for _ in 0..rng.random_range(1..8) {
             let kind = rng.random_range(0..KINDS);
             let print = fingerprint(kind);
+            number += 1;
+            let request: RequestId = number.to_string().into();
             match nodes[node].passage(&print, now) {
                 Passage::Free => {
-                    in_flight.insert(print);
+                    in_flight.insert(print, request);
                 }
                 Passage::Alone => {
                     nodes[node].begin(&print);
-                    in_flight.insert(print);
+                    in_flight.insert(print, request);
                 }
                 Passage::Barred(kind_of) => {
                     wronged |= kind_of == RefusalKind::Quarantined && kind != GUILTY;
                 }
             }
         }
-        if in_flight.contains(&fingerprint(GUILTY)) {
+        if in_flight.contains_key(&fingerprint(GUILTY)) {
             crashes += 1;
             for suspicion in nodes[node].crash(&in_flight, now) {
                 nodes[1 - node].merge(&suspicion, now);
             }
         } else {
-            for print in &in_flight {
+            for print in in_flight.keys() {
                 nodes[node].clear(print);
             }
         }
@@ -89,7 +100,7 @@
     let mut quarantine = Quarantine::default();
     let now = Instant::now();
     let (a, b) = (fingerprint(0), fingerprint(1));
-    quarantine.crash(&BTreeSet::from([a.clone(), b.clone()]), now);
+    quarantine.crash(&flight(&[0, 1], "x"), now);
     assert_eq!(quarantine.passage(&a, now), Passage::Alone);
     quarantine.begin(&a);
     assert_eq!(
@@ -106,12 +117,47 @@
     let mut quarantine = Quarantine::default();
     let now = Instant::now();
     let (a, b) = (fingerprint(0), fingerprint(1));
-    quarantine.crash(&BTreeSet::from([a.clone()]), now);
-    quarantine.crash(&BTreeSet::from([a.clone(), b.clone()]), now);
+    quarantine.crash(&flight(&[0], "x"), now);
+    quarantine.crash(&flight(&[0, 1], "y"), now);
     assert_eq!(quarantine.passage(&b, now), Passage::Free);
-    quarantine.crash(&BTreeSet::from([a.clone()]), now);
+    quarantine.crash(&flight(&[0], "z"), now);
     assert_eq!(
         quarantine.passage(&a, now),
         Passage::Barred(RefusalKind::Quarantined)
     );
 }
+
+#[test]
+fn backend_servers_that_die_together_leave_a_common_request_free() {
+    let now = Instant::now();
+    let mut nodes = ["a", "b", "c", "d"].map(|vm| Quarantine::open(vm.into()));
+    let told: Vec<_> = nodes[..3]
+        .iter_mut()
+        .zip(["x", "y", "z"])
+        .flat_map(|(node, name)| node.crash(&flight(&[0], name), now))
+        .collect();
+    for suspicion in &told {
+        nodes[3].merge(suspicion, now);
+    }
+    assert_eq!(nodes[3].passage(&fingerprint(0), now), Passage::Free);
+}
+
+#[test]
+fn one_request_that_crashes_three_backend_servers_is_barred_everywhere() {
+    let now = Instant::now();
+    let mut nodes = ["a", "b", "c", "d"].map(|vm| Quarantine::open(vm.into()));
+    let told: Vec<_> = nodes[..3]
+        .iter_mut()
+        .flat_map(|node| node.crash(&flight(&[GUILTY], "x"), now))
+        .collect();
+    for suspicion in told.iter().chain(&told) {
+        nodes[3].merge(suspicion, now);
+    }
+    let barred = Passage::Barred(RefusalKind::Quarantined);
+    assert_eq!(nodes[3].passage(&fingerprint(GUILTY), now), barred);
+    let mut late = Quarantine::open("e".into());
+    for suspicion in nodes[3].all(now) {
+        late.merge(&suspicion, now);
+    }
+    assert_eq!(late.passage(&fingerprint(GUILTY), now), barred);
+}
