Leave to nodes out of reach what they may spend, and remove rows of nodes that are gone

Rows of nodes in the store were never removed, so replaced VMs would add up, and each node's part of what the fleet may spend would shrink.

Ruled out: a smaller part without a holder (it is what a fleet without a store lives on).

The holder withholds the part of nodes that it has not heard for 1.5 s or three reports. While it holds the lease it removes rows of nodes silent for two minutes; a node whose own row is removed writes it again.

Before -> after: policy test what_nodes_out_of_reach_may_spend_is_left_to_them (half of the fleet cut off, 20 s): over the rate without withholding, within it with it.

--- a/crates/engine/src/control/members.rs
+++ b/crates/engine/src/control/members.rs
@@ -13,6 +13,8 @@
 
 /// Table of the nodes.
 const MEMBERS: &str = "filbertwheel-nodes";
+/// Time between two looks for nodes that are gone.
+const SWEEP_TIME: Duration = Duration::from_secs(30);
 /// Pause between two looks, in which changes that come together are gathered.
 const GATHER_TIME: Duration = Duration::from_millis(500);
 
@@ -42,8 +44,14 @@
         }
     }
 
-    fn take_changes(&mut self, changes: Changes) {
+    /// Takes over what has changed. Returns whether this node's own row is still there.
+    fn take_changes(&mut self, changes: Changes) -> bool {
+        let mut listed = true;
         for (vm, row) in changes {
+            if vm == self.me.vm {
+                listed = row.is_some();
+                continue;
+            }
             match row {
                 Some(row) => {
                     if let Some(member) = member_of(&vm, &row.value) {
@@ -53,6 +61,32 @@
                 None => self.forget(&vm),
             }
         }
+        listed
+    }
+}
+
+/// Removes the rows of nodes that have been gone for long, while this node holds the lease.
+pub(crate) async fn sweep_members(control: Shared) {
+    let (store, clock) = {
+        let control = control.borrow();
+        let store = Arc::clone(&control.parts.sources.store);
+        (store, Arc::clone(&control.parts.clock))
+    };
+    loop {
+        clock.sleep(SWEEP_TIME).await;
+        let dead = control.borrow().dead(clock.now());
+        for vm in dead {
+            tracing::info!(vm = %vm, "control: The row of a node that is gone is removed.");
+            let write = RowWrite {
+                table: MEMBERS,
+                key: vm,
+                expect: None,
+                value: None,
+            };
+            if let Err(error) = store.commit(&[write]).await {
+                tracing::warn!("control: The row can't be removed: {error}.");
+            }
+        }
     }
 }
 
@@ -86,8 +120,13 @@
             },
             Some(after) => match store.watch(MEMBERS, after, WATCH_TIME).await {
                 Ok(changed) => {
-                    control.borrow_mut().take_changes(changed.value);
-                    Ok(changed.revision)
+                    let listed = control.borrow_mut().take_changes(changed.value);
+                    if listed || write_row(&control, &me).await {
+                        Ok(changed.revision)
+                    } else {
+                        // Only a new list shows the row that's missing again.
+                        Err(StoreError::Forgotten)
+                    }
                 }
                 Err(error) => Err(error),
             },
--- a/crates/engine/src/control/mod.rs
+++ b/crates/engine/src/control/mod.rs
@@ -8,7 +8,7 @@
 mod ticks;
 
 pub(crate) use lease::hold_lease;
-pub(crate) use members::watch_members;
+pub(crate) use members::{sweep_members, watch_members};
 pub(crate) use rules::watch_rules;
 pub(crate) use state::{Control, Parts, shared, take_messages};
 pub(crate) use ticks::run_ticks;
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -25,6 +25,13 @@
 pub(super) const WATCH_TIME: Duration = Duration::from_secs(20);
 /// Pause after a look that failed.
 pub(super) const WATCH_PAUSE: Duration = Duration::from_millis(400);
+/// Time without a report after which a node counts as out of reach, so that it may be spending
+/// what's kept for the time without a holder.
+const REACH_TIME: Duration = Duration::from_millis(1_500);
+/// Reports that a node out of reach has missed, at least.
+const MISSED_REPORTS: u32 = 3;
+/// Time without a report after which the row of a node is removed from the store.
+const DEAD_TIME: Duration = Duration::from_secs(120);
 /// Time without a sign of the holder after which it counts as lost.
 const HOLDER_SILENCE: Duration = Duration::from_millis(2_500);
 
@@ -73,8 +80,8 @@
     pub link: Link,
     pub profiles: Vec<RouteProfile>,
     pub asked: Vec<filbertwheel_policy::Asked>,
-    /// When it was heard last.
-    pub heard: Option<Instant>,
+    /// When it was heard last, or found where it wasn't heard yet.
+    pub heard: Instant,
 }
 
 /// Control state that the tasks of the control thread share.
@@ -167,7 +174,7 @@
             link,
             profiles: Vec::new(),
             asked: Vec::new(),
-            heard: None,
+            heard: self.parts.clock.now(),
             member: member.clone(),
         };
         self.others.insert(member.vm, other);
@@ -204,7 +211,7 @@
         let Some(other) = self.others.get_mut(&vm) else {
             return;
         };
-        other.heard = Some(now);
+        other.heard = now;
         other.link.set_load(report.load);
         other.asked = report.asked;
         if let Some(profiles) = report.profiles {
@@ -228,6 +235,29 @@
         }
     }
 
+    /// As the holder, leaves to the nodes out of reach what they may spend without it.
+    pub(super) fn check_reach(&mut self, now: Instant) {
+        let reach = REACH_TIME.max(self.report_interval() * MISSED_REPORTS);
+        let others = self.others.values();
+        let lost = others.filter(|other| now.saturating_duration_since(other.heard) > reach);
+        let (unreached, nodes) = (lost.count(), self.others.len() + 1);
+        if let Some(holding) = &mut self.ledger {
+            holding.ledger.withhold(unreached, nodes);
+        }
+    }
+
+    /// As the holder, the nodes that have been gone for so long that their rows can be removed.
+    pub(super) fn dead(&self, now: Instant) -> Vec<VmId> {
+        if self.ledger.is_none() {
+            return Vec::new();
+        }
+        let others = self.others.iter();
+        let dead = others.filter(|(_, other)| {
+            !other.link.is_up() && now.saturating_duration_since(other.heard) > DEAD_TIME
+        });
+        dead.map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Whether a holder was heard lately.
     pub(super) fn has_holder(&self, now: Instant) -> bool {
         self.ledger.is_some()
--- a/crates/engine/src/control/ticks.rs
+++ b/crates/engine/src/control/ticks.rs
@@ -27,8 +27,7 @@
     let mut turn: u64 = 0;
     let mut last = clock.now();
     loop {
-        let nodes = control.borrow().others.len() + 1;
-        let interval = REPORT_TIME.mul_f64((nodes as f64 / SMALL_FLEET as f64).max(1.0));
+        let interval = control.borrow().report_interval();
         clock.sleep(interval).await;
         turn += 1;
         let now = clock.now();
@@ -39,6 +38,7 @@
         last = now;
         control.check_backend();
         control.spread_suspicions();
+        control.check_reach(now);
         control.report(turn.is_multiple_of(PROFILE_TURNS));
         control.replan();
         if turn.is_multiple_of(ASK_TURNS) {
@@ -55,6 +55,12 @@
 }
 
 impl super::Control {
+    /// Time between two reports.
+    pub(super) fn report_interval(&self) -> Duration {
+        let nodes = self.others.len() + 1;
+        REPORT_TIME.mul_f64((nodes as f64 / SMALL_FLEET as f64).max(1.0))
+    }
+
     /// A VM that was suspended knows nothing of what others did meanwhile, though its monotonic
     /// clock says that no time has passed.
     fn check_suspension(&mut self) {
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -68,6 +68,8 @@
     unknown: Option<Unknown>,
     /// Nodes that may have portions, as a successor will know them.
     recorded: Grantees,
+    /// Part of each rate that's left to nodes which the holder can't reach.
+    withheld: f64,
 }
 
 #[derive(Debug)]
@@ -99,6 +101,7 @@
             nodes: BTreeMap::new(),
             unknown,
             recorded: earlier,
+            withheld: 0.0,
         }
     }
 
@@ -127,6 +130,12 @@
         self.recorded = grantees;
     }
 
+    /// Leaves to the nodes that can't be reached what they may spend without a holder. `nodes` is
+    /// the size of the fleet.
+    pub fn withhold(&mut self, unreached: usize, nodes: usize) {
+        self.withheld = EMERGENCY_PART * unreached as f64 / nodes.max(1) as f64;
+    }
+
     /// Whether all that's in use is known.
     pub fn is_settled(&self, now: Instant) -> bool {
         self.missing(now) <= 0.0
@@ -187,7 +196,7 @@
         };
         let target = self.target(vm, organisation, limit).min(bound);
         let total: f64 = self.nodes.values().map(|held| held.of(organisation)).sum();
-        let free = (1.0 - total - self.missing(now)).max(0.0);
+        let free = (1.0 - total - self.missing(now) - self.withheld).max(0.0);
         let Some(node) = self.nodes.get_mut(vm) else {
             return 0.0;
         };
@@ -224,7 +233,7 @@
         }
         let others = self.nodes.iter().filter(|(other, _)| *other != vm);
         let given: f64 = others.map(|(_, held)| part(held)).sum();
-        (1.0 - given).max(0.0)
+        (1.0 - given - self.withheld).max(0.0)
     }
 }
 
--- a/crates/policy/tests/portions.rs
+++ b/crates/policy/tests/portions.rs
@@ -286,3 +286,47 @@
         }
     }
 }
+
+#[test]
+fn what_nodes_out_of_reach_may_spend_is_left_to_them() {
+    const NODES: usize = 4;
+    let mut fleet = Fleet::open(NODES);
+    for _ in 0..10 {
+        spend(&mut fleet, 0, 400);
+        fleet.turn();
+    }
+    // Half of the fleet is cut off from a holder that goes on.
+    fleet.ledger.withhold(NODES / 2, NODES);
+    for _ in 0..10 {
+        fleet.answer(0);
+        while !fleet.grants.is_empty() {
+            fleet.deliver(0);
+        }
+        fleet.now += STEP;
+    }
+    let now = fleet.now;
+    for node in 2..NODES {
+        fleet.nodes[node].prepare(&limits(), now);
+    }
+    let (mut spent, mut seconds) = (0, 0.0);
+    for _ in 0..40 {
+        fleet.now += STEP;
+        seconds += STEP.as_secs_f64();
+        fleet.answer(0);
+        while !fleet.grants.is_empty() {
+            fleet.deliver(0);
+        }
+        spent += spend(&mut fleet, 0, 2_000);
+        let now = fleet.now;
+        for node in 2..NODES {
+            let mut charge = || {
+                let charged =
+                    fleet.nodes[node].charge_emergency(&organisation(), LIMIT, NODES, now);
+                charged.is_ok()
+            };
+            spent += (0..2_000).filter(|_| charge()).count();
+        }
+    }
+    let most = LIMIT.rate * seconds + LIMIT.burst;
+    assert!(spent as f64 <= most, "{spent} of {most}");
+}
