Use the one client and the one stand-in of the store for the project's own interface too

The node with the project's own interface spoke a table protocol of our own, with a client and a stand-in beside those of the users' store: two of each.

Our own protocol, its client and its stand-in are gone.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 
 use derive_more::{Display, From};
+use filbertwheel_adapter::PlatformStore;
 use filbertwheel_core::{Clock, SettingsError, SystemClock, init_logging};
 use filbertwheel_node::{Node, NodeError, NodeSettings};
-use filbertwheel_platform::{ObjectClient, Platform, TableClient};
+use filbertwheel_platform::Platform;
 use filbertwheel_runtime::Signals;
 use getopts::Options;
 
@@ -70,8 +71,8 @@
     filbertwheel_runtime::block_on(async {
         let signals = Signals::open()?;
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-        let table = TableClient::open(settings.platform.table, Arc::clone(&clock));
-        let objects = ObjectClient::open(settings.platform.objects, Arc::clone(&clock));
+        let table = PlatformStore::open(settings.platform.table, Arc::clone(&clock));
+        let objects = PlatformStore::open(settings.platform.objects, Arc::clone(&clock));
         let platform = Platform {
             table: Arc::new(table),
             objects: Arc::new(objects),
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -1,4 +1,4 @@
-//! The platform's services in memory, for tests and the stand-in.
+//! The platform's services in memory, for tests.
 
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/scenario/src/fleet.rs
+++ b/crates/scenario/src/fleet.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use filbertwheel_http::{Limits, Pool, Request, Response};
-use filbertwheel_standin::{BackendFault, PlatformFault};
+use filbertwheel_platform_standin::StoreFault;
+use filbertwheel_standin::BackendFault;
 use serde::Serialize;
 
 use crate::RunError;
@@ -18,6 +19,8 @@
 
 /// How long a stand-in or a node's operator door may take.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Status of the store while it is down.
+const UNAVAILABLE: u16 = 503;
 
 /// All processes of a scenario.
 #[derive(Debug)]
@@ -42,9 +45,9 @@
     /// Starts the platform's stand-in.
     pub fn start_platform(&mut self) -> Result<(), RunError> {
         let listen = self.site.ports.platform().to_string();
-        let arguments = ["platform".to_owned(), "--listen".to_owned(), listen];
+        let arguments = ["store".to_owned(), "--listen".to_owned(), listen];
         let places = &self.site.places;
-        let program = places.program("filbertwheel-standin");
+        let program = places.program("filbertwheel-platform-standin");
         let platform = Process::spawn(&program, &arguments, &places.file("platform.log"))?;
         self.platform = Some(platform);
         Ok(())
@@ -80,13 +83,16 @@
 
     /// Sets the platform's faults.
     pub async fn set_platform(&self, state: PlatformState) -> Result<(), RunError> {
-        let mut fault = PlatformFault::default();
+        let mut fault = StoreFault::default();
         match state {
             PlatformState::Up => {}
-            PlatformState::Down => fault.down = true,
+            PlatformState::Down => fault.status = UNAVAILABLE,
             PlatformState::Slow(millis) => fault.delay_ms = millis,
             PlatformState::LoseAnswers => fault.lose_answers = true,
-            PlatformState::DownAfter(count) => fault.down_after = Some(count),
+            PlatformState::DownAfter(count) => {
+                fault.status = UNAVAILABLE;
+                fault.after = count;
+            }
         }
         self.post_fault(self.site.ports.platform(), &fault).await
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,8 +1,6 @@
-//! Small stand-ins for the platform's services and for backend servers, with controls for faults.
-//! For tests and demonstrations only.
+//! A small stand-in for backend servers of the project's own interface, with controls for faults.
+//! For tests and demonstrations only. The platform's stand-in is `platform/standin`.
 
 mod backend;
-mod platform;
 
 pub use backend::{BackendFault, BackendOptions, BackendStandin};
-pub use platform::{PlatformFault, PlatformStandin};
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,5 +1,5 @@
-//! `filbertwheel-standin`: small stand-ins for the platform's services and for backend servers,
-//! with controls for faults. For tests and demonstrations only.
+//! `filbertwheel-standin`: a small stand-in for backend servers, with controls for faults. For tests
+//! and demonstrations only.
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -11,7 +11,7 @@
 use filbertwheel_core::{Clock, LogFormat, ServiceId, SystemClock, init_logging};
 use filbertwheel_http::{Handler, Limits, Listener, Stopper};
 use filbertwheel_runtime::Signals;
-use filbertwheel_standin::{BackendOptions, BackendStandin, PlatformStandin};
+use filbertwheel_standin::{BackendOptions, BackendStandin};
 use getopts::{Matches, Options};
 use smol::LocalExecutor;
 
@@ -23,7 +23,7 @@
 enum Fault {
     #[display("{_0}")]
     Usage(getopts::Fail),
-    #[display("platform or backend is wanted")]
+    #[display("backend is wanted")]
     NoKind,
     #[display("--{_0} is missing or malformed")]
     Option(&'static str),
@@ -80,11 +80,6 @@
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     filbertwheel_runtime::block_on(executor.run(async {
         match matches.free.first().map(String::as_str) {
-            Some("platform") => {
-                let handler = Arc::new(PlatformStandin::open(Arc::clone(&clock)));
-                let leave = async {};
-                serve(listen, handler, Rc::clone(&executor), clock, leave).await
-            }
             Some("backend") => {
                 let options = backend_options(&matches, listen)?;
                 let standin = Arc::new(BackendStandin::open(options, Arc::clone(&clock)));
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -12,7 +12,7 @@
 export FILBERTWHEEL_OPERATOR_SECRET=${FILBERTWHEEL_OPERATOR_SECRET:-an-operator-secret}
 
 fleet_platform() {
-  "$FLEET_BIN/filbertwheel-standin" platform --listen "127.0.0.1:$FLEET_PORT" \
+  "$FLEET_BIN/filbertwheel-platform-standin" store --listen "127.0.0.1:$FLEET_PORT" \
     2>"$FLEET_DIR/platform.log" &
   FLEET_PIDS+=($!)
 }
