Keep what was learnt of the routes in the store

After all VMs lost power nothing was known of what requests cost.

Ruled out: admitting nothing until costs are learnt (nothing would be learnt then).

The holder of the lease writes the merged profiles to a row every ten seconds; a node reads them when it starts and counts them as five runs a route. The first requests of a route count in full in the demand.

Costs one write each ten seconds for the whole fleet, one read a start.

--- /dev/null
+++ b/crates/engine/src/control/memory.rs
@@ -0,0 +1,77 @@
+//! What the fleet has learnt of its routes, kept in the store for the time after all VMs were lost.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use filbertwheel_core::Text;
+use filbertwheel_platform::{RowWrite, StoreError};
+use filbertwheel_policy::RouteProfile;
+
+use super::Shared;
+
+/// Table of what was learnt.
+const LEARNT: &str = "filbertwheel-learnt";
+/// Key of the profiles of all routes.
+const PROFILES: Text = Text::from_static("profiles");
+/// Time between two writes of the node that holds the lease.
+const KEEP_TIME: Duration = Duration::from_secs(10);
+/// Pause after a read that failed.
+const READ_PAUSE: Duration = Duration::from_millis(400);
+
+/// Reads what an earlier life of the fleet has learnt, then keeps it up to date while this node
+/// holds the lease.
+pub(crate) async fn keep_profiles(control: Shared) {
+    let clock = Arc::clone(&control.borrow().parts.clock);
+    loop {
+        match read(&control).await {
+            Ok(profiles) => {
+                let routes = profiles.len();
+                tracing::info!(routes, "control: What was learnt of the routes was read.");
+                control.borrow_mut().remember(profiles);
+                break;
+            }
+            Err(error) => {
+                tracing::warn!("control: What was learnt of the routes can't be read: {error}.");
+                clock.sleep(READ_PAUSE).await;
+            }
+        }
+    }
+    loop {
+        clock.sleep(KEEP_TIME).await;
+        let profiles = control.borrow().learnt();
+        if profiles.is_empty() {
+            continue;
+        }
+        if let Err(error) = write(&control, &profiles).await {
+            tracing::warn!("control: What was learnt of the routes can't be kept: {error}.");
+        }
+    }
+}
+
+async fn read(control: &Shared) -> Result<Vec<RouteProfile>, StoreError> {
+    let store = Arc::clone(&control.borrow().parts.sources.store);
+    let rows = store.list(LEARNT).await?.value;
+    let Some(row) = rows.iter().find(|row| row.key == PROFILES) else {
+        return Ok(Vec::new());
+    };
+    match serde_json::from_slice(&row.value) {
+        Ok(profiles) => Ok(profiles),
+        Err(error) => {
+            tracing::warn!("control: The row of what was learnt can't be decoded: {error}.");
+            Ok(Vec::new())
+        }
+    }
+}
+
+async fn write(control: &Shared, profiles: &[RouteProfile]) -> Result<(), StoreError> {
+    let store = Arc::clone(&control.borrow().parts.sources.store);
+    let value = serde_json::to_vec(profiles).map_err(|_| StoreError::Malformed)?;
+    let write = RowWrite {
+        table: LEARNT,
+        key: PROFILES,
+        expect: None,
+        value: Some(Bytes::from(value)),
+    };
+    store.commit(&[write]).await.map(|_| ())
+}
--- a/crates/engine/src/control/mod.rs
+++ b/crates/engine/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod lease;
 mod members;
+mod memory;
 mod plan;
 mod rules;
 mod state;
@@ -9,6 +10,7 @@
 
 pub(crate) use lease::hold_lease;
 pub(crate) use members::{sweep_members, watch_members};
+pub(crate) use memory::keep_profiles;
 pub(crate) use rules::watch_rules;
 pub(crate) use state::{Control, Parts, shared, take_messages};
 pub(crate) use ticks::run_ticks;
--- a/crates/engine/src/control/plan.rs
+++ b/crates/engine/src/control/plan.rs
@@ -16,6 +16,9 @@
 /// Requests a second below which a demand is forgotten.
 const ASKED_FLOOR: f32 = 0.05;
 
+/// Runs that what was remembered counts as, so that it gives way to what is seen.
+const REMEMBERED_RUNS: f32 = 5.0;
+
 /// Change of what is kept, in thousandths, that's worth a log line.
 const LOGGED_CHANGE: u32 = 150;
 
@@ -24,6 +27,8 @@
 pub(crate) struct Plan {
     pub own_asked: Vec<Asked>,
     pub own_profiles: Vec<RouteProfile>,
+    /// What an earlier life of the fleet has learnt.
+    remembered: Vec<RouteProfile>,
     planner: Planner,
     /// The cuts as they were logged last.
     logged_cuts: BTreeMap<ServiceId, Cut>,
@@ -43,8 +48,11 @@
             *rate *= 1.0 - ASKED_WEIGHT as f32;
         }
         for asked in rates(counts, interval) {
-            let rate = smoothed.entry((asked.route, asked.rank)).or_default();
-            *rate += asked.rate * ASKED_WEIGHT as f32;
+            // The first requests of a route count in full.
+            let known = smoothed.entry((asked.route, asked.rank));
+            known
+                .and_modify(|rate| *rate += asked.rate * ASKED_WEIGHT as f32)
+                .or_insert(asked.rate);
         }
         let known = smoothed
             .into_iter()
@@ -61,16 +69,14 @@
         let Some(rules) = &snapshot.rules else {
             return;
         };
-        let others = self.others.values();
-        let profiles = others.clone().flat_map(|other| &other.profiles);
-        let graph = CallGraph::merge(profiles.chain(&self.plan.own_profiles));
+        let graph = self.graph();
         let costs = graph.costs(rules);
         let elapsed = rules
             .paths()
             .filter_map(|path| Some((path.id.clone(), graph.elapsed(&path.id)?)))
             .collect();
         let capacities = self.capacities();
-        let asked = others.flat_map(|other| &other.asked);
+        let asked = self.others.values().flat_map(|other| &other.asked);
         let asked: Vec<Asked> = asked.chain(&self.plan.own_asked).cloned().collect();
         let cuts = self.plan.planner.plan(&asked, &costs, &capacities);
         self.log_cuts(&cuts, &capacities);
@@ -82,6 +88,31 @@
         }));
     }
 
+    /// What all nodes together know of the routes.
+    fn graph(&self) -> CallGraph {
+        let others = self.others.values();
+        let profiles = others.flat_map(|other| &other.profiles);
+        let profiles = profiles.chain(&self.plan.own_profiles);
+        CallGraph::merge(profiles.chain(&self.plan.remembered))
+    }
+
+    /// Takes up what an earlier life of the fleet has learnt.
+    pub(super) fn remember(&mut self, profiles: Vec<RouteProfile>) {
+        let profiles = profiles.into_iter().map(|profile| RouteProfile {
+            runs: profile.runs.min(REMEMBERED_RUNS),
+            ..profile
+        });
+        self.plan.remembered = profiles.collect();
+    }
+
+    /// What's worth keeping of what was learnt, where this node holds the lease.
+    pub(super) fn learnt(&self) -> Vec<RouteProfile> {
+        if self.ledger.is_none() {
+            return Vec::new();
+        }
+        self.graph().profiles()
+    }
+
     /// Logs cuts that begin, end or change by much.
     fn log_cuts(&mut self, cuts: &Cuts, capacities: &BTreeMap<ServiceId, Capacity>) {
         let known = &self.plan.logged_cuts;
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -15,8 +15,8 @@
 
 use crate::board::{Board, Snapshot};
 use crate::control::{
-    Parts as ControlParts, Shared, hold_lease, run_ticks, shared, sweep_members, take_messages,
-    watch_members, watch_rules,
+    Parts as ControlParts, Shared, hold_lease, keep_profiles, run_ticks, shared, sweep_members,
+    take_messages, watch_members, watch_rules,
 };
 use crate::engine::{Engine, Parts};
 use crate::journal::Journal;
@@ -178,6 +178,7 @@
             executor.spawn(watch_rules(control())),
             executor.spawn(watch_members(control())),
             executor.spawn(sweep_members(control())),
+            executor.spawn(keep_profiles(control())),
             executor.spawn(run_ticks(control())),
             executor.spawn(hold_lease(control())),
         ];
--- a/crates/policy/src/graph.rs
+++ b/crates/policy/src/graph.rs
@@ -230,6 +230,22 @@
         Self { routes }
     }
 
+    /// The merged profiles.
+    pub fn profiles(&self) -> Vec<RouteProfile> {
+        let routes = self.routes.iter().filter(|(_, merged)| merged.runs > 0.0);
+        routes
+            .map(|(route, merged)| RouteProfile {
+                route: route.clone(),
+                runs: merged.runs as f32,
+                elapsed: (merged.elapsed / merged.runs) as f32,
+                calls: self
+                    .calls(route)
+                    .map(|(called, per_run)| (called.clone(), per_run as f32))
+                    .collect(),
+            })
+            .collect()
+    }
+
     /// Mean seconds of a run of a route over all its backend servers.
     pub fn elapsed(&self, route: &RouteId) -> Option<f64> {
         let merged = self.routes.get(route)?;
--- a/crates/policy/tests/graph.rs
+++ b/crates/policy/tests/graph.rs
@@ -204,3 +204,22 @@
     let costs = CallGraph::merge(&profiles).costs(&rules);
     assert_eq!(costs.len(), names.len());
 }
+
+#[test]
+fn merged_profiles_say_the_same_when_they_are_merged_again() {
+    let rules = Rules::open(1, [path("sheets", "rounds"), path("rates", "scales")]);
+    let profiles = [
+        profile("sheets", 0.4, &[("rates", 2.0)]),
+        profile("sheets", 0.2, &[("rates", 4.0)]),
+        profile("rates", 0.15, &[]),
+    ];
+    let graph = CallGraph::merge(&profiles);
+    let again = CallGraph::merge(&graph.profiles());
+    let cost = |graph: &CallGraph| graph.costs(&rules)[&RouteId::from("sheets")].clone();
+    let (one, other) = (cost(&graph), cost(&again));
+    assert_eq!(one.len(), other.len());
+    for (service, visit) in one {
+        let difference = visit.slot_seconds - other[&service].slot_seconds;
+        assert!(difference.abs() < 1e-3, "{service}: {difference}");
+    }
+}
