Hand the rates over when the backend server beside their holder leaves

The lines 'The link to a node was lost' for sidecar-lhr-cantt-1 and then, 8 s after its last renewal, 'This node divides the rates' show that the holder's VM was taken away. Its backend server had left at 31.0 s; after the power loss at 32 s the node came back alone and took the lease at 33.5 s.

Ruled out: a shorter lease (a slow store would end it); the store (it was up).

Only a node whose backend server serves takes the lease; one whose backend server leaves releases it, and the others forget the holder as soon as it says so.

--- a/crates/engine/src/control/lease.rs
+++ b/crates/engine/src/control/lease.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertwheel_core::{Fence, Text, VmId, message};
+use filbertwheel_core::{Fence, Status, Text, VmId, message};
 use filbertwheel_platform::{Clocked, Revision, RowWrite, Store, StoreError, StoredRow};
 use filbertwheel_policy::{Grantees, PortionLedger};
 
@@ -83,7 +83,9 @@
 fn is_candidate(control: &Shared, now: Instant) -> bool {
     let control = control.borrow();
     let ready = control.parts.board.load().is_ready();
-    ready && !control.stopping && !control.has_holder(now)
+    // The VM of a backend server that leaves is soon taken away.
+    let stays = !control.stopping && control.me.status == Status::Serving;
+    ready && stays && !control.has_holder(now)
 }
 
 /// Takes the lease if nobody holds it, or an earlier run of this node. Returns the nodes that may
@@ -185,7 +187,7 @@
                 None => break,
             }
         };
-        if control.borrow().stopping {
+        if control.borrow().is_leaving() {
             release(control, store, &taken, &grantees).await;
             break;
         }
@@ -238,6 +240,11 @@
 }
 
 impl super::Control {
+    /// Whether this node, or the backend server beside it, is about to go.
+    fn is_leaving(&self) -> bool {
+        self.stopping || matches!(self.me.status, Status::Draining | Status::Gone)
+    }
+
     /// Place of this node among those that are up, by name.
     fn rank(&self) -> usize {
         let others = self.others.iter();
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -208,6 +208,12 @@
                 self.publish();
             }
         }
+        let was_holder = self.holder.as_ref().is_some_and(|(known, ..)| *known == vm);
+        if report.holder.is_none() && was_holder {
+            tracing::info!(vm = %vm, "control: A node no longer divides the rates.");
+            self.holder = None;
+            self.publish();
+        }
         let Some(other) = self.others.get_mut(&vm) else {
             return;
         };
