Announce new rules, and let only those that stay behind ask for them

A version that comes into force is announced by its number. A node that still lacks it after 150 ms asks one other node, and another one each 250 ms; one without any rules asks at once.

--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -288,14 +288,14 @@
         }
         let snapshot = Snapshot {
             rules: Some(Arc::new(rules)),
-            document: document.clone(),
+            document,
             ..Snapshot::clone(&self.parts.board.load())
         };
         self.parts.board.store(Arc::new(snapshot));
         self.parts.engine.metrics.rules.set(version as i64);
         tracing::info!(version, before = known, "control: Rules are in force.");
         for other in self.others.values() {
-            other.link.send_rules(version, document.clone());
+            other.link.announce_rules(version);
         }
         Some(version)
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,7 +13,7 @@
 use filbertwheel_http::LocalFuture;
 use filbertwheel_peer::{LinkSink, News, Report};
 use filbertwheel_policy::{
-    Allowance, Asked, FairShed, Load, Receipt, RetryBudget, RetryTerms, Split,
+    Allowance, Asked, Catchup, FairShed, Load, Receipt, RetryBudget, RetryTerms, Split,
 };
 
 use crate::board::{Board, Snapshot};
@@ -55,6 +55,7 @@
     dry: Mutex<HashMap<OrganisationId, Instant>>,
     /// Until when the holder isn't asked, because it didn't answer.
     muted: Mutex<Option<Instant>>,
+    catchup: Mutex<Catchup>,
 }
 
 /// What became of a claim.
@@ -94,6 +95,7 @@
             asked: Mutex::default(),
             dry: Mutex::default(),
             muted: Mutex::default(),
+            catchup: Mutex::default(),
         }
     }
 
@@ -265,6 +267,11 @@
         self.board.load().version()
     }
 
+    fn wants_rules(&self, version: Version) -> bool {
+        let (own, now) = (self.version(), self.clock.now());
+        lock(&self.catchup).should_ask(own, version, now)
+    }
+
     fn run(&self, attempt: Attempt) -> LocalFuture<'_, Verdict> {
         Box::pin(async move { self.runner.run(&attempt).await })
     }
--- a/crates/peer/src/link/accept.rs
+++ b/crates/peer/src/link/accept.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use filbertwheel_core::{Attempt, Clock, FleetSecret, Refusal, RefusalKind, VmId};
+use filbertwheel_core::{Attempt, Clock, FleetSecret, Refusal, RefusalKind, Version, VmId};
 use filbertwheel_http::{Stop, prepare};
 use filbertwheel_runtime::{TcpListener, TcpStream};
 use futures_lite::FutureExt as _;
@@ -188,14 +188,16 @@
             Frame::Report(report) => {
                 let version = report.version;
                 sink.note(News::Report(report));
-                if version > sink.version() {
-                    self.push(&Frame::WantRules);
-                }
+                self.ask_for_rules(version);
                 self.push(&Frame::Heard {
                     load: sink.load(),
                     version: sink.version(),
                 })
             }
+            Frame::NewRules(version) => {
+                self.ask_for_rules(version);
+                true
+            }
             Frame::WantRules => {
                 if let Some((version, document)) = sink.rules() {
                     self.push(&Frame::Rules(version, document));
@@ -226,6 +228,12 @@
         }
     }
 
+    fn ask_for_rules(&self, version: Version) {
+        if self.door.sink.wants_rules(version) {
+            self.push(&Frame::WantRules);
+        }
+    }
+
     fn start(&self, number: CallNumber, attempt: Attempt) {
         let sink = Arc::clone(&self.door.sink);
         let outbox = Arc::clone(&self.outbox);
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use filbertwheel_core::{
     Attempt, Clock, Fence, FleetSecret, OrganisationId, Verdict, Version, VmId,
 };
@@ -187,9 +187,9 @@
         }
     }
 
-    /// Sends rules as operators wrote them.
-    pub fn send_rules(&self, version: Version, document: Bytes) {
-        self.push(&Frame::Rules(version, document));
+    /// Tells of rules that have come into force here.
+    pub fn announce_rules(&self, version: Version) {
+        self.push(&Frame::NewRules(version));
     }
 
     /// Asks the holder for portions.
@@ -386,7 +386,7 @@
             }
             Frame::Heard { load, version } => {
                 inner.state().load = load;
-                if version > self.sink.version() {
+                if self.sink.wants_rules(version) {
                     inner.outbox.push(&Frame::WantRules);
                 }
             }
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -37,6 +37,8 @@
     Report(Box<Report>),
     /// The answer to it, which shows that the link works.
     Heard { load: Load, version: Version },
+    /// Tells of rules that have come into force.
+    NewRules(Version),
     /// Asks for the rules in force.
     WantRules,
     /// The rules in force, as operators wrote them.
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -32,6 +32,9 @@
     /// Version of the rules in force here.
     fn version(&self) -> Version;
 
+    /// Whether to ask a node that has this version of the rules for them.
+    fn wants_rules(&self, version: Version) -> bool;
+
     /// Runs a call at this node's own backend server.
     fn run(&self, attempt: Attempt) -> LocalFuture<'_, Verdict>;
 
--- /dev/null
+++ b/crates/policy/src/catchup.rs
@@ -0,0 +1,54 @@
+//! When a node asks others for rules that are newer than its own.
+//!
+//! Most nodes get new rules from the store at the same moment. One that can't reach it hears of
+//! them from the others, and asks one of them at a time.
+
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::Version;
+
+/// How long the store may take to deliver rules that others have.
+const STORE_TIME: Duration = Duration::from_millis(150);
+/// Time between two asks.
+const ASK_PAUSE: Duration = Duration::from_millis(250);
+
+/// What a node knows of being behind.
+#[derive(Debug, Default)]
+pub struct Catchup {
+    behind: Option<Behind>,
+}
+
+#[derive(Debug)]
+struct Behind {
+    /// The version that the node had when it heard of a newer one.
+    own: Version,
+    since: Instant,
+    asked: Option<Instant>,
+}
+
+impl Catchup {
+    /// Whether to ask a node that has version `told`, where this one has `own`.
+    pub fn should_ask(&mut self, own: Version, told: Version, now: Instant) -> bool {
+        if told <= own {
+            return false;
+        }
+        let behind = match &mut self.behind {
+            Some(behind) if behind.own == own => behind,
+            other => other.insert(Behind {
+                own,
+                since: now,
+                asked: None,
+            }),
+        };
+        let waited = |since: Instant| now.saturating_duration_since(since);
+        let due = match behind.asked {
+            Some(asked) => waited(asked) >= ASK_PAUSE,
+            // A node without any rules can't serve, so it doesn't wait.
+            None => own == 0 || waited(behind.since) >= STORE_TIME,
+        };
+        if due {
+            behind.asked = Some(now);
+        }
+        due
+    }
+}
