--- a/crates/ctl/tests/filbertctl.rs
+++ b/crates/ctl/tests/filbertctl.rs
@@ -11,7 +11,7 @@
 use async_trait::async_trait;
 use filbertwheel_core::{Clock, FleetSecret, SystemClock};
 use filbertwheel_http::{Limits, Listener, Stopper};
-use filbertwheel_operator::{CommandError, Desk, OperatorDoor, Order, Reply};
+use filbertwheel_operator::{CommandError, CommandHandler, OperatorDoor, Order, Reply};
 use filbertwheel_rpc::Guard;
 use filbertwheel_runtime::block_on;
 use smol::LocalExecutor;
@@ -26,7 +26,7 @@
 }
 
 #[async_trait]
-impl Desk for Script {
+impl CommandHandler for Script {
     async fn run(&self, order: Order) -> Result<Reply, CommandError> {
         self.orders.lock().unwrap().push(order);
         self.replies.lock().unwrap().remove(0)
@@ -56,7 +56,7 @@
         replies: Mutex::new(replies),
         orders: Mutex::default(),
     });
-    let desk = Arc::clone(&script) as Arc<dyn Desk>;
+    let desk = Arc::clone(&script) as Arc<dyn CommandHandler>;
     let (stopper, stop) = Stopper::open();
     let (bound, address) = std::sync::mpsc::channel();
     let node = thread::spawn(move || {
--- a/crates/engine/src/control/lease.rs
+++ b/crates/engine/src/control/lease.rs
@@ -82,7 +82,7 @@
 
 fn is_candidate(control: &Shared, now: Instant) -> bool {
     let control = control.borrow();
-    let ready = control.parts.board.load().is_ready();
+    let ready = control.parts.snapshots.load().is_ready();
     // The VM of a backend server that leaves is soon taken away.
     let stays = !control.stopping && control.me.status == Status::Serving;
     ready && stays && !control.has_holder(now)
--- a/crates/engine/src/control/plan.rs
+++ b/crates/engine/src/control/plan.rs
@@ -8,8 +8,8 @@
 use filbertwheel_policy::{Asked, CallGraph, Capacity, Cut, Cuts, Planner, RouteProfile};
 
 use super::state::Control;
-use crate::board::Snapshot;
 use crate::engine::rates;
+use crate::snapshots::Snapshot;
 
 /// Weight of the newest interval in the demand of callers.
 const ASKED_WEIGHT: f64 = 0.4;
@@ -65,7 +65,7 @@
 
     /// Plans which requests are refused, and publishes it.
     pub(super) fn replan(&mut self) {
-        let snapshot = self.parts.board.load_full();
+        let snapshot = self.parts.snapshots.load_full();
         let Some(rules) = &snapshot.rules else {
             return;
         };
@@ -80,11 +80,11 @@
         let asked: Vec<Asked> = asked.chain(&self.plan.own_asked).cloned().collect();
         let cuts = self.plan.planner.plan(&asked, &costs, &capacities);
         self.log_cuts(&cuts, &capacities);
-        self.parts.board.store(Arc::new(Snapshot {
+        self.parts.snapshots.store(Arc::new(Snapshot {
             cuts: Arc::new(cuts),
             costs: Arc::new(costs),
             elapsed: Arc::new(elapsed),
-            ..Snapshot::clone(&self.parts.board.load())
+            ..Snapshot::clone(&self.parts.snapshots.load())
         }));
     }
 
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -16,10 +16,10 @@
 
 use super::plan::Plan;
 use super::{Message, Shared};
-use crate::board::{Board, Holder, Peer, Snapshot};
 use crate::engine::Engine;
 use crate::runner::Standing;
 use crate::settings::Sources;
+use crate::snapshots::{Holder, Peer, SharedSnapshot, Snapshot};
 
 /// Time without a report after which a node counts as out of reach, so that it may be spending
 /// what's kept for the time without a holder.
@@ -37,7 +37,7 @@
     pub clock: Arc<dyn Clock>,
     pub sources: Sources,
     pub engine: Arc<Engine>,
-    pub board: Board,
+    pub snapshots: SharedSnapshot,
     pub secret: FleetSecret,
     pub drivers: Sender<LinkDriver>,
     pub beat: Duration,
@@ -278,16 +278,16 @@
                 return None;
             }
         };
-        let (version, known) = (rules.version, self.parts.board.load().version());
+        let (version, known) = (rules.version, self.parts.snapshots.load().version());
         if version <= known {
             return None;
         }
         let snapshot = Snapshot {
             rules: Some(Arc::new(rules)),
             document,
-            ..Snapshot::clone(&self.parts.board.load())
+            ..Snapshot::clone(&self.parts.snapshots.load())
         };
-        self.parts.board.store(Arc::new(snapshot));
+        self.parts.snapshots.store(Arc::new(snapshot));
         self.parts.engine.metrics.rules.set(version as i64);
         tracing::info!(version, before = known, "control: Rules are in force.");
         for other in self.others.values() {
@@ -337,9 +337,9 @@
             holder,
             joined: self.joined,
             stopping: self.stopping,
-            ..Snapshot::clone(&self.parts.board.load())
+            ..Snapshot::clone(&self.parts.snapshots.load())
         };
-        self.parts.board.store(Arc::new(snapshot));
+        self.parts.snapshots.store(Arc::new(snapshot));
     }
 
     /// Tells all others what this node believes and does.
@@ -352,7 +352,7 @@
         let report = Report {
             member: self.me.clone(),
             load: self.parts.engine.runner.load(),
-            version: self.parts.board.load().version(),
+            version: self.parts.snapshots.load().version(),
             asked: self.plan.own_asked.clone(),
             profiles,
             holder: self.ledger.as_ref().map(|holding| holding.fence),
@@ -364,7 +364,7 @@
 
     /// Limits of the organisations that have one.
     pub(super) fn limits(&self) -> BTreeMap<OrganisationId, Rate> {
-        let snapshot = self.parts.board.load();
+        let snapshot = self.parts.snapshots.load();
         let organisations = snapshot
             .rules
             .as_ref()
--- a/crates/engine/src/crashes.rs
+++ b/crates/engine/src/crashes.rs
@@ -124,7 +124,7 @@
 }
 
 /// Leave to run a request. Dropped early, it lets the next suspect run.
-pub(crate) struct Pass<'a> {
+pub(crate) struct RunPermit<'a> {
     crashes: &'a Mutex<Crashes>,
     attempt: &'a Attempt,
     clock: &'a dyn Clock,
@@ -132,14 +132,14 @@
     alone: Option<Fingerprint>,
 }
 
-impl<'a> Pass<'a> {
+impl<'a> RunPermit<'a> {
     /// Lets a request run, unless requests like it crash backend servers.
     pub fn obtain(
         crashes: &'a Mutex<Crashes>,
         attempt: &'a Attempt,
         clock: &'a dyn Clock,
     ) -> Result<Self, Refusal> {
-        let mut pass = Self {
+        let mut permit = Self {
             crashes,
             attempt,
             clock,
@@ -147,18 +147,18 @@
         };
         let mut state = lock(crashes);
         if state.quarantine.is_empty() {
-            return Ok(pass);
+            return Ok(permit);
         }
         let print = fingerprint(attempt);
         match state.quarantine.passage(&print, clock.now()) {
             Passage::Free => {}
             Passage::Alone => {
                 state.quarantine.begin(&print);
-                pass.alone = Some(print);
+                permit.alone = Some(print);
             }
             Passage::Barred(kind) => return Err(kind.into()),
         }
-        Ok(pass)
+        Ok(permit)
     }
 
     /// Takes note of how the run ended.
@@ -167,7 +167,7 @@
     }
 }
 
-impl Drop for Pass<'_> {
+impl Drop for RunPermit<'_> {
     fn drop(&mut self) {
         if let Some(print) = &self.alone {
             lock(self.crashes).quarantine.end(print);
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -8,9 +8,9 @@
 use filbertwheel_peer::ForwardError;
 use filbertwheel_policy::{Distance, View};
 
-use crate::board::{Peer, Snapshot};
 use crate::engine::Engine;
 use crate::journal::Entry;
+use crate::snapshots::{Peer, Snapshot};
 
 /// Backend servers that one request is offered to, at most.
 const OFFERS: usize = 5;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -16,12 +16,12 @@
     Allowance, Asked, Catchup, FairShed, Load, Receipt, RetryBudget, RetryTerms, Split,
 };
 
-use crate::board::{Board, Snapshot};
 use crate::control::Message;
 use crate::inbox::Inbox;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::runner::Runner;
+use crate::snapshots::{SharedSnapshot, Snapshot};
 
 /// How long a node doesn't claim again that was told that nothing is left.
 const CLAIM_PAUSE: Duration = Duration::from_millis(50);
@@ -39,7 +39,7 @@
 #[derive(Debug)]
 pub struct Engine {
     pub(crate) clock: Arc<dyn Clock>,
-    pub(crate) board: Board,
+    pub(crate) snapshots: SharedSnapshot,
     pub(crate) runner: Runner,
     pub(crate) journal: Arc<Journal>,
     pub(crate) metrics: Arc<Metrics>,
@@ -70,7 +70,7 @@
 /// What an engine is made of.
 pub(crate) struct Parts {
     pub clock: Arc<dyn Clock>,
-    pub board: Board,
+    pub snapshots: SharedSnapshot,
     pub runner: Runner,
     pub journal: Arc<Journal>,
     pub metrics: Arc<Metrics>,
@@ -82,7 +82,7 @@
     pub(crate) fn open(parts: Parts) -> Self {
         Self {
             clock: parts.clock,
-            board: parts.board,
+            snapshots: parts.snapshots,
             runner: parts.runner,
             journal: parts.journal,
             metrics: parts.metrics,
@@ -101,12 +101,12 @@
 
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        self.board.load().is_ready()
+        self.snapshots.load().is_ready()
     }
 
     /// The rules in force, if any are known yet.
     pub fn rules(&self) -> Option<Arc<Rules>> {
-        self.board.load().rules.clone()
+        self.snapshots.load().rules.clone()
     }
 
     /// All metrics as text.
@@ -246,7 +246,7 @@
 
     /// Whether a report says nothing that control has to act on at once.
     fn is_routine(&self, report: &Report) -> bool {
-        let snapshot = self.board.load();
+        let snapshot = self.snapshots.load();
         let service = report.member.service.as_ref();
         let peers = service.and_then(|service| snapshot.services.get(service));
         let mut known = peers.into_iter().flatten();
@@ -256,7 +256,7 @@
 
 impl LinkSink for Engine {
     fn me(&self) -> Member {
-        self.board.load().me.clone()
+        self.snapshots.load().me.clone()
     }
 
     fn load(&self) -> Load {
@@ -264,7 +264,7 @@
     }
 
     fn version(&self) -> Version {
-        self.board.load().version()
+        self.snapshots.load().version()
     }
 
     fn wants_rules(&self, version: Version) -> bool {
@@ -277,7 +277,7 @@
     }
 
     fn claim(&self, organisation: &OrganisationId, count: u32) -> (u32, u32) {
-        let snapshot = self.board.load();
+        let snapshot = self.snapshots.load();
         let rules = snapshot.rules.as_ref();
         let limit = rules.and_then(|rules| rules.limit(organisation));
         let now = self.clock.now();
@@ -294,7 +294,7 @@
     }
 
     fn rules(&self) -> Option<(Version, Bytes)> {
-        let snapshot = self.board.load();
+        let snapshot = self.snapshots.load();
         let version = snapshot.rules.as_ref()?.version;
         Some((version, snapshot.document.clone()))
     }
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -9,11 +9,11 @@
 use filbertwheel_policy::Receipt;
 
 use crate::arrival::Arrival;
-use crate::board::Snapshot;
 use crate::dispatch::{Dispatched, with_hint};
 use crate::engine::Engine;
 use crate::journal::Entry;
 use crate::runner::CallUnderWay;
+use crate::snapshots::Snapshot;
 
 /// How long a sender waits that doesn't say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
@@ -37,7 +37,7 @@
     /// Has a request run, and says what became of it.
     pub async fn enter(&self, arrival: Arrival) -> Verdict {
         let began = self.clock.now();
-        let snapshot = self.board.load_full();
+        let snapshot = self.snapshots.load_full();
         let request = arrival.request.clone();
         let organisation = known_organisation(&snapshot, &arrival);
         let admitted = self.admit(&snapshot, &arrival, began).await;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,7 +5,6 @@
 //! decide about requests from the latest snapshot. No message's encoding is known here.
 
 mod arrival;
-mod board;
 mod control;
 mod crashes;
 mod dispatch;
@@ -17,6 +16,7 @@
 mod node;
 mod runner;
 mod settings;
+mod snapshots;
 mod traffic;
 
 pub use arrival::Arrival;
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -13,7 +13,6 @@
 use filbertwheel_peer::{LinkDoor, LinkSink};
 use smol::LocalExecutor;
 
-use crate::board::{Board, Snapshot};
 use crate::control::{
     Parts as ControlParts, Shared, hold_lease, keep_profiles, run_ticks, shared, sweep_members,
     take_messages, watch_members, watch_rules,
@@ -23,6 +22,7 @@
 use crate::metrics::Metrics;
 use crate::runner::Runner;
 use crate::settings::{EngineSettings, Sources};
+use crate::snapshots::{SharedSnapshot, Snapshot};
 use crate::traffic::{Door, TrafficThread, Work};
 
 /// Links that may wait to be opened.
@@ -92,19 +92,19 @@
     ) -> Result<Self, NodeError> {
         let (stopper, stop) = Stopper::open();
         let me = member(settings, clock.as_ref());
-        let board: Board = Arc::new(ArcSwap::from_pointee(Snapshot::open(me.clone())));
+        let snapshots: SharedSnapshot = Arc::new(ArcSwap::from_pointee(Snapshot::open(me.clone())));
         let (journal, metrics) = (Arc::new(Journal::default()), Arc::new(Metrics::open()));
         let runner = Runner::open(
             me.vm.clone(),
             Arc::clone(&sources.backends),
             Arc::clone(&clock),
-            Arc::clone(&board),
+            Arc::clone(&snapshots),
             Arc::clone(&journal),
             Arc::clone(&metrics),
         );
         let engine = Arc::new(Engine::open(Parts {
             clock: Arc::clone(&clock),
-            board: Arc::clone(&board),
+            snapshots: Arc::clone(&snapshots),
             runner,
             journal,
             metrics,
@@ -148,7 +148,7 @@
             clock: Arc::clone(&clock),
             sources,
             engine: Arc::clone(&engine),
-            board,
+            snapshots,
             secret: settings.secret.clone(),
             drivers,
             beat: settings.beat,
--- a/crates/engine/src/runner.rs
+++ b/crates/engine/src/runner.rs
@@ -17,10 +17,10 @@
 };
 use futures_lite::FutureExt as _;
 
-use crate::board::Board;
-use crate::crashes::{Crashes, Pass};
+use crate::crashes::{Crashes, RunPermit};
 use crate::journal::Journal;
 use crate::metrics::Metrics;
+use crate::snapshots::SharedSnapshot;
 
 /// How often a waiting call looks whether it's still worth running.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
@@ -32,7 +32,7 @@
 pub(crate) struct Runner {
     backends: Arc<dyn OpenServer>,
     clock: Arc<dyn Clock>,
-    board: Board,
+    snapshots: SharedSnapshot,
     journal: Arc<Journal>,
     metrics: Arc<Metrics>,
     state: Mutex<State>,
@@ -74,7 +74,7 @@
         vm: VmId,
         backends: Arc<dyn OpenServer>,
         clock: Arc<dyn Clock>,
-        board: Board,
+        snapshots: SharedSnapshot,
         journal: Arc<Journal>,
         metrics: Arc<Metrics>,
     ) -> Self {
@@ -82,7 +82,7 @@
         Self {
             backends,
             clock,
-            board,
+            snapshots,
             journal,
             metrics,
             state: Mutex::new(State {
@@ -246,12 +246,12 @@
         let slot = self.admit(attempt, began).await?;
         // The backend server may have left while the call waited.
         let life = self.life_for(attempt)?;
-        let pass = Pass::obtain(&self.crashes, attempt, self.clock.as_ref())?;
+        let permit = RunPermit::obtain(&self.crashes, attempt, self.clock.as_ref())?;
         let started = self.clock.now();
         let ran = life.server.run(attempt, &life.backend).await;
         let elapsed = self.clock.now().saturating_duration_since(started);
         slot.close(&ran, elapsed);
-        pass.close(&ran);
+        permit.close(&ran);
         match ran {
             Ok(answer) => Ok(answer),
             Err(BackendError::NotSent) => Err(RefusalKind::Unavailable.into()),
@@ -436,7 +436,13 @@
     /// Ends the run with what came of it.
     fn close(mut self, ran: &Result<filbertwheel_core::Answer, BackendError>, elapsed: Duration) {
         let now = self.runner.clock.now();
-        let mean = self.runner.board.load().elapsed.get(&self.route).copied();
+        let mean = self
+            .runner
+            .snapshots
+            .load()
+            .elapsed
+            .get(&self.route)
+            .copied();
         let mut state = self.runner.lock();
         match ran {
             Ok(answer) if answer.status < 500 => {
--- a/crates/engine/src/board.rs
+++ b/crates/engine/src/snapshots.rs
@@ -11,7 +11,7 @@
 use filbertwheel_policy::{Cost, Cuts, Distance};
 
 /// The latest snapshot, shared by control and traffic.
-pub(crate) type Board = Arc<ArcSwap<Snapshot>>;
+pub(crate) type SharedSnapshot = Arc<ArcSwap<Snapshot>>;
 
 /// An immutable view of the control state.
 #[derive(Debug, Clone)]
--- a/crates/load/src/model/site.rs
+++ b/crates/load/src/model/site.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::{Criticality, CutOff, OrganisationId, VmId};
-use filbertwheel_policy::{Entry, Gate, Offer, Release, Spent, Ticket};
+use filbertwheel_policy::{Entry, Gate, Offer, Release, RunTime, Ticket};
 
 use super::rule::Rule;
 
@@ -111,7 +111,7 @@
     }
 
     /// Ends a running call.
-    pub fn finish(&mut self, spent: &Spent, now: Instant) -> Vec<Release> {
+    pub fn finish(&mut self, spent: &RunTime, now: Instant) -> Vec<Release> {
         match &mut self.door {
             Door::Gated(gate) => gate.finish(spent, now),
             Door::Plain { running, queue, .. } => {
--- a/crates/load/src/model/world/chain.rs
+++ b/crates/load/src/model/world/chain.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::CutOff;
-use filbertwheel_policy::{Entry, Offer, Release, Spent, Ticket};
+use filbertwheel_policy::{Entry, Offer, Release, RunTime, Ticket};
 use rand::Rng;
 
 use super::{Attempt, DOMAIN, Event, Frame, Setup, World};
@@ -239,7 +239,7 @@
         }
         let elapsed = self.at - frame.began;
         let own = elapsed.min(frame.own);
-        let releases = site.finish(&Spent { elapsed, own }, now);
+        let releases = site.finish(&RunTime { elapsed, own }, now);
         self.release(frame.site, releases);
     }
 
--- a/crates/node/src/control/desk.rs
+++ b/crates/node/src/control/commands.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use async_trait::async_trait;
 use filbertwheel_core::{Beat, Claim, CommandId, Difference, Edit, Pulse, Text, Tokens};
-use filbertwheel_operator::{Command, CommandError, Desk, Order, Reply, View};
+use filbertwheel_operator::{Command, CommandError, CommandHandler, Order, Reply, View};
 use filbertwheel_peer::{ControlSink, SinkError};
 use smol::LocalExecutor;
 
@@ -15,22 +15,22 @@
 use crate::control::show::{refusals, show};
 use crate::control::{Control, Message, answer_claim, serve_claims};
 use crate::metrics::Metrics;
-use crate::snapshot::Board;
+use crate::snapshot::SharedSnapshot;
 
 /// Columns of a rehearsal.
 const REHEARSAL_COLUMNS: [&str; 4] = ["kind", "name", "before", "after"];
 
 /// Passes messages from traffic threads to the control thread.
 #[derive(Debug)]
-pub(crate) struct ControlDesk {
+pub(crate) struct ControlCommands {
     pub control: Sender<Message>,
     pub metrics: Arc<Metrics>,
-    pub board: Board,
+    pub snapshots: SharedSnapshot,
     pub clock: Arc<dyn filbertwheel_core::Clock>,
 }
 
 #[async_trait]
-impl ControlSink for ControlDesk {
+impl ControlSink for ControlCommands {
     async fn beat(&self, beat: Beat) -> Result<Pulse, SinkError> {
         let (reply, answer) = async_channel::bounded(1);
         let sent = self
@@ -50,7 +50,7 @@
 }
 
 #[async_trait]
-impl Desk for ControlDesk {
+impl CommandHandler for ControlCommands {
     async fn run(&self, order: Order) -> Result<Reply, CommandError> {
         if let Command::Show(query) = &order.command
             && query.view == View::Refusals
@@ -69,7 +69,7 @@
     }
 
     fn is_healthy(&self) -> bool {
-        self.board.load().is_current(self.clock.now())
+        self.snapshots.load().is_current(self.clock.now())
     }
 }
 
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -17,7 +17,7 @@
     /// Settles the node's own shares, as a child of its own.
     pub fn settle_own(&mut self) {
         let now = self.parts.clock.now();
-        let demands = self.purse().demands(now);
+        let demands = self.buckets().demands(now);
         self.own.begin(now);
         let beat = self.beat(&self.own, self.config().version, demands);
         if self.merge(beat.member.clone()) {
@@ -209,7 +209,7 @@
         if let Some(grant) = pulse.grant {
             let limits = self.limits();
             let limit = |organisation: &OrganisationId| limits.get(organisation).copied();
-            self.purse()
+            self.buckets()
                 .adopt(&grant.shares, limit, sent + pulse.lifetime, now);
         }
     }
@@ -289,7 +289,7 @@
     fn lease_left(&self, now: Instant) -> Duration {
         match self.root() {
             // A root that may have been replaced doesn't know the latest configuration.
-            Some(root) if !root.reign().is_live(now) => Duration::ZERO,
+            Some(root) if !root.term().is_live(now) => Duration::ZERO,
             Some(_) => SERVING_LEASE,
             None => self
                 .lease
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -4,8 +4,8 @@
 
 mod children;
 mod claims;
+mod commands;
 mod config;
-mod desk;
 mod exchange;
 mod message;
 mod pulse;
@@ -14,8 +14,8 @@
 mod state;
 
 pub(crate) use claims::{answer_claim, serve_claims};
+pub(crate) use commands::{ControlCommands, take_messages};
 pub(crate) use config::watch_changes;
-pub(crate) use desk::{ControlDesk, take_messages};
 pub use message::{ClaimReply, Message};
 pub(crate) use pulse::{run_pulses, send_beat};
 pub(crate) use root::{hold_lease, release_lease};
--- a/crates/node/src/control/root.rs
+++ b/crates/node/src/control/root.rs
@@ -165,15 +165,15 @@
         && let Some(root) = control.borrow_mut().root_mut()
         && root.fence() == renewed.fence
     {
-        root.reign_mut().renewed(sent);
+        root.term_mut().renewed(sent);
     }
 }
 
 /// The next row of this root's lease.
 fn renewal(control: &mut Control, lease: LeaseRow, now: Instant) -> Option<LeaseRow> {
-    control.root_mut()?.reign_mut().learn(lease.voters.clone());
+    control.root_mut()?.term_mut().learn(lease.voters.clone());
     let voters = control.choose_voters(now);
-    control.root_mut()?.reign_mut().renew(voters.clone());
+    control.root_mut()?.term_mut().renew(voters.clone());
     Some(LeaseRow {
         serial: lease.serial + 1,
         voters,
--- a/crates/node/src/control/show.rs
+++ b/crates/node/src/control/show.rs
@@ -22,7 +22,7 @@
         View::Shares => shares(control),
         View::Versions => versions(control)?,
         View::Status => vec![status(control)],
-        // The desk answers it from the metrics.
+        // It is answered from the metrics.
         View::Refusals => Vec::new(),
     };
     Ok(table(query, rows))
@@ -132,7 +132,7 @@
 }
 
 fn shares(control: &Control) -> Rows {
-    let portions = control.purse().portions().into_iter();
+    let portions = control.buckets().portions().into_iter();
     let row = |(organisation, portion, demand)| {
         vec![organisation, text(portion), format!("{demand:.2}").into()]
     };
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -12,11 +12,13 @@
 };
 use filbertwheel_peer::Controls;
 use filbertwheel_platform::{Objects, Table};
-use filbertwheel_policy::{LeaseRow, Ledger, Link, Purse, Root, Roster, Subtree, Tenure, Voter};
+use filbertwheel_policy::{
+    LeaseRow, Ledger, Link, QuotaBuckets, Root, Roster, Subtree, Tenure, Voter,
+};
 
 use crate::control::children::Children;
 use crate::metrics::Metrics;
-use crate::snapshot::{Board, Snapshot};
+use crate::snapshot::{SharedSnapshot, Snapshot};
 
 /// How long a node may serve keyed routes after its last beat that was answered.
 pub(crate) const SERVING_LEASE: Duration = Duration::from_secs(8);
@@ -28,8 +30,8 @@
     pub table: Arc<dyn Table>,
     pub objects: Arc<dyn Objects>,
     pub controls: Arc<dyn Controls>,
-    pub purse: Arc<Mutex<Purse>>,
-    pub board: Board,
+    pub buckets: Arc<Mutex<QuotaBuckets>>,
+    pub snapshots: SharedSnapshot,
     pub metrics: Arc<Metrics>,
     pub beat: Duration,
 }
@@ -150,12 +152,12 @@
         };
         let names = root.ledger().children();
         let members = names.filter_map(|vm| self.roster.member(vm));
-        root.reign().choose(members, now)
+        root.term().choose(members, now)
     }
 
     /// Whether what this root has granted is all that can be in use.
     pub fn is_settled(&self, now: Instant) -> bool {
-        self.root().is_some_and(|root| root.reign().is_settled(now))
+        self.root().is_some_and(|root| root.term().is_settled(now))
     }
 
     /// Takes note of the backend server.
@@ -224,9 +226,9 @@
             };
         };
         let limit = known.limit;
-        let mut purse = self.purse();
-        purse.ask(organisation, claim.count, now);
-        let count = purse.pay(organisation, limit, claim.count, now);
+        let mut buckets = self.buckets();
+        buckets.ask(organisation, claim.count, now);
+        let count = buckets.pay(organisation, limit, claim.count, now);
         let retry_after = Duration::try_from_secs_f64(1.0 / limit.rate).unwrap_or(SERVING_LEASE);
         Tokens { count, retry_after }
     }
@@ -267,10 +269,10 @@
         self.root().map(|_| self.children.versions())
     }
 
-    /// Purse of the node, shared with traffic.
-    pub fn purse(&self) -> MutexGuard<'_, Purse> {
+    /// Quota buckets of the node, shared with traffic.
+    pub fn buckets(&self) -> MutexGuard<'_, QuotaBuckets> {
         self.parts
-            .purse
+            .buckets
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
@@ -297,7 +299,7 @@
     }
 
     pub(super) fn publish(&self) {
-        self.parts.board.store(Arc::new(Snapshot {
+        self.parts.snapshots.store(Arc::new(Snapshot {
             config: self.config.share(),
             roster: Arc::clone(&self.roster),
             tenure: Arc::clone(&self.tenure),
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -9,7 +9,7 @@
 use filbertwheel_policy::{RequestKey, owner};
 
 use crate::engine::Engine;
-use crate::outlook::Target;
+use crate::routing::Target;
 use crate::snapshot::Snapshot;
 
 /// Longest pause before a retry.
@@ -24,13 +24,13 @@
         let mut tried = Vec::new();
         let mut doubt = None;
         loop {
-            if let Some(cut) = self.outlook.sheds(&call, self.clock.now()) {
+            if let Some(cut) = self.routing.sheds(&call, self.clock.now()) {
                 let shed = Err(RefusalKind::OverloadedDeep.into());
                 return (with_retries(with_doubt(shed, doubt), left), Some(cut));
             }
             let (verdict, cut) = self.attempt(&call, &mut left, &mut tried).await;
             if verdict.is_ok() {
-                self.outlook.earn(&call.service);
+                self.routing.earn(&call.service);
             }
             invariant!(
                 "retries-bounded",
@@ -39,7 +39,7 @@
             );
             let again = may_retry(&call, &verdict) && left > 0;
             let late = self.clock.now() + BACKOFF >= call.deadline;
-            if !again || late || !(is_leaving(&verdict) || self.outlook.spend(&call.service)) {
+            if !again || late || !(is_leaving(&verdict) || self.routing.spend(&call.service)) {
                 return (with_retries(with_doubt(verdict, doubt), left), cut);
             }
             if let Err(Failure::Unknown(found)) = verdict {
@@ -75,7 +75,7 @@
         left: &mut u32,
         tried: &mut Vec<VmId>,
     ) -> (Verdict, Option<CutOff>) {
-        let snapshot = self.board.load_full();
+        let snapshot = self.snapshots.load_full();
         let Some(target) = self.target(&snapshot, call, tried) else {
             return (Err(RefusalKind::Unavailable.into()), None);
         };
@@ -90,30 +90,30 @@
         let (verdict, cut) = if target.vm == snapshot.me.vm {
             let (verdict, load) = self.run_here(&call).await;
             let now = self.clock.now();
-            self.outlook.hear(&target.vm, &call, &load, now);
+            self.routing.hear(&target.vm, &call, &load, now);
             (verdict, load.cut)
         } else {
             self.send(&target, &call).await
         };
         if is_unsound(&verdict) {
-            self.outlook.miss(&target.vm, self.clock.now());
+            self.routing.miss(&target.vm, self.clock.now());
         }
         *left += returned(&verdict).min(call.retries);
         (verdict, cut)
     }
 
     async fn send(&self, target: &Target, call: &Call) -> (Verdict, Option<CutOff>) {
-        let pending = self.outlook.begin(&target.vm, self.clock.now());
+        let pending = self.routing.begin(&target.vm, self.clock.now());
         let reply = self.forward.forward(target.address, call).await;
         drop(pending);
         let now = self.clock.now();
         let failure = match reply {
             Ok((verdict, load)) => {
-                self.outlook.hear(&target.vm, call, &load, now);
+                self.routing.hear(&target.vm, call, &load, now);
                 return (verdict, load.cut);
             }
             Err(ForwardError::NotSent) => {
-                self.outlook.miss(&target.vm, now);
+                self.routing.miss(&target.vm, now);
                 Failure::Refused(Refusal::new(RefusalKind::Unavailable).with_retries(call.retries))
             }
             Err(ForwardError::Lost) => Doubt::Lost.into(),
@@ -131,7 +131,7 @@
             }),
             _ => {
                 let (wait, now) = (self.runner.wait(), self.clock.now());
-                self.outlook.pick(snapshot, call, tried, wait, now)
+                self.routing.pick(snapshot, call, tried, wait, now)
             }
         }
     }
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -11,15 +11,15 @@
 };
 use filbertwheel_http::LocalFuture;
 use filbertwheel_peer::{CallSink, Forward, Load};
-use filbertwheel_policy::{Memory, Purse, Receipt, retry_after};
+use filbertwheel_policy::{Memory, QuotaBuckets, Receipt, retry_after};
 
 use crate::control::{ClaimReply, Message};
 use crate::dispatch::returned;
 use crate::entry::{entry_call, identify, nested_call, route_of};
 use crate::metrics::Metrics;
-use crate::outlook::Outlook;
+use crate::routing::RoutingState;
 use crate::runner::Runner;
-use crate::snapshot::{Board, Snapshot};
+use crate::snapshot::{SharedSnapshot, Snapshot};
 
 /// Pause that a caller is asked for after a refusal under overload, before jitter.
 const CALLER_PAUSE: Duration = Duration::from_secs(1);
@@ -28,22 +28,22 @@
 #[derive(Debug)]
 pub struct Engine {
     pub(super) clock: Arc<dyn Clock>,
-    pub(super) board: Board,
-    purse: Arc<Mutex<Purse>>,
+    pub(super) snapshots: SharedSnapshot,
+    buckets: Arc<Mutex<QuotaBuckets>>,
     pub(super) runner: Runner,
     pub(super) forward: Arc<dyn Forward>,
     control: Sender<Message>,
     pub(super) metrics: Arc<Metrics>,
-    pub(super) outlook: Outlook,
+    pub(super) routing: RoutingState,
     pub(super) memory: Mutex<Memory>,
 }
 
 impl Engine {
-    /// An engine that reads `board` and reports to `control`.
+    /// An engine that reads `snapshots` and reports to `control`.
     pub fn open(
         clock: Arc<dyn Clock>,
-        board: Board,
-        purse: Arc<Mutex<Purse>>,
+        snapshots: SharedSnapshot,
+        buckets: Arc<Mutex<QuotaBuckets>>,
         runner: Runner,
         forward: Arc<dyn Forward>,
         control: Sender<Message>,
@@ -51,13 +51,13 @@
     ) -> Self {
         Self {
             clock,
-            board,
-            purse,
+            snapshots,
+            buckets,
             runner,
             forward,
             control,
             metrics,
-            outlook: Outlook::default(),
+            routing: RoutingState::default(),
             memory: Mutex::new(Memory::open()),
         }
     }
@@ -69,7 +69,7 @@
 
     async fn entered(&self, request: EntryRequest) -> (Option<OrganisationId>, Verdict) {
         let now = self.clock.now();
-        let snapshot = self.board.load_full();
+        let snapshot = self.snapshots.load_full();
         let organisation = match identify(&snapshot, &request, now) {
             Ok(organisation) => organisation,
             Err(refusal) => return (None, Err(refusal.into())),
@@ -97,7 +97,7 @@
         let receipt = self.charge(&organisation, limit, call.deadline).await?;
         let (verdict, _) = self.dispatch(call).await;
         if let (Some(receipt), Err(Failure::Refused(_))) = (receipt, &verdict) {
-            self.purse()
+            self.buckets()
                 .put_back(&organisation, receipt, self.clock.now());
         }
         verdict
@@ -110,7 +110,7 @@
         limit: Rate,
         deadline: Instant,
     ) -> Result<Option<Receipt>, Refusal> {
-        let short = match self.purse().charge(organisation, limit, self.clock.now()) {
+        let short = match self.buckets().charge(organisation, limit, self.clock.now()) {
             Ok(receipt) => return Ok(Some(receipt)),
             Err(short) => short,
         };
@@ -138,32 +138,32 @@
 
     async fn nested(&self, request: NestedRequest) -> Verdict {
         let now = self.clock.now();
-        let pass = self.runner.passes().borrow(&request.token);
-        let Some(pass) = pass else {
+        let grant = self.runner.tokens().borrow(&request.token);
+        let Some(grant) = grant else {
             return Err(RefusalKind::BadToken.into());
         };
         let token = request.token.clone();
         let wall = self.clock.wall();
-        let call = nested_call(&self.board.load(), &pass, request, now, wall);
+        let call = nested_call(&self.snapshots.load(), &grant, request, now, wall);
         let verdict = match call {
             Ok(call) => {
                 let (verdict, cut) = self.dispatch(call).await;
                 if let Some(cut) = cut {
-                    self.runner.passes().hear(&token, cut);
+                    self.runner.tokens().hear(&token, cut);
                 }
                 verdict.map_err(failed_below)
             }
-            Err(refusal) => Err(refusal.with_retries(pass.retries).into()),
+            Err(refusal) => Err(refusal.with_retries(grant.retries).into()),
         };
         let took = self.clock.now().saturating_duration_since(now);
         self.runner
-            .passes()
-            .give_back(&token, pass.retries, returned(&verdict), took);
+            .tokens()
+            .give_back(&token, grant.retries, returned(&verdict), took);
         verdict
     }
 
-    fn purse(&self) -> MutexGuard<'_, Purse> {
-        self.purse.lock().unwrap_or_else(PoisonError::into_inner)
+    fn buckets(&self) -> MutexGuard<'_, QuotaBuckets> {
+        self.buckets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -179,7 +179,7 @@
                 .as_ref()
                 .map(ToString::to_string)
                 .unwrap_or_default();
-            let snapshot = self.board.load();
+            let snapshot = self.snapshots.load();
             let known = snapshot.roster.serving(&service).next().is_some();
             let service = if known {
                 service.to_string()
@@ -195,7 +195,7 @@
 impl CallSink for Engine {
     fn run(&self, call: Call) -> LocalFuture<'_, (Verdict, Load)> {
         Box::pin(async move {
-            let snapshot = self.board.load_full();
+            let snapshot = self.snapshots.load_full();
             let refuse = |kind| {
                 let refusal = Refusal::new(kind).with_retries(call.retries);
                 (Err(refusal.into()), Load::default())
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -8,8 +8,8 @@
 use filbertwheel_http::Particulars;
 use filbertwheel_policy::{CLOCK_ERROR, REPEAT_WINDOW, RETRIES_PER_CALL, rank_of};
 
-use crate::passes::Pass;
 use crate::snapshot::Snapshot;
+use crate::tokens::TokenGrant;
 
 /// Deadline of a call whose caller names none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
@@ -109,12 +109,12 @@
 /// The call that a backend server's request becomes, as a part of the call that it runs.
 pub(crate) fn nested_call(
     snapshot: &Snapshot,
-    pass: &Pass,
+    grant: &TokenGrant,
     request: NestedRequest,
     now: Instant,
     wall: SystemTime,
 ) -> Result<Call, Refusal> {
-    let parent = &pass.call;
+    let parent = &grant.call;
     let depth = parent.depth + 1;
     if depth > DEPTH_LIMIT {
         return Err(RefusalKind::TooDeep.into());
@@ -133,7 +133,7 @@
         idempotent: route.idempotent,
         rank: parent.rank,
         deadline: parent.deadline.min(now + patience),
-        retries: pass.retries,
+        retries: grant.retries,
         depth,
         method: request.method,
         path: particulars.path,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,18 +17,18 @@
 use filbertwheel_operator::OperatorDoor;
 use filbertwheel_peer::{CallSink, ControlSink, Controls, Forward, PeerClient, PeerDoor};
 use filbertwheel_platform::Platform;
-use filbertwheel_policy::{Purse, Roster, Tenure};
+use filbertwheel_policy::{QuotaBuckets, Roster, Tenure};
 use filbertwheel_rpc::Guard;
 use smol::LocalExecutor;
 
 use crate::control::{
-    Control, ControlDesk, Message, Parts, SERVING_LEASE, hold_lease, release_lease, run_pulses,
+    Control, ControlCommands, Message, Parts, SERVING_LEASE, hold_lease, release_lease, run_pulses,
     send_beat, take_messages, watch_changes,
 };
 use crate::engine::Engine;
 use crate::metrics::Metrics;
 use crate::runner::Runner;
-use crate::snapshot::{Board, Snapshot};
+use crate::snapshot::{SharedSnapshot, Snapshot};
 use crate::traffic::{Door, TrafficThread};
 use crate::{ListenSettings, NodeSettings};
 
@@ -112,8 +112,8 @@
         let address = listen.advertise.unwrap_or(peer.address());
         let me = member(settings, address, clock.as_ref());
         let metrics = Arc::new(Metrics::open());
-        let board = board(&me);
-        let purse = Arc::new(Mutex::new(Purse::default()));
+        let snapshots = snapshots(&me);
+        let buckets = Arc::new(Mutex::new(QuotaBuckets::default()));
         let (sender, messages) = async_channel::bounded(CONTROL_QUEUE);
         let fleet = Guard::open(settings.secrets.fleet(), Arc::clone(&clock));
         let operators = Guard::open(settings.secrets.operator(), Arc::clone(&clock));
@@ -121,34 +121,34 @@
         let connect = Arc::new(HttpConnect::open(limits, Arc::clone(&clock)));
         let runner = Runner::open(
             connect,
-            Arc::clone(&board),
+            Arc::clone(&snapshots),
             Arc::clone(&clock),
             Arc::clone(&metrics),
         );
         let engine = Arc::new(Engine::open(
             Arc::clone(&clock),
-            Arc::clone(&board),
-            Arc::clone(&purse),
+            Arc::clone(&snapshots),
+            Arc::clone(&buckets),
             runner,
             Arc::clone(&peers) as Arc<dyn Forward>,
             sender.clone(),
             Arc::clone(&metrics),
         ));
-        let desk = Arc::new(ControlDesk {
+        let commands = Arc::new(ControlCommands {
             control: sender,
             metrics: Arc::clone(&metrics),
-            board: Arc::clone(&board),
+            snapshots: Arc::clone(&snapshots),
             clock: Arc::clone(&clock),
         });
 
         let calls = Arc::clone(&engine) as Arc<dyn CallSink>;
-        let controls = Arc::clone(&desk) as Arc<dyn ControlSink>;
+        let controls = Arc::clone(&commands) as Arc<dyn ControlSink>;
         let peer_door = PeerDoor::open(calls, controls, fleet, Arc::clone(&clock))?;
         let doors = vec![
             door(front, FrontDoor::open(Arc::clone(&engine) as _)),
             door(local, LocalDoor::open(Arc::clone(&engine) as _)),
             door(peer, peer_door),
-            door(operator, OperatorDoor::open(desk, operators)?),
+            door(operator, OperatorDoor::open(commands, operators)?),
         ];
         let threads = (0..settings.run.threads)
             .map(|index| TrafficThread::spawn(index, doors.clone()))
@@ -160,8 +160,8 @@
             table: platform.table,
             objects: platform.objects,
             controls: peers as Arc<dyn Controls>,
-            purse,
-            board,
+            buckets,
+            snapshots,
             metrics,
             beat: settings.run.beat(),
         };
@@ -222,7 +222,7 @@
         smol::unblock(move || threads.into_iter().for_each(TrafficThread::close)).await;
         self.control.borrow_mut().leave(Status::Gone);
         // Nothing is spent any more; the root learns of it with the last beat.
-        self.control.borrow().purse().clear();
+        self.control.borrow().buckets().clear();
         send_beat(&self.control).await;
         release_lease(&self.control).await;
         tracing::info!("node: Stopped.");
@@ -263,7 +263,7 @@
     }
 }
 
-fn board(me: &Member) -> Board {
+fn snapshots(me: &Member) -> SharedSnapshot {
     Arc::new(ArcSwap::from_pointee(Snapshot {
         config: Arc::new(Configuration::default()),
         roster: Arc::new(Roster::default()),
--- a/crates/node/src/once.rs
+++ b/crates/node/src/once.rs
@@ -44,7 +44,7 @@
         let Some(tried) = self.instant_of(once, now) else {
             return Admission::Doubt(Doubt::Forgotten);
         };
-        let settled = self.board.load().tenure.settled(key, now);
+        let settled = self.snapshots.load().tenure.settled(key, now);
         self.memory().admit(key, tried, settled, now)
     }
 
--- a/crates/node/src/outlook.rs
+++ b/crates/node/src/routing.rs
@@ -19,7 +19,7 @@
 
 /// The node's view of the others. Shared by the traffic threads.
 #[derive(Debug, Default)]
-pub(crate) struct Outlook {
+pub(crate) struct RoutingState {
     state: Mutex<State>,
 }
 
@@ -41,7 +41,7 @@
     segment: Text,
 }
 
-impl Outlook {
+impl RoutingState {
     /// Chooses where a call runs. `own_wait` is the wait at this node's own backend server.
     pub fn pick(
         &self,
@@ -84,7 +84,7 @@
     /// Counts a call as pending while the result lives.
     pub fn begin<'a>(&'a self, vm: &'a VmId, now: Instant) -> Pending<'a> {
         self.lock().loads.begin(vm, now);
-        Pending { outlook: self, vm }
+        Pending { routing: self, vm }
     }
 
     /// Takes note of what came back with a verdict.
@@ -125,13 +125,13 @@
 
 /// A call that was sent and hasn't ended.
 pub(crate) struct Pending<'a> {
-    outlook: &'a Outlook,
+    routing: &'a RoutingState,
     vm: &'a VmId,
 }
 
 impl Drop for Pending<'_> {
     fn drop(&mut self) {
-        self.outlook.lock().loads.end(self.vm);
+        self.routing.lock().loads.end(self.vm);
     }
 }
 
--- a/crates/node/src/runner.rs
+++ b/crates/node/src/runner.rs
@@ -8,20 +8,20 @@
 use filbertwheel_backend::{Announcement, Backend, BackendError, BackendReply, Connect};
 use filbertwheel_core::{Call, Clock, CutOff, Doubt, Failure, Refusal, RefusalKind, Text, Verdict};
 use filbertwheel_peer::Load;
-use filbertwheel_policy::{Entry, Gate, Offer, Release, Spent, Ticket};
+use filbertwheel_policy::{Entry, Gate, Offer, Release, RunTime, Ticket};
 use futures_lite::FutureExt as _;
 
 use crate::metrics::Metrics;
-use crate::passes::Passes;
-use crate::snapshot::Board;
+use crate::snapshot::SharedSnapshot;
+use crate::tokens::CallTokens;
 
 /// Runs calls at one backend server.
 #[derive(Debug)]
 pub struct Runner {
     state: Mutex<State>,
-    passes: Passes,
+    tokens: CallTokens,
     connect: Arc<dyn Connect>,
-    board: Board,
+    snapshots: SharedSnapshot,
     clock: Arc<dyn Clock>,
     metrics: Arc<Metrics>,
 }
@@ -43,7 +43,7 @@
     /// A runner whose backend server hasn't announced itself yet.
     pub fn open(
         connect: Arc<dyn Connect>,
-        board: Board,
+        snapshots: SharedSnapshot,
         clock: Arc<dyn Clock>,
         metrics: Arc<Metrics>,
     ) -> Self {
@@ -54,17 +54,17 @@
         };
         Self {
             state: Mutex::new(state),
-            passes: Passes::default(),
+            tokens: CallTokens::default(),
             connect,
-            board,
+            snapshots,
             clock,
             metrics,
         }
     }
 
     /// The tokens of running calls.
-    pub(crate) fn passes(&self) -> &Passes {
-        &self.passes
+    pub(crate) fn tokens(&self) -> &CallTokens {
+        &self.tokens
     }
 
     /// Takes note of the backend server.
@@ -120,10 +120,10 @@
                 .into());
         };
         let refuse = |kind| Failure::Refused(Refusal::new(kind).with_retries(call.retries));
-        let honoured = self.board.load().honours(call);
+        let honoured = self.snapshots.load().honours(call);
         let slot = self.admit(call).await.map_err(refuse)?;
         // A key that was never known here is newer than this node's configuration.
-        if honoured && !self.board.load().honours(call) {
+        if honoured && !self.snapshots.load().honours(call) {
             return Err(refuse(RefusalKind::BadKey));
         }
         let token = slot.token.clone();
@@ -192,7 +192,7 @@
     }
 
     fn slot(&self, call: &Call) -> Slot<'_> {
-        let token = self.passes.issue(call);
+        let token = self.tokens.issue(call);
         Slot {
             runner: self,
             token,
@@ -207,7 +207,7 @@
         let elapsed = now.saturating_duration_since(began);
         let own = elapsed.saturating_sub(nested);
         let mut state = self.lock();
-        let releases = state.gate.finish(&Spent { elapsed, own }, now);
+        let releases = state.gate.finish(&RunTime { elapsed, own }, now);
         state.release(releases);
         self.gauge(&state);
     }
@@ -292,10 +292,10 @@
 
     fn end(&mut self) -> (u32, Option<CutOff>) {
         self.ended = true;
-        let pass = self.runner.passes.end(&self.token);
-        let nested = pass.as_ref().map_or(Duration::ZERO, |pass| pass.nested);
+        let grant = self.runner.tokens.end(&self.token);
+        let nested = grant.as_ref().map_or(Duration::ZERO, |grant| grant.nested);
         self.runner.finish(self.began, nested);
-        pass.map_or((0, None), |pass| (pass.retries, pass.cut))
+        grant.map_or((0, None), |grant| (grant.retries, grant.cut))
     }
 }
 
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -8,7 +8,7 @@
 use filbertwheel_policy::{Roster, Tenure};
 
 /// The latest snapshot, shared by control and traffic.
-pub type Board = Arc<ArcSwap<Snapshot>>;
+pub type SharedSnapshot = Arc<ArcSwap<Snapshot>>;
 
 /// An immutable view of the control state.
 #[derive(Debug, Clone)]
--- a/crates/node/src/passes.rs
+++ b/crates/node/src/tokens.rs
@@ -8,13 +8,13 @@
 
 /// The calls that are running at this node's backend server, by token.
 #[derive(Debug, Default)]
-pub(crate) struct Passes {
-    calls: Mutex<HashMap<Text, Pass>>,
+pub(crate) struct CallTokens {
+    calls: Mutex<HashMap<Text, TokenGrant>>,
 }
 
 /// What nested calls inherit.
 #[derive(Debug, Clone)]
-pub(crate) struct Pass {
+pub(crate) struct TokenGrant {
     /// The running call, without its body.
     pub call: Call,
     /// Retries that are left for it and everything below.
@@ -25,7 +25,7 @@
     pub cut: Option<CutOff>,
 }
 
-impl Passes {
+impl CallTokens {
     /// Makes a token for a call that's about to run.
     pub fn issue(&self, call: &Call) -> Text {
         let token: Text = format!("{:032x}", rand::random::<u128>()).into();
@@ -35,29 +35,29 @@
             headers: Vec::new(),
             ..call.clone()
         };
-        let pass = Pass {
+        let grant = TokenGrant {
             call,
             retries,
             nested: Duration::ZERO,
             cut: None,
         };
-        self.lock().insert(token.clone(), pass);
+        self.lock().insert(token.clone(), grant);
         token
     }
 
     /// Ends a call. Returns what's left of it.
-    pub fn end(&self, token: &Text) -> Option<Pass> {
+    pub fn end(&self, token: &Text) -> Option<TokenGrant> {
         self.lock().remove(token)
     }
 
     /// Looks up a token, and takes half of the retries that are left for a nested call.
-    pub fn borrow(&self, token: &Text) -> Option<Pass> {
+    pub fn borrow(&self, token: &Text) -> Option<TokenGrant> {
         let mut calls = self.lock();
-        let pass = calls.get_mut(token)?;
-        let given = pass.retries.div_ceil(2);
-        pass.retries -= given;
-        Some(Pass {
-            call: pass.call.clone(),
+        let grant = calls.get_mut(token)?;
+        let given = grant.retries.div_ceil(2);
+        grant.retries -= given;
+        Some(TokenGrant {
+            call: grant.call.clone(),
             retries: given,
             nested: Duration::ZERO,
             cut: None,
@@ -72,20 +72,20 @@
             left <= given,
             "{left} retries came back of {given}"
         );
-        if let Some(pass) = self.lock().get_mut(token) {
-            pass.retries += left.min(given);
-            pass.nested += nested;
+        if let Some(grant) = self.lock().get_mut(token) {
+            grant.retries += left.min(given);
+            grant.nested += nested;
         }
     }
 
     /// Takes note of a cut-off that came back to a running call.
     pub fn hear(&self, token: &Text, cut: CutOff) {
-        if let Some(pass) = self.lock().get_mut(token) {
-            pass.cut = Some(pass.cut.map_or(cut, |known| known.stricter(cut)));
+        if let Some(grant) = self.lock().get_mut(token) {
+            grant.cut = Some(grant.cut.map_or(cut, |known| known.stricter(cut)));
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Text, Pass>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Text, TokenGrant>> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/node/tests/engine/chain.rs
+++ b/crates/node/tests/engine/chain.rs
@@ -77,8 +77,12 @@
             Fault::Refused
         }
     });
-    let fleet = Fleet::open(&[("desk", None), ("desk", None)], smooth(), backends);
-    let verdict = fleet.enter(0, request("desk", None));
+    let fleet = Fleet::open(
+        &[("commands", None), ("commands", None)],
+        smooth(),
+        backends,
+    );
+    let verdict = fleet.enter(0, request("commands", None));
     assert_eq!(verdict, Err(Failure::Unknown(Doubt::Lost)));
     assert_eq!(fleet.fakes.total(), 1);
 }
--- a/crates/node/tests/engine/fleet.rs
+++ b/crates/node/tests/engine/fleet.rs
@@ -18,9 +18,9 @@
     SystemClock, Text, Verdict,
 };
 use filbertwheel_http::Particulars;
-use filbertwheel_node::{Board, Engine, Metrics, Runner, Snapshot};
+use filbertwheel_node::{Engine, Metrics, Runner, SharedSnapshot, Snapshot};
 use filbertwheel_peer::{CallSink, Forward, ForwardError, Load};
-use filbertwheel_policy::{Purse, Roster, Tenure};
+use filbertwheel_policy::{QuotaBuckets, Roster, Tenure};
 use smol::LocalExecutor;
 
 /// Length of the serving leases, in the tenures of the engines.
@@ -51,7 +51,7 @@
 pub struct Fleet {
     pub executor: Rc<LocalExecutor<'static>>,
     pub engines: Vec<Arc<Engine>>,
-    pub boards: Vec<Board>,
+    pub boards: Vec<SharedSnapshot>,
     pub fakes: Arc<Fakes>,
 }
 
@@ -94,10 +94,11 @@
         let members: Vec<Member> = (0..services.len())
             .map(|index| member(index, services[index].0))
             .collect();
-        let boards: Vec<Board> = members.iter().map(|me| board(me, &members)).collect();
+        let boards: Vec<SharedSnapshot> =
+            members.iter().map(|me| snapshots(me, &members)).collect();
         let engines = boards.iter().enumerate();
         let engines: Vec<_> = engines
-            .map(|(index, board)| engine(index, board, &fakes))
+            .map(|(index, snapshots)| engine(index, snapshots, &fakes))
             .collect();
         let executor = Rc::new(LocalExecutor::new());
         executor
@@ -241,7 +242,7 @@
     }
 }
 
-fn engine(index: usize, board: &Board, fakes: &Arc<Fakes>) -> Arc<Engine> {
+fn engine(index: usize, snapshots: &SharedSnapshot, fakes: &Arc<Fakes>) -> Arc<Engine> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let metrics = Arc::new(Metrics::open());
     let connect = Arc::new(FakeBackend {
@@ -250,22 +251,22 @@
     });
     let runner = Runner::open(
         connect,
-        Arc::clone(board),
+        Arc::clone(snapshots),
         Arc::clone(&clock),
         Arc::clone(&metrics),
     );
     let (control, _) = async_channel::bounded(1);
     let engine = Engine::open(
         clock,
-        Arc::clone(board),
-        Arc::new(Mutex::new(Purse::default())),
+        Arc::clone(snapshots),
+        Arc::new(Mutex::new(QuotaBuckets::default())),
         runner,
         Arc::clone(fakes) as Arc<dyn Forward>,
         control,
         metrics,
     );
     let engine = Arc::new(engine);
-    let me = board.load().me.clone();
+    let me = snapshots.load().me.clone();
     engine.announce(Announcement {
         service: me.service.unwrap_or_default(),
         address: me.address,
@@ -290,7 +291,7 @@
     }
 }
 
-fn board(me: &Member, members: &[Member]) -> Board {
+fn snapshots(me: &Member, members: &[Member]) -> SharedSnapshot {
     let mut roster = Roster::default();
     let mut config = Configuration::default();
     for member in members {
--- a/crates/node/tests/engine/keys.rs
+++ b/crates/node/tests/engine/keys.rs
@@ -90,12 +90,12 @@
 
 #[test]
 fn a_token_is_valid_only_while_its_call_runs() {
-    let fleet = Fleet::open(&[("desk", None)], smooth(), smooth());
-    assert!(fleet.enter(0, request("desk", None)).is_ok());
+    let fleet = Fleet::open(&[("commands", None)], smooth(), smooth());
+    assert!(fleet.enter(0, request("commands", None)).is_ok());
     let token = lock(&fleet.fakes.tokens)[0].clone();
     let nested = NestedRequest {
         token,
-        particulars: particulars("desk".into(), None),
+        particulars: particulars("commands".into(), None),
         method: "GET".into(),
         headers: Vec::new(),
         body: Default::default(),
--- a/crates/node/tests/engine/once.rs
+++ b/crates/node/tests/engine/once.rs
@@ -9,13 +9,14 @@
 
 use crate::fleet::{Fault, Fleet, LEASE, member, request, smooth};
 
-const DESK: [(&str, Option<&str>); 3] = [("desk", None), ("desk", None), ("desk", None)];
+const DESK: [(&str, Option<&str>); 3] =
+    [("commands", None), ("commands", None), ("commands", None)];
 
 /// Index of the node that answers for a request id.
 fn owner_of(request: &str) -> usize {
     let key = RequestKey {
         organisation: None,
-        service: "desk".into(),
+        service: "commands".into(),
         request: request.into(),
     };
     let members = DESK.iter().enumerate();
@@ -31,7 +32,7 @@
 fn a_repeat_at_any_entry_gets_the_first_answer() {
     let fleet = Fleet::open(&DESK, smooth(), smooth());
     for entry in [0, 1, 2, 0] {
-        let verdict = fleet.enter(entry, request("desk", Some("complaint-1")));
+        let verdict = fleet.enter(entry, request("commands", Some("complaint-1")));
         let answer = verdict.expect("the answer is whole");
         assert_eq!(answer.body, "booked");
     }
@@ -42,10 +43,10 @@
 fn a_repeat_after_a_lost_answer_does_not_run() {
     let lost = Box::new(|_| Fault::Lost);
     let fleet = Fleet::open(&DESK, smooth(), lost);
-    let first = fleet.enter(0, request("desk", Some("complaint-2")));
+    let first = fleet.enter(0, request("commands", Some("complaint-2")));
     assert_eq!(first, Err(Doubt::Lost.into()));
     for entry in [0, 1, 2] {
-        let verdict = fleet.enter(entry, request("desk", Some("complaint-2")));
+        let verdict = fleet.enter(entry, request("commands", Some("complaint-2")));
         assert_eq!(verdict, Err(Doubt::Repeated.into()));
     }
     assert_eq!(fleet.fakes.total(), 1);
@@ -63,8 +64,8 @@
         }
     });
     let fleet = Fleet::open(&DESK, smooth(), busy);
-    let first = fleet.enter(0, request("desk", Some("complaint-3")));
-    let again = fleet.enter(1, request("desk", Some("complaint-3")));
+    let first = fleet.enter(0, request("commands", Some("complaint-3")));
+    let again = fleet.enter(1, request("commands", Some("complaint-3")));
     assert!(matches!(first, Err(Failure::Refused(_))), "{first:?}");
     assert!(again.is_ok(), "{again:?}");
     assert_eq!(fleet.fakes.total(), 1);
@@ -74,7 +75,7 @@
 fn without_an_id_a_lost_answer_is_not_tried_again() {
     let lost = Box::new(|_| Fault::Lost);
     let fleet = Fleet::open(&DESK, smooth(), lost);
-    let mut booking = request("desk", None);
+    let mut booking = request("commands", None);
     booking.particulars.path = "/book".into();
     assert_eq!(fleet.enter(0, booking), Err(Doubt::Lost.into()));
     assert_eq!(fleet.fakes.total(), 1);
@@ -84,7 +85,7 @@
 fn a_node_that_is_not_the_owner_refuses() {
     let fleet = Fleet::open(&DESK, smooth(), smooth());
     let refused = (0..DESK.len()).filter(|at| {
-        let call = crate::fleet::call("desk", Some("complaint-4"));
+        let call = crate::fleet::call("commands", Some("complaint-4"));
         let engine = Arc::clone(&fleet.engines[*at]);
         let verdict = filbertwheel_runtime::block_on(
             fleet.executor.run(async move { engine.run(call).await.0 }),
@@ -100,12 +101,12 @@
 #[test]
 fn a_new_owner_does_not_run_what_an_earlier_one_may_have_run() {
     let fleet = Fleet::open(&DESK, smooth(), smooth());
-    let first = fleet.enter(0, request("desk", Some("complaint-5")));
+    let first = fleet.enter(0, request("commands", Some("complaint-5")));
     assert!(first.is_ok(), "{first:?}");
     let owner = owner_of("complaint-5");
     let gone = Member {
         status: Status::Gone,
-        ..member(owner, "desk")
+        ..member(owner, "commands")
     };
     let now = std::time::Instant::now();
     for index in 0..DESK.len() {
@@ -116,7 +117,7 @@
         });
     }
     let entry = (owner + 1) % DESK.len();
-    let again = fleet.enter(entry, request("desk", Some("complaint-5")));
+    let again = fleet.enter(entry, request("commands", Some("complaint-5")));
     assert_eq!(again, Err(Doubt::Forgotten.into()));
     assert_eq!(fleet.fakes.total(), 1);
 }
@@ -127,10 +128,10 @@
     fleet.change(0, |snapshot| {
         let long_ago = std::time::Instant::now() - Duration::from_secs(60);
         let mut tenure = Tenure::open("vm00".into(), LEASE);
-        tenure.observe(1, &[member(0, "desk")], long_ago + LEASE, long_ago);
+        tenure.observe(1, &[member(0, "commands")], long_ago + LEASE, long_ago);
         snapshot.tenure = Arc::new(tenure);
     });
-    let verdict = fleet.enter(0, request("desk", Some("complaint-6")));
+    let verdict = fleet.enter(0, request("commands", Some("complaint-6")));
     assert!(
         matches!(&verdict, Err(Failure::Refused(refusal)) if refusal.kind == RefusalKind::Unavailable),
         "{verdict:?}"
--- a/crates/operator/src/door.rs
+++ b/crates/operator/src/door.rs
@@ -13,7 +13,7 @@
 
 /// Carries out operators' commands.
 #[async_trait]
-pub trait Desk: Debug + Send + Sync {
+pub trait CommandHandler: Debug + Send + Sync {
     /// Carries out one command.
     async fn run(&self, order: Order) -> Result<Reply, CommandError>;
 
@@ -27,20 +27,23 @@
 /// Turns operators' HTTP requests into commands, and shows metrics and health to everybody.
 #[derive(Debug)]
 pub struct OperatorDoor {
-    desk: Arc<dyn Desk>,
-    module: RpcModule<Arc<dyn Desk>>,
+    handler: Arc<dyn CommandHandler>,
+    module: RpcModule<Arc<dyn CommandHandler>>,
     guard: Guard,
 }
 
 impl OperatorDoor {
-    /// A door before `desk`.
-    pub fn open(desk: Arc<dyn Desk>, guard: Guard) -> Result<Self, RegisterMethodError> {
-        let mut module = RpcModule::new(Arc::clone(&desk));
-        module.register_async_method(RUN_METHOD, |params, desk, _| async move {
-            desk.run(argument(&params)?).await.map_err(reject)
+    /// A door before `handler`.
+    pub fn open(
+        handler: Arc<dyn CommandHandler>,
+        guard: Guard,
+    ) -> Result<Self, RegisterMethodError> {
+        let mut module = RpcModule::new(Arc::clone(&handler));
+        module.register_async_method(RUN_METHOD, |params, handler, _| async move {
+            handler.run(argument(&params)?).await.map_err(reject)
         })?;
         Ok(Self {
-            desk,
+            handler,
             module,
             guard,
         })
@@ -55,7 +58,7 @@
     }
 
     fn health(&self) -> Response {
-        if self.desk.is_healthy() {
+        if self.handler.is_healthy() {
             Response::new(200, "serving\n")
         } else {
             Response::new(503, "not serving\n")
@@ -69,7 +72,7 @@
             match request.path.as_str() {
                 Some(RPC_PATH) => self.command(request).await,
                 Some("/metrics") => {
-                    Response::new(200, self.desk.metrics()).with("content-type", METRICS_TYPE)
+                    Response::new(200, self.handler.metrics()).with("content-type", METRICS_TYPE)
                 }
                 Some("/healthz") => self.health(),
                 _ => Response::new(404, ""),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -14,7 +14,7 @@
 pub use client::OperatorClient;
 pub use command::{Command, CommandError, Order, Reply};
 pub use delivery::{Link, RunError, deliver};
-pub use door::{Desk, OperatorDoor};
+pub use door::{CommandHandler, OperatorDoor};
 pub use language::{Statement, parse};
 pub use mistake::Mistake;
 pub use query::{Filter, Query, Sort, View};
--- a/crates/operator/tests/delivery.rs
+++ b/crates/operator/tests/delivery.rs
@@ -9,8 +9,8 @@
 use filbertwheel_core::{Clock, Edit, FleetSecret, PausedClock, SystemClock, Text};
 use filbertwheel_http::{Limits, Listener, SendError, Stopper};
 use filbertwheel_operator::{
-    Command, CommandError, Desk, Link, OperatorClient, OperatorDoor, Order, Query, Reply, RunError,
-    View, deliver,
+    Command, CommandError, CommandHandler, Link, OperatorClient, OperatorDoor, Order, Query, Reply,
+    RunError, View, deliver,
 };
 use filbertwheel_rpc::{AskError, Guard};
 use filbertwheel_runtime::block_on;
@@ -145,7 +145,7 @@
 struct Yes;
 
 #[async_trait]
-impl Desk for Yes {
+impl CommandHandler for Yes {
     async fn run(&self, _: Order) -> Result<Reply, CommandError> {
         Ok(Reply::Accepted { version: 1 })
     }
--- a/crates/policy/benches/gate.rs
+++ b/crates/policy/benches/gate.rs
@@ -4,14 +4,14 @@
 
 use divan::{Bencher, black_box};
 use filbertwheel_core::{Criticality, OrganisationId};
-use filbertwheel_policy::{Entry, FixedLimit, Gate, Offer, Spent};
+use filbertwheel_policy::{Entry, FixedLimit, Gate, Offer, RunTime};
 
 const CLASSES: [Criticality; 3] = [
     Criticality::Sheddable,
     Criticality::Normal,
     Criticality::Critical,
 ];
-const SPENT: Spent = Spent {
+const SPENT: RunTime = RunTime {
     elapsed: Duration::from_secs(1),
     own: Duration::from_secs(1),
 };
--- a/crates/policy/src/purse.rs
+++ b/crates/policy/src/buckets.rs
@@ -19,7 +19,7 @@
 
 /// The node's shares, and what was asked of them.
 #[derive(Debug, Default)]
-pub struct Purse {
+pub struct QuotaBuckets {
     holdings: BTreeMap<OrganisationId, Holding>,
     measured: Option<Instant>,
     /// Buckets that were opened.
@@ -44,7 +44,7 @@
     pub wait: Option<Duration>,
 }
 
-impl Purse {
+impl QuotaBuckets {
     /// Portion in billionths and smoothed demand in calls a second of each organisation.
     pub fn portions(&self) -> Vec<(OrganisationId, u64, f64)> {
         let holdings = self.holdings.iter();
--- a/crates/policy/src/child.rs
+++ b/crates/policy/src/child.rs
@@ -5,7 +5,7 @@
 
 use filbertwheel_core::{Beat, Incarnation, OrganisationId, Rate, invariant};
 
-use crate::reign::CLOCK_MARGIN;
+use crate::term::CLOCK_MARGIN;
 use crate::{SHARE_LIFETIME, WHOLE};
 
 /// Portions by organisation, in billionths.
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -5,7 +5,7 @@
 use filbertwheel_core::{Criticality, CutOff, OrganisationId, RefusalKind, invariant, value};
 
 use crate::cutoff::Levels;
-use crate::limit::{Answering, LatencyLimit, Limit, Spent};
+use crate::limit::{Answering, LatencyLimit, Limit, RunTime};
 use crate::queue::Queue;
 
 /// Stands for a call at the gate.
@@ -157,7 +157,7 @@
     }
 
     /// Ends a running call and lets others run in its place.
-    pub fn finish(&mut self, spent: &Spent, now: Instant) -> Vec<Release> {
+    pub fn finish(&mut self, spent: &RunTime, now: Instant) -> Vec<Release> {
         invariant!(
             "gate-counts-running",
             self.running > 0,
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -11,7 +11,7 @@
 use crate::WHOLE;
 use crate::child::{Child, Past, Portions, held_of};
 use crate::divide::divide;
-use crate::reign::CLOCK_MARGIN;
+use crate::term::CLOCK_MARGIN;
 
 /// How long a share may be used without a renewal.
 pub const SHARE_LIFETIME: Duration = Duration::from_secs(15);
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -24,7 +24,7 @@
 
 /// A call that has ended.
 #[value]
-pub struct Spent {
+pub struct RunTime {
     /// How long it ran.
     pub elapsed: Duration,
     /// How long it ran without the calls that it made to other services.
@@ -40,7 +40,7 @@
     fn resize(&mut self, ceiling: usize);
 
     /// Takes note of a call that ended while `running` calls ran, itself included.
-    fn observe(&mut self, spent: &Spent, running: usize, now: Instant);
+    fn observe(&mut self, spent: &RunTime, running: usize, now: Instant);
 }
 
 /// A limit that stays at its ceiling.
@@ -56,7 +56,7 @@
         self.0 = ceiling;
     }
 
-    fn observe(&mut self, _: &Spent, _: usize, _: Instant) {}
+    fn observe(&mut self, _: &RunTime, _: usize, _: Instant) {}
 }
 
 /// The way in which a limit answers to a window's latency.
@@ -188,7 +188,7 @@
         }
     }
 
-    fn observe(&mut self, spent: &Spent, running: usize, now: Instant) {
+    fn observe(&mut self, spent: &RunTime, running: usize, now: Instant) {
         // Calls that began under the former limit say nothing about the present one. All of
         // them are left out for a while: to leave out only those that began earlier would keep
         // the short ones and drop the long ones.
--- a/crates/policy/src/root.rs
+++ b/crates/policy/src/root.rs
@@ -6,14 +6,14 @@
 use derive_more::{Display, Error};
 use filbertwheel_core::{Beat, Fence, Grant, OrganisationId, Rate, VmId, token};
 
-use crate::reign::CLOCK_MARGIN;
-use crate::{LeaseRow, Ledger, LedgerError, Reign, Voter};
+use crate::term::CLOCK_MARGIN;
+use crate::{LeaseRow, LeaseTerm, Ledger, LedgerError, Voter};
 
-/// A root with its reign and its ledger.
+/// A root with its term and its ledger.
 #[derive(Debug)]
 pub struct Root {
     fence: Fence,
-    reign: Reign,
+    term: LeaseTerm,
     ledger: Ledger,
     withheld: Option<Instant>,
     is_first: bool,
@@ -54,7 +54,7 @@
         Self {
             fence,
             ledger: Ledger::open(own.vm.clone()),
-            reign: Reign::open(own, earlier, sent, now),
+            term: LeaseTerm::open(own, earlier, sent, now),
             withheld: None,
             is_first: earlier.is_none(),
             excluded: BTreeSet::new(),
@@ -64,7 +64,7 @@
     /// Adopts nothing from the children of `branch`, the node's ledger before it was the root:
     /// it has given them parts of its own share, which `is_below_root` says may be adopted.
     pub fn exclude(&mut self, branch: &Ledger, is_below_root: bool) {
-        let own = &self.reign.own().vm;
+        let own = &self.term.own().vm;
         let children = branch.children().filter(|vm| *vm != own);
         self.excluded = children.cloned().collect();
         if !is_below_root {
@@ -75,7 +75,7 @@
     /// Whether a newcomer is taken even where there are enough children: its vote counts here.
     pub fn takes_all(&self, beat: &Beat, now: Instant) -> bool {
         let is_voter = |voter: &Voter| voter.vm == beat.member.vm;
-        !self.reign.is_settled(now) || self.reign.voters().iter().any(is_voter)
+        !self.term.is_settled(now) || self.term.voters().iter().any(is_voter)
     }
 
     /// Its fence.
@@ -84,13 +84,13 @@
     }
 
     /// The right to grant shares.
-    pub fn reign(&self) -> &Reign {
-        &self.reign
+    pub fn term(&self) -> &LeaseTerm {
+        &self.term
     }
 
     /// The right to grant shares, for renewals.
-    pub fn reign_mut(&mut self) -> &mut Reign {
-        &mut self.reign
+    pub fn term_mut(&mut self) -> &mut LeaseTerm {
+        &mut self.term
     }
 
     /// The shares that were given out.
@@ -100,7 +100,7 @@
 
     /// Whether whatever an earlier root gave for `lifetime` has run out.
     pub fn has_outlived(&self, lifetime: Duration, now: Instant) -> bool {
-        let settled = self.reign.settled();
+        let settled = self.term.settled();
         self.is_first || settled.is_some_and(|at| now >= at + lifetime + CLOCK_MARGIN)
     }
 
@@ -123,14 +123,14 @@
             incarnation: beat.member.incarnation,
         };
         if let Some(at) = support {
-            self.reign.support(voter.clone(), at);
+            self.term.support(voter.clone(), at);
         }
-        self.reign.promise(voter, now);
-        let Some(settled) = self.reign.settled() else {
+        self.term.promise(voter, now);
+        let Some(settled) = self.term.settled() else {
             return Ok(None);
         };
         self.withhold(settled);
-        if !self.reign.may_grant(now) {
+        if !self.term.may_grant(now) {
             return Ok(None);
         }
         Ok(self.ledger.settle(beat, limits, settled, now))
--- a/crates/policy/src/reign.rs
+++ b/crates/policy/src/term.rs
@@ -23,7 +23,7 @@
 /// least half of the same voters have promised to follow it, and the support of its predecessor
 /// has run out. The two sets share a voter, so the two never grant at the same time.
 #[derive(Debug)]
-pub struct Reign {
+pub struct LeaseTerm {
     own: Voter,
     took: Instant,
     renewed: Instant,
@@ -35,12 +35,12 @@
     settled: Option<Instant>,
 }
 
-impl Reign {
-    /// The reign after a lease that was taken by a write sent at `sent`. `earlier` is the row that
+impl LeaseTerm {
+    /// The term after a lease that was taken by a write sent at `sent`. `earlier` is the row that
     /// the write replaced.
     pub fn open(own: Voter, earlier: Option<&LeaseRow>, sent: Instant, now: Instant) -> Self {
         let alone = earlier.is_none_or(|row| row.released);
-        let mut reign = Self {
+        let mut term = Self {
             promises: BTreeSet::from([own.clone()]),
             own,
             took: now,
@@ -51,9 +51,9 @@
             settled: alone.then_some(now),
         };
         if !alone {
-            reign.decide(now);
+            term.decide(now);
         }
-        reign
+        term
     }
 
     /// The root itself.
@@ -123,7 +123,7 @@
         self.voters = voters;
     }
 
-    /// The voters that the next renewal should name. They stay until this reign is settled, and
+    /// The voters that the next renewal should name. They stay until this term is settled, and
     /// while the outcome of a renewal isn't known.
     pub fn choose<'a>(
         &self,
--- /dev/null
+++ b/crates/policy/tests/buckets.rs
@@ -0,0 +1,83 @@
+//! A node's share never yields more than its rate and burst.
+
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::{Clock, OrganisationId, PausedClock, Rate, Share, Text};
+use filbertwheel_policy::{QuotaBuckets, WHOLE};
+
+const ORGANISATION: OrganisationId = Text::from_static("ward");
+const LIMIT: Rate = Rate {
+    rate: 10.0,
+    burst: 20.0,
+};
+const LONG: Duration = Duration::from_secs(100);
+
+/// Buckets that hold the whole limit, filled to the burst.
+fn full_buckets(clock: &PausedClock) -> QuotaBuckets {
+    let mut buckets = QuotaBuckets::default();
+    adopt(&mut buckets, clock.now());
+    clock.advance(Duration::from_secs(10));
+    buckets
+}
+
+fn adopt(buckets: &mut QuotaBuckets, now: Instant) {
+    let share = Share {
+        organisation: ORGANISATION,
+        portion: WHOLE,
+    };
+    buckets.adopt(&[share], |_| Some(LIMIT), now + LONG, now);
+}
+
+/// Spends all that there is.
+fn drain(buckets: &mut QuotaBuckets, now: Instant) -> usize {
+    std::iter::from_fn(|| buckets.charge(&ORGANISATION, LIMIT, now).ok()).count()
+}
+
+#[test]
+fn a_token_put_back_in_time_is_spent_again() {
+    let clock = PausedClock::new();
+    let mut buckets = full_buckets(&clock);
+    let receipt = buckets.charge(&ORGANISATION, LIMIT, clock.now());
+    assert_eq!(drain(&mut buckets, clock.now()), 19);
+    buckets.put_back(
+        &ORGANISATION,
+        receipt.expect("the buckets is full"),
+        clock.now(),
+    );
+    assert_eq!(drain(&mut buckets, clock.now()), 1);
+}
+
+#[test]
+fn a_token_put_back_after_an_overflow_is_lost() {
+    let clock = PausedClock::new();
+    let mut buckets = full_buckets(&clock);
+    let receipt = buckets.charge(&ORGANISATION, LIMIT, clock.now());
+    clock.advance(Duration::from_secs(1));
+    assert_eq!(drain(&mut buckets, clock.now()), 20);
+    buckets.put_back(
+        &ORGANISATION,
+        receipt.expect("the buckets is full"),
+        clock.now(),
+    );
+    assert_eq!(drain(&mut buckets, clock.now()), 0);
+}
+
+#[test]
+fn a_claim_under_way_takes_room() {
+    let clock = PausedClock::new();
+    let mut buckets = full_buckets(&clock);
+    assert_eq!(buckets.pay(&ORGANISATION, LIMIT, 5, clock.now()), 5);
+    clock.advance(Duration::from_secs(1));
+    // The five may be spent elsewhere at this moment.
+    assert_eq!(drain(&mut buckets, clock.now()), 15);
+}
+
+#[test]
+fn a_share_that_ran_out_leaves_nothing() {
+    let clock = PausedClock::new();
+    let mut buckets = full_buckets(&clock);
+    clock.advance(LONG);
+    assert_eq!(drain(&mut buckets, clock.now()), 0);
+    adopt(&mut buckets, clock.now());
+    assert_eq!(drain(&mut buckets, clock.now()), 0);
+}
--- a/crates/policy/tests/cutoff.rs
+++ b/crates/policy/tests/cutoff.rs
@@ -4,7 +4,7 @@
 
 use filbertwheel_core::{Criticality, CutOff, VmId};
 use filbertwheel_policy::{
-    CUT_OFF_LIFETIME, CutOffs, Entry, FixedLimit, Gate, Loads, Offer, RetryRatios, Spent, choose,
+    CUT_OFF_LIFETIME, CutOffs, Entry, FixedLimit, Gate, Loads, Offer, RetryRatios, RunTime, choose,
     rank_of, retry_after,
 };
 
@@ -51,7 +51,7 @@
         let elapsed = Duration::from_millis(10);
         for _ in 0..running.min(2) {
             gate.finish(
-                &Spent {
+                &RunTime {
                     elapsed,
                     own: elapsed,
                 },
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -9,7 +9,9 @@
 use filbertwheel_core::{
     Beat, Clock, Demand, Incarnation, Member, OrganisationId, PausedClock, Rate, Status, Text,
 };
-use filbertwheel_policy::{CLAIM_HOPS, LeaseRow, LeaseWatch, Ledger, Link, Purse, Receipt, Root};
+use filbertwheel_policy::{
+    CLAIM_HOPS, LeaseRow, LeaseWatch, Ledger, Link, QuotaBuckets, Receipt, Root,
+};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -37,7 +39,7 @@
 pub struct Process {
     member: Member,
     link: Link,
-    purse: Purse,
+    buckets: QuotaBuckets,
     /// The exchange with itself, as a child of its own.
     own: Link,
     branch: Ledger,
@@ -110,7 +112,7 @@
 
     pub fn may_grant(&self, process: usize) -> bool {
         let root = self.nodes[process].root.as_ref();
-        root.is_some_and(|root| root.reign().may_grant(self.now()))
+        root.is_some_and(|root| root.term().may_grant(self.now()))
     }
 
     pub fn spent(&self) -> usize {
@@ -136,7 +138,7 @@
         let node = &mut self.nodes[process];
         let Some(root) = node.root.take() else { return };
         node.dead = true;
-        let settled = root.reign().is_settled(now);
+        let settled = root.term().is_settled(now);
         if let Some((version, row)) = self.read(process).ok().flatten()
             && settled
             && row.fence == root.fence()
@@ -156,7 +158,10 @@
         }
         for _ in 0..count {
             let now = self.now();
-            match self.nodes[process].purse.charge(&ORGANISATION, LIMIT, now) {
+            match self.nodes[process]
+                .buckets
+                .charge(&ORGANISATION, LIMIT, now)
+            {
                 Ok(receipt) => {
                     self.spent.push(Some(now));
                     let index = self.spent.len() - 1;
@@ -178,7 +183,7 @@
             let Some((index, receipt)) = node.receipts.pop() else {
                 return;
             };
-            node.purse.put_back(&ORGANISATION, receipt, now);
+            node.buckets.put_back(&ORGANISATION, receipt, now);
             self.spent[index] = None;
         }
     }
@@ -230,7 +235,7 @@
                 status: Status::Serving,
             },
             link: Link::default(),
-            purse: Purse::default(),
+            buckets: QuotaBuckets::default(),
             own: Link::default(),
             branch: Ledger::branch(name(vm), now),
             root: None,
@@ -255,7 +260,7 @@
     fn claim(&mut self, process: usize) {
         let now = self.now();
         let node = &mut self.nodes[process];
-        if node.root.is_some() && node.purse.pay(&ORGANISATION, LIMIT, 1, now) > 0 {
+        if node.root.is_some() && node.buckets.pay(&ORGANISATION, LIMIT, 1, now) > 0 {
             self.spent.push(Some(now));
             return;
         }
@@ -279,7 +284,7 @@
     fn beat(&mut self, process: usize) {
         let now = self.now();
         let node = &mut self.nodes[process];
-        let demands = node.purse.demands(now);
+        let demands = node.buckets.demands(now);
         node.own.begin(now);
         let own = node.beat_of(&node.own, demands);
         if let Some(pulse) = take_beat(node, &own, now)
@@ -287,7 +292,7 @@
             && let Some(grant) = pulse.grant
         {
             let expires = sent + pulse.lifetime;
-            node.purse
+            node.buckets
                 .adopt(&grant.shares, |_| Some(LIMIT), expires, now);
         }
         if let (None, Some(parent)) = (&node.root, node.link.parent()) {
--- a/crates/policy/tests/fleet/network.rs
+++ b/crates/policy/tests/fleet/network.rs
@@ -122,7 +122,7 @@
             }
             Message::Pulse(pulse) => take_pulse(node, pulse, now),
             Message::Claim(origin, hops, sent) => {
-                let count = node.purse.pay(&ORGANISATION, LIMIT, 1, now);
+                let count = node.buckets.pay(&ORGANISATION, LIMIT, 1, now);
                 let parent = node.link.parent().filter(|_| count == 0 && hops > 0);
                 if let Some(parent) = parent {
                     let parent = self.at(parent);
@@ -164,7 +164,7 @@
 
 fn pulse_of(node: &Process, beat: &Beat, now: Instant) -> Option<Pulse> {
     let lease = match &node.root {
-        Some(root) if root.reign().is_live(now) => SERVING_LEASE,
+        Some(root) if root.term().is_live(now) => SERVING_LEASE,
         Some(_) => Duration::ZERO,
         None => node.live?.saturating_duration_since(now),
     };
--- a/crates/policy/tests/fleet/table.rs
+++ b/crates/policy/tests/fleet/table.rs
@@ -89,10 +89,10 @@
             .collect();
         let node = &mut self.nodes[process];
         let Some(root) = &mut node.root else { return };
-        let reign = root.reign_mut();
-        reign.learn(row.voters.clone());
-        let voters = reign.choose(live.iter(), now);
-        reign.renew(voters.clone());
+        let term = root.term_mut();
+        term.learn(row.voters.clone());
+        let voters = term.choose(live.iter(), now);
+        term.renew(voters.clone());
         let renewed = LeaseRow {
             serial: row.serial + 1,
             voters,
@@ -101,7 +101,7 @@
         if self.write(process, Some(version), renewed) == Some(true)
             && let Some(root) = &mut self.nodes[process].root
         {
-            root.reign_mut().renewed(now);
+            root.term_mut().renewed(now);
         }
     }
 
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -5,7 +5,7 @@
 
 use filbertwheel_core::{Criticality, RefusalKind};
 use filbertwheel_policy::{
-    Answering, Entry, FixedLimit, Gate, LatencyLimit, Limit, Offer, Release, Spent, Ticket,
+    Answering, Entry, FixedLimit, Gate, LatencyLimit, Limit, Offer, Release, RunTime, Ticket,
 };
 use proptest::collection::vec;
 use proptest::prelude::{Strategy, any, prop_oneof};
@@ -55,8 +55,8 @@
     }
 }
 
-fn spent() -> Spent {
-    Spent {
+fn spent() -> RunTime {
+    RunTime {
         elapsed: SERVICE,
         own: SERVICE,
     }
@@ -250,7 +250,7 @@
         *now += Duration::from_millis(10);
         let running = limit.current();
         let elapsed = Duration::from_secs_f64(latency(running));
-        let spent = Spent {
+        let spent = RunTime {
             elapsed,
             own: elapsed,
         };
