--- a/crates/ctl/src/fault.rs
+++ b/crates/ctl/src/fault.rs
@@ -46,6 +46,9 @@
     Mistake(Mistake),
     #[display("{_0}")]
     Run(RunError),
+    #[display("no line of the logs is about request {_0}")]
+    #[from(skip)]
+    NoLines(String),
     #[display("not in force yet at {}", names(_0))]
     #[from(skip)]
     Pending(Vec<VmId>),
@@ -61,7 +64,7 @@
             Self::Run(RunError::Ask(AskError::Denied)) => EXIT_FAILED,
             Self::Run(RunError::Command(CommandError::Unavailable | CommandError::Stopping))
             | Self::Run(RunError::Ask(_)) => EXIT_UNREACHABLE,
-            Self::Run(_) | Self::Output(_) => EXIT_FAILED,
+            Self::Run(_) | Self::Output(_) | Self::NoLines(_) => EXIT_FAILED,
             Self::Pending(_) => EXIT_PENDING,
             _ => EXIT_USAGE,
         }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -3,6 +3,7 @@
 mod fault;
 mod session;
 mod show;
+mod trace;
 
 use std::io::{self, IsTerminal as _, Write as _};
 use std::net::SocketAddr;
@@ -18,6 +19,9 @@
 use crate::session::Session;
 use crate::show::{Printer, Style};
 
+/// How the program is called.
+const USAGE: &str = "Usage: filbertctl --node IP:PORT [COMMAND ... | --file FILE]
+       filbertctl --trace ID LOG-FILE ...";
 /// Environment variable with the operators' secret.
 const SECRET_VARIABLE: &str = "FILBERTWHEEL_OPERATOR_SECRET";
 
@@ -37,12 +41,17 @@
     options.optopt("n", "node", "operator address of a node", "IP:PORT");
     options.optopt("f", "file", "run the commands in a file", "FILE");
     options.optflag("j", "json", "write replies as JSON, a line each");
+    options.optopt("t", "trace", "follow a request through log files", "ID");
     options.optflag("h", "help", "show this help");
     let matches = options.parse(arguments)?;
     if matches.opt_present("help") {
-        let usage = options.usage("Usage: filbertctl --node IP:PORT [COMMAND ... | --file FILE]");
+        let usage = options.usage(USAGE);
         return Ok(write!(io::stdout(), "{usage}")?);
     }
+    if let Some(id) = matches.opt_str("trace") {
+        let files: Vec<PathBuf> = matches.free.iter().map(PathBuf::from).collect();
+        return trace::trace(&id, &files, &mut io::stdout().lock());
+    }
     let session = session(&matches)?;
     match (matches.opt_str("file"), matches.free.as_slice()) {
         (Some(_), [_, ..]) => Err(Fault::Both),
--- /dev/null
+++ b/crates/ctl/src/trace.rs
@@ -0,0 +1,115 @@
+//! Follows one request through collected logs, with what the nodes believed at that time.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use serde_json::{Map, Value};
+
+use crate::fault::Fault;
+
+/// Lines of what the nodes believed that are shown, at most.
+const CONTEXT_LINES: usize = 20;
+/// Fields that are shown by themselves.
+const OWN_FIELDS: [&str; 4] = ["timestamp", "level", "message", "request"];
+
+/// A line of a log.
+#[derive(Debug, Clone)]
+struct Line {
+    /// Calendar time, as the process wrote it; it sorts as text.
+    time: String,
+    /// Name of the file, which stands for the process.
+    process: String,
+    fields: Map<String, Value>,
+}
+
+/// Prints the lines about a request in the order of time, then the last line of each kind that the
+/// same processes wrote about themselves before it ended.
+pub(crate) fn trace(id: &str, files: &[PathBuf], out: &mut impl Write) -> Result<(), Fault> {
+    let mut own = Vec::new();
+    let mut others = Vec::new();
+    for file in files {
+        for line in lines(file)? {
+            match line.text("request") {
+                Some(request) if request == id => own.push(line),
+                Some(_) => {}
+                None => others.push(line),
+            }
+        }
+    }
+    own.sort_by(|one, other| one.time.cmp(&other.time));
+    let Some(last) = own.last() else {
+        return Err(Fault::NoLines(id.to_owned()));
+    };
+    let end = last.time.clone();
+    for line in &own {
+        line.print(out)?;
+    }
+    writeln!(out, "What its nodes believed then:")?;
+    let about = |line: &Line| own.iter().any(|one| one.process == line.process);
+    others.retain(|line| line.time <= end && about(line));
+    for line in newest(others) {
+        line.print(out)?;
+    }
+    Ok(())
+}
+
+/// The newest line of each kind, in the order of time.
+fn newest(lines: Vec<Line>) -> Vec<Line> {
+    let mut kinds: BTreeMap<(String, String, String), Line> = BTreeMap::new();
+    for line in lines {
+        let service = line.text("service").unwrap_or_default().to_owned();
+        let kind = (line.process.clone(), line.message().to_owned(), service);
+        let known = kinds.entry(kind).or_insert_with(|| line.clone());
+        if known.time <= line.time {
+            *known = line;
+        }
+    }
+    let mut lines: Vec<Line> = kinds.into_values().collect();
+    lines.sort_by(|one, other| one.time.cmp(&other.time));
+    let first = lines.len().saturating_sub(CONTEXT_LINES);
+    lines.split_off(first)
+}
+
+/// The lines of a file that can be read. What stands before the braces of a line is passed over.
+fn lines(file: &Path) -> Result<Vec<Line>, Fault> {
+    let text = fs::read_to_string(file).map_err(|source| Fault::File {
+        path: file.to_owned(),
+        source,
+    })?;
+    let process = file.file_stem().unwrap_or_default().to_string_lossy();
+    let lines = text.lines().filter_map(|line| {
+        let json = line.get(line.find('{')?..)?;
+        let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+        let time = fields.get("timestamp")?.as_str()?.to_owned();
+        Some(Line {
+            time,
+            process: process.clone().into_owned(),
+            fields,
+        })
+    });
+    Ok(lines.collect())
+}
+
+impl Line {
+    fn text(&self, name: &str) -> Option<&str> {
+        self.fields.get(name)?.as_str()
+    }
+
+    fn message(&self) -> &str {
+        self.text("message").unwrap_or_default()
+    }
+
+    fn print(&self, out: &mut impl Write) -> io::Result<()> {
+        write!(out, "{} {} {}", self.time, self.process, self.message())?;
+        let fields = self.fields.iter();
+        for (name, value) in fields.filter(|(name, _)| !OWN_FIELDS.contains(&name.as_str())) {
+            match value {
+                Value::String(text) => write!(out, " {name}={text:?}")?,
+                other => write!(out, " {name}={other}")?,
+            }
+        }
+        writeln!(out)
+    }
+}
