Show which limits backend servers state, and what is sent to them

Cause: not decided yet; logs and metrics could not tell whether any node knows a limit. Change: Server-Limit and Server-Leaving are decoded at the adapter. The node beside the backend server logs a limit that is new, changed, ended or unreadable; metrics backend_request_limit and backend_requests. No decision uses them.

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -13,4 +13,6 @@
     BackendClient, BackendConnector, BackendError, BackendReply, HttpBackendClient, HttpConnector,
 };
 pub use endpoint::{BackendEndpoint, BackendHandler, NestedRequest};
-pub use server::{BackendInstance, InstanceConnector, StatusReport};
+pub use server::{
+    BackendInstance, InstanceConnector, InstanceReply, ResponseNotice, StatedLimit, StatusReport,
+};
--- a/crates/backend/src/server.rs
+++ b/crates/backend/src/server.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use filbertwheel_core::{Answer, Attempt, InstanceId, ServiceId, Status, value};
+use filbertwheel_core::{Answer, Attempt, InstanceId, RequestRate, ServiceId, Status, value};
 
 use crate::BackendError;
 
@@ -28,11 +28,41 @@
     pub sequence: u64,
 }
 
+/// What a response says about the backend server that made it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ResponseNotice {
+    /// Maximum number of requests per second that it accepts from all nodes together.
+    pub limit: StatedLimit,
+    /// Whether it is leaving and takes no new requests.
+    pub leaving: bool,
+}
+
+/// Limit on its requests that a backend server states in a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum StatedLimit {
+    /// The response states none, which ends an earlier one.
+    #[default]
+    None,
+    /// Requests per second: finite and not negative.
+    Rate(RequestRate),
+    /// The value can't be read. An earlier limit stays in force.
+    Malformed,
+}
+
+/// Outcome of sending an attempt to an instance.
+#[derive(Debug)]
+pub struct InstanceReply {
+    /// The response, or why there is none.
+    pub outcome: Result<Answer, BackendError>,
+    /// What the response says about the instance; `None` without a response of this instance.
+    pub notice: Option<ResponseNotice>,
+}
+
 /// Client of a backend server that runs attempts on a given instance.
 #[async_trait]
 pub trait BackendInstance: Debug + Send + Sync {
     /// Runs an attempt on `instance` and on no other one.
-    async fn run(&self, attempt: &Attempt, instance: &InstanceId) -> Result<Answer, BackendError>;
+    async fn run(&self, attempt: &Attempt, instance: &InstanceId) -> InstanceReply;
 }
 
 /// Creates clients for the addresses that backend servers report.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 mod invariant;
 mod logging;
 mod member;
+mod notice;
 mod rules;
 mod settings;
 mod signature;
@@ -37,6 +38,7 @@
 pub use invariant::{InvariantReport, broken_invariants, report_invariant};
 pub use logging::{LogFormat, init_json_logging, init_logging};
 pub use member::{Member, Status};
+pub use notice::{InstanceNotice, RequestRate};
 pub use rules::{OrganisationPolicy, Rank, RequestLimits, RouteRule, Rules, Target};
 pub use settings::{InvalidValue, SettingsError, SettingsFault, load_settings};
 pub use signature::{FleetSecret, Signature, SignatureError, sha256_hex};
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -15,6 +15,7 @@
 mod journal;
 mod metrics;
 mod node;
+mod notices;
 mod runner;
 mod settings;
 mod snapshots;
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a node.
 
 use std::fmt::Write as _;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use filbertwheel_core::{Failure, Verdict, broken_invariants};
@@ -48,6 +49,10 @@
     pub(crate) running: Gauge,
     /// Calls that wait for a slot of the backend server.
     pub(crate) queued: Gauge,
+    /// Calls sent to the backend server.
+    pub(crate) sent: Counter,
+    /// Requests per second that the backend server accepts; 0 if it states no limit.
+    pub(crate) backend_limit: Gauge<f64, AtomicU64>,
     /// Version of the rules in force.
     pub(crate) rules: Gauge,
     /// Links to other nodes that are connected.
@@ -67,6 +72,8 @@
             claims: Counter::default(),
             running: Gauge::default(),
             queued: Gauge::default(),
+            sent: Counter::default(),
+            backend_limit: Gauge::default(),
             rules: Gauge::default(),
             links: Gauge::default(),
             broken: Gauge::default(),
@@ -99,6 +106,16 @@
             "Calls that wait for a slot of the backend server",
             metrics.queued.clone(),
         );
+        registry.register(
+            "backend_requests",
+            "Calls sent to the backend server",
+            metrics.sent.clone(),
+        );
+        registry.register(
+            "backend_request_limit",
+            "Requests per second that the backend server accepts; 0 if it states no limit",
+            metrics.backend_limit.clone(),
+        );
         registry.register(
             "rules_version",
             "Version of the rules in force",
--- a/crates/engine/src/runner.rs
+++ b/crates/engine/src/runner.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use filbertwheel_backend::{BackendError, BackendInstance, InstanceConnector, StatusReport};
+use filbertwheel_backend::{
+    BackendError, BackendInstance, InstanceConnector, ResponseNotice, StatusReport,
+};
 use filbertwheel_core::{
     Attempt, Clock, Failure, InstanceId, Refusal, RefusalKind, RouteId, ServiceId, Status,
     UnknownReason, Verdict, VmId,
@@ -20,6 +22,7 @@
 use crate::crashes::{Crashes, RunPermit};
 use crate::journal::Journal;
 use crate::metrics::Metrics;
+use crate::notices::{Life, Notices};
 use crate::snapshots::SharedSnapshot;
 
 /// Interval at which a waiting call checks whether it has expired.
@@ -59,6 +62,7 @@
     started_ms: u64,
     sequence: u64,
     last_heard: Instant,
+    notices: Notices,
 }
 
 /// State of the backend server that the control thread publishes.
@@ -147,8 +151,8 @@
             .as_ref()
             .filter(|known| known.instance == report.instance && known.address == report.address)
             .filter(|known| known.started_ms == report.started_ms || known.started_ms == 0);
-        let server = match same {
-            Some(instance) => Arc::clone(&instance.server),
+        let (server, notices) = match same {
+            Some(instance) => (Arc::clone(&instance.server), instance.notices.clone()),
             None => {
                 let previous_status = state.instance.as_ref().map(|instance| instance.status);
                 if previous_status == Some(Status::Serving) {
@@ -161,7 +165,8 @@
                     slots = report.slots,
                     "runner: A backend server instance has started."
                 );
-                self.backends.open(report.address)
+                let life = (report.instance.clone(), report.started_ms);
+                (self.backends.open(report.address), Notices::open(life))
             }
         };
         let state = &mut *state;
@@ -176,6 +181,7 @@
             started_ms: report.started_ms,
             sequence: report.sequence,
             last_heard: now,
+            notices,
         });
         Some(BackendState {
             service: report.service.clone(),
@@ -250,7 +256,12 @@
         let instance = self.instance_for(attempt)?;
         let permit = RunPermit::obtain(&self.crashes, attempt, self.clock.as_ref())?;
         let started = self.clock.now();
-        let result = instance.server.run(attempt, &instance.instance).await;
+        self.metrics.sent.inc();
+        let reply = instance.server.run(attempt, &instance.instance).await;
+        if let Some(notice) = reply.notice {
+            self.record_notice(&instance.life(), notice);
+        }
+        let result = reply.outcome;
         let elapsed = self.clock.now().saturating_duration_since(started);
         slot.finish(&result, elapsed);
         permit.finish(&result);
@@ -264,6 +275,18 @@
         }
     }
 
+    /// Records what a response of the backend server states about it, unless it has restarted since.
+    fn record_notice(&self, life: &Life, notice: ResponseNotice) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(instance) = state.instance.as_mut().filter(|one| one.life() == *life) else {
+            return;
+        };
+        instance.notices.record(notice, now);
+        let limit = instance.notices.limit();
+        self.metrics.backend_limit.set(limit.unwrap_or_default());
+    }
+
     /// Returns the current instance if it serves the call's service, else the refusal.
     fn instance_for(&self, attempt: &Attempt) -> Result<Instance, Failure> {
         let state = self.lock();
@@ -365,6 +388,10 @@
 }
 
 impl Instance {
+    fn life(&self) -> Life {
+        (self.instance.clone(), self.started_ms)
+    }
+
     /// Returns whether a report is older than this state.
     fn is_newer_than(&self, report: &StatusReport) -> bool {
         if report.started_ms != self.started_ms && self.started_ms != 0 && report.started_ms != 0 {
