Keep to the request limit and the leaving that backend servers state in responses

What callers saw: nothing; capped backend servers got twice what they said they take, while others had free slots. The class: a fact that is learnt from a response and held, if at all, by one process. Change: the node beside a backend server, the only one that sends to it, paces its calls (policy/pacer.rs): a call reserves its send time, a call of a running request may wait 500 ms, others 100 ms and then go elsewhere. The load that it reports has the slots that the limit lets it use, so choice, plan and admission by rank at the entry follow. Every frame of a link may carry what the backend server stated; so a node that passes an answer on holds it too, and gives it back in its hello to a node that has restarted, before its first call. A new life ends it, an answer without it ends the limit, leaving lasts for the life. A limit of 0 lets one request in 2 s through, since only an answer shows its end. An unreadable limit changes nothing, of several the lowest counts.

--- a/crates/engine/src/control/plan.rs
+++ b/crates/engine/src/control/plan.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbertwheel_core::{Rank, RouteId, ServiceId, Status};
+use filbertwheel_core::{Member, Rank, RouteId, ServiceId, Status};
 use filbertwheel_policy::{
-    AdmissionPlan, AdmissionPlanner, CallGraph, Capacity, RouteDemand, RouteProfile, ShedThreshold,
+    AdmissionPlan, AdmissionPlanner, BackendLoad, CallGraph, Capacity, RouteDemand, RouteProfile,
+    ShedThreshold,
 };
 
 use super::state::Control;
@@ -169,10 +170,19 @@
         for (member, load) in loads.chain([own]) {
             if let (Some(service), Status::Serving) = (&member.service, member.status) {
                 let capacity = capacities.entry(service.clone()).or_default();
-                capacity.slots += f64::from(member.slots);
+                capacity.slots += f64::from(usable_slots(member, &load));
                 capacity.in_flight += f64::from(load.running + load.queued);
             }
         }
         capacities
     }
 }
+
+/// Returns the slots that a backend server can use at present. Its node reports fewer than it has
+/// while the backend server limits its requests, and none before its first report.
+fn usable_slots(member: &Member, load: &BackendLoad) -> u32 {
+    match load.slots {
+        0 => member.slots,
+        usable => usable.min(member.slots),
+    }
+}
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -207,12 +207,13 @@
     }
 }
 
-/// Adds the time after which a retry may succeed to a refusal that has none.
-pub(crate) fn with_retry_after(verdict: Verdict, retry_after: Duration) -> Verdict {
+/// Sets the time after which a retry may succeed in a refusal, unless it is later already.
+pub(crate) fn with_retry_after(verdict: Verdict, at_least: Duration) -> Verdict {
     match verdict {
-        Err(Failure::Refused(refusal)) if refusal.retry_after.is_none() => {
+        Err(Failure::Refused(refusal)) => {
+            let after = refusal.retry_after.unwrap_or_default().max(at_least);
             Err(Failure::Refused(Refusal {
-                retry_after: Some(retry_after),
+                retry_after: Some(after),
                 ..refusal
             }))
         }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use filbertwheel_backend::StatusReport;
 use filbertwheel_core::{
-    Attempt, Clock, InstanceId, Member, OrganisationId, Rank, Refusal, RefusalKind, RouteId,
-    RouteRule, Rules, ServiceId, Verdict, Version,
+    Attempt, Clock, InstanceId, InstanceNotice, Member, OrganisationId, Rank, Refusal, RefusalKind,
+    RouteId, RouteRule, Rules, ServiceId, Verdict, Version,
 };
 use filbertwheel_http::LocalFuture;
 use filbertwheel_peer::{LinkEvent, LinkHandler, NodeReport};
@@ -46,7 +46,7 @@
     pub(crate) metrics: Arc<Metrics>,
     /// Service of the backend server on this VM.
     pub(crate) service: ServiceId,
-    pub(crate) inbox: Inbox,
+    pub(crate) inbox: Arc<Inbox>,
     portions: Mutex<PortionBuckets>,
     retry_budget: Mutex<RetryBudget>,
     shedder: Mutex<FairShedder>,
@@ -73,6 +73,7 @@
     pub clock: Arc<dyn Clock>,
     pub snapshots: SharedSnapshot,
     pub runner: Runner,
+    pub inbox: Arc<Inbox>,
     pub journal: Arc<Journal>,
     pub metrics: Arc<Metrics>,
     pub service: ServiceId,
@@ -88,7 +89,7 @@
             journal: parts.journal,
             metrics: parts.metrics,
             service: parts.service,
-            inbox: Inbox::open(),
+            inbox: parts.inbox,
             portions: Mutex::default(),
             retry_budget: Mutex::new(RetryBudget::open(parts.retries)),
             shedder: Mutex::default(),
@@ -274,6 +275,14 @@
         self.runner.load()
     }
 
+    fn notice(&self) -> Option<InstanceNotice> {
+        self.runner.notice()
+    }
+
+    fn learn_notice(&self, notice: InstanceNotice) {
+        self.runner.learn_notice(notice);
+    }
+
     fn rules_version(&self) -> Version {
         self.snapshots.load().version()
     }
--- a/crates/engine/src/journal.rs
+++ b/crates/engine/src/journal.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use filbertwheel_core::{OrganisationId, RequestId, RouteId, Version, VmId};
+use filbertwheel_core::{OrganisationId, RequestId, RequestRate, RouteId, Version, VmId};
 
 /// Maximum lines per second about requests without a complete response, failed or slow responses,
 /// attempts and failed runs.
@@ -116,13 +116,15 @@
         );
     }
 
-    /// Logs a call without a complete response from the local backend server.
+    /// Logs a call without a complete response from the local backend server. `limit` is the limit on
+    /// its requests per second, if it states one.
     pub fn run_failed(
         &self,
         request: &RequestId,
         outcome: &str,
         running: usize,
         queued: usize,
+        limit: Option<RequestRate>,
         took_ms: u64,
     ) {
         if !self.admit(&self.failed, MAX_FAILED_LINES) {
@@ -133,6 +135,7 @@
             outcome,
             running,
             queued,
+            limit,
             took_ms,
             "runner: Run ended."
         );
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -51,6 +51,8 @@
     pub(crate) queued: Gauge,
     /// Calls sent to the backend server.
     pub(crate) sent: Counter,
+    /// Calls turned away because of the limit that the backend server states.
+    pub(crate) over_limit: Counter,
     /// Requests per second that the backend server accepts; 0 if it states no limit.
     pub(crate) backend_limit: Gauge<f64, AtomicU64>,
     /// Version of the rules in force.
@@ -73,6 +75,7 @@
             running: Gauge::default(),
             queued: Gauge::default(),
             sent: Counter::default(),
+            over_limit: Counter::default(),
             backend_limit: Gauge::default(),
             rules: Gauge::default(),
             links: Gauge::default(),
@@ -111,6 +114,11 @@
             "Calls sent to the backend server",
             metrics.sent.clone(),
         );
+        registry.register(
+            "over_backend_limit",
+            "Calls turned away because of the limit that the backend server states",
+            metrics.over_limit.clone(),
+        );
         registry.register(
             "backend_request_limit",
             "Requests per second that the backend server accepts; 0 if it states no limit",
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -20,6 +20,7 @@
     run_ticks, store_profiles, watch_members, watch_rules,
 };
 use crate::engine::{Engine, EngineParts};
+use crate::inbox::Inbox;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::runner::Runner;
@@ -99,6 +100,7 @@
         let snapshots: SharedSnapshot =
             Arc::new(ArcSwap::from_pointee(Snapshot::open(local_member.clone())));
         let (journal, metrics) = (Arc::new(Journal::default()), Arc::new(Metrics::open()));
+        let inbox = Arc::new(Inbox::open());
         let runner = Runner::open(
             local_member.vm.clone(),
             Arc::clone(&dependencies.backends),
@@ -106,11 +108,13 @@
             Arc::clone(&snapshots),
             Arc::clone(&journal),
             Arc::clone(&metrics),
+            Arc::clone(&inbox),
         );
         let engine = Arc::new(Engine::open(EngineParts {
             clock: Arc::clone(&clock),
             snapshots: Arc::clone(&snapshots),
             runner,
+            inbox,
             journal,
             metrics,
             service: settings.service.clone(),
--- a/crates/engine/src/runner.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -1,28 +1,34 @@
 //! Runs calls at the local backend server.
 
+mod instance;
+mod pacing;
+mod slot;
+
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use async_channel::{Receiver, Sender};
-use filbertwheel_backend::{
-    BackendError, BackendInstance, InstanceConnector, ResponseNotice, StatusReport,
-};
+use async_channel::Sender;
+use filbertwheel_backend::{BackendError, BackendInstance, InstanceConnector, StatusReport};
 use filbertwheel_core::{
-    Attempt, Clock, Failure, InstanceId, Refusal, RefusalKind, RouteId, ServiceId, Status,
-    UnknownReason, Verdict, VmId,
+    Attempt, Clock, Failure, InstanceId, Refusal, RefusalKind, RouteId, Status, UnknownReason,
+    Verdict, VmId,
 };
 use filbertwheel_policy::{
-    AdmissionQueue, BackendLoad, CrashReport, Health, PendingCall, Profiler, QueueOutcome,
-    QueueRequest, QueueTicket, RouteProfile,
+    AdmissionQueue, CrashReport, Health, Profiler, QueueOutcome, QueueRequest, QueueTicket,
+    RouteProfile,
 };
 use futures_lite::FutureExt as _;
+pub(crate) use instance::BackendState;
+use instance::Instance;
+pub(crate) use slot::NestedCall;
+use slot::{Slot, Waiting};
 
 use crate::crashes::{Crashes, RunPermit};
+use crate::inbox::Inbox;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
-use crate::notices::{Life, Notices};
+use crate::notices::Notices;
 use crate::snapshots::SharedSnapshot;
 
 /// Interval at which a waiting call checks whether it has expired.
@@ -38,6 +44,7 @@
     snapshots: SharedSnapshot,
     journal: Arc<Journal>,
     metrics: Arc<Metrics>,
+    inbox: Arc<Inbox>,
     state: Mutex<State>,
     crashes: Mutex<Crashes>,
 }
@@ -49,28 +56,9 @@
     waiting: HashMap<QueueTicket, Sender<()>>,
     health: Health,
     profiler: Profiler,
-}
-
-/// An instance of the backend server, as it was last reported.
-#[derive(Debug, Clone)]
-struct Instance {
-    server: Arc<dyn BackendInstance>,
-    instance: InstanceId,
-    service: ServiceId,
-    address: SocketAddr,
-    status: Status,
-    started_ms: u64,
-    sequence: u64,
-    last_heard: Instant,
     notices: Notices,
-}
-
-/// State of the backend server that the control thread publishes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct BackendState {
-    pub service: ServiceId,
-    pub slots: u32,
-    pub status: Status,
+    /// Smoothed run time of the calls in seconds; `None` before the first one.
+    run_seconds: Option<f64>,
 }
 
 impl Runner {
@@ -81,6 +69,7 @@
         snapshots: SharedSnapshot,
         journal: Arc<Journal>,
         metrics: Arc<Metrics>,
+        inbox: Arc<Inbox>,
     ) -> Self {
         let now = clock.now();
         Self {
@@ -89,12 +78,15 @@
             snapshots,
             journal,
             metrics,
+            inbox,
             state: Mutex::new(State {
                 instance: None,
                 queue: AdmissionQueue::open(1),
                 waiting: HashMap::new(),
                 health: Health::open(now),
                 profiler: Profiler::default(),
+                notices: Notices::default(),
+                run_seconds: None,
             }),
             crashes: Mutex::new(Crashes::open(vm)),
         }
@@ -122,20 +114,6 @@
         state.queue.running() + state.queue.queued()
     }
 
-    /// Returns the load of the backend server.
-    pub fn load(&self) -> BackendLoad {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let (slowness, failing) = state.health.read(now);
-        BackendLoad {
-            running: state.queue.running() as u32,
-            queued: state.queue.queued() as u32,
-            slots: state.queue.slots() as u32,
-            slowness,
-            failing,
-        }
-    }
-
     /// Records a status report of the backend server. Returns its state, or `None` if the report is
     /// outdated.
     pub fn record_status(&self, report: &StatusReport) -> Option<BackendState> {
@@ -146,28 +124,23 @@
         {
             return None;
         }
-        let same = state
-            .instance
-            .as_ref()
-            .filter(|known| known.instance == report.instance && known.address == report.address)
-            .filter(|known| known.started_ms == report.started_ms || known.started_ms == 0);
-        let (server, notices) = match same {
-            Some(instance) => (Arc::clone(&instance.server), instance.notices.clone()),
-            None => {
-                let previous_status = state.instance.as_ref().map(|instance| instance.status);
-                if previous_status == Some(Status::Serving) {
-                    self.crashes().record_exit();
-                }
-                state.health = Health::open(now);
-                tracing::info!(
-                    backend = %report.instance,
-                    service = %report.service,
-                    slots = report.slots,
-                    "runner: A backend server instance has started."
-                );
-                let life = (report.instance.clone(), report.started_ms);
-                (self.backends.open(report.address), Notices::open(life))
-            }
+        let life = (report.instance.clone(), report.started_ms);
+        let known = state.instance.as_ref();
+        if known.is_none_or(|known| known.life() != life) {
+            state.notices.begin_life(life, now);
+        }
+        let known = state.instance.as_ref();
+        let server = match known.filter(|known| known.is_same_life(report)) {
+            Some(known) => Arc::clone(&known.server),
+            None => self.open_instance(&mut state, report, now),
+        };
+        if report.status >= Status::Draining {
+            state.notices.mark_leaving(now);
+        }
+        let status = if state.notices.is_leaving() {
+            report.status.max(Status::Draining)
+        } else {
+            report.status
         };
         let state = &mut *state;
         let released = state.queue.resize(report.slots as usize);
@@ -177,26 +150,48 @@
             instance: report.instance.clone(),
             service: report.service.clone(),
             address: report.address,
-            status: report.status,
+            status,
             started_ms: report.started_ms,
             sequence: report.sequence,
             last_heard: now,
-            notices,
         });
         Some(BackendState {
             service: report.service.clone(),
             slots: report.slots,
-            status: report.status,
+            status,
         })
     }
 
+    /// Begins a new life of the backend server. Returns its client.
+    fn open_instance(
+        &self,
+        state: &mut State,
+        report: &StatusReport,
+        now: Instant,
+    ) -> Arc<dyn BackendInstance> {
+        let previous_status = state.instance.as_ref().map(|instance| instance.status);
+        if previous_status == Some(Status::Serving) {
+            self.crashes().record_exit();
+        }
+        state.health = Health::open(now);
+        tracing::info!(
+            backend = %report.instance,
+            service = %report.service,
+            slots = report.slots,
+            "runner: A backend server instance has started."
+        );
+        self.backends.open(report.address)
+    }
+
     /// Records that an instance of the backend server has ended or is about to. Returns whether it
     /// is the current instance.
     pub fn mark_leaving(&self, instance: &InstanceId) -> bool {
+        let now = self.clock.now();
         let mut state = self.lock();
         match &mut state.instance {
             Some(current) if current.instance == *instance => {
                 current.status = Status::Gone;
+                state.notices.mark_leaving(now);
                 true
             }
             _ => false,
@@ -236,26 +231,29 @@
         let began = self.clock.now();
         let verdict = self.verdict(attempt, began).await;
         if let Err(failure) = &verdict {
-            let (running, queued) = {
+            let (running, queued, limit) = {
                 let state = self.lock();
-                (state.queue.running(), state.queue.queued())
+                let queue = &state.queue;
+                (queue.running(), queue.queued(), state.notices.limit())
             };
             let took = self.clock.now().saturating_duration_since(began);
             let outcome = failure.to_string();
             let took_ms = took.as_millis() as u64;
             self.journal
-                .run_failed(&attempt.request, &outcome, running, queued, took_ms);
+                .run_failed(&attempt.request, &outcome, running, queued, limit, took_ms);
         }
         verdict
     }
 
     async fn verdict(&self, attempt: &Attempt, began: Instant) -> Verdict {
         self.instance_for(attempt)?;
-        let slot = self.admit(attempt, began).await?;
+        let mut slot = self.admit(attempt, began).await?;
+        self.pace(attempt).await?;
         // The instance may have left while the call waited.
         let instance = self.instance_for(attempt)?;
         let permit = RunPermit::obtain(&self.crashes, attempt, self.clock.as_ref())?;
         let started = self.clock.now();
+        slot.start();
         self.metrics.sent.inc();
         let reply = instance.server.run(attempt, &instance.instance).await;
         if let Some(notice) = reply.notice {
@@ -275,18 +273,6 @@
         }
     }
 
-    /// Records what a response of the backend server states about it, unless it has restarted since.
-    fn record_notice(&self, life: &Life, notice: ResponseNotice) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let Some(instance) = state.instance.as_mut().filter(|one| one.life() == *life) else {
-            return;
-        };
-        instance.notices.record(notice, now);
-        let limit = instance.notices.limit();
-        self.metrics.backend_limit.set(limit.unwrap_or_default());
-    }
-
     /// Returns the current instance if it serves the call's service, else the refusal.
     fn instance_for(&self, attempt: &Attempt) -> Result<Instance, Failure> {
         let state = self.lock();
@@ -326,7 +312,7 @@
         let (ticket, released) = {
             let mut state = self.lock();
             match state.queue.offer(queue_request) {
-                QueueOutcome::Run => return Ok(self.slot(state, attempt)),
+                QueueOutcome::Run => return Ok(self.slot(&state, attempt)),
                 QueueOutcome::Full => return Err(RefusalKind::Overloaded.into()),
                 QueueOutcome::Wait(ticket) => {
                     let (sender, receiver) = async_channel::bounded(1);
@@ -349,7 +335,7 @@
             };
             if release.or(tick).await {
                 waiting.done = true;
-                return Ok(self.slot(self.lock(), attempt));
+                return Ok(self.slot(&self.lock(), attempt));
             }
             let now = self.clock.now();
             if now >= queue_request.expires {
@@ -363,14 +349,9 @@
         }
     }
 
-    fn slot(&self, mut state: MutexGuard<'_, State>, attempt: &Attempt) -> Slot<'_> {
-        state.profiler.begin_run(&attempt.route, self.clock.now());
-        self.set_gauges(&state);
-        Slot {
-            runner: self,
-            route: attempt.route.clone(),
-            ended: false,
-        }
+    fn slot(&self, state: &State, attempt: &Attempt) -> Slot<'_> {
+        self.set_gauges(state);
+        Slot::open(self, attempt.route.clone())
     }
 
     fn set_gauges(&self, state: &State) {
@@ -387,23 +368,6 @@
     }
 }
 
-impl Instance {
-    fn life(&self) -> Life {
-        (self.instance.clone(), self.started_ms)
-    }
-
-    /// Returns whether a report is older than this state.
-    fn is_newer_than(&self, report: &StatusReport) -> bool {
-        if report.started_ms != self.started_ms && self.started_ms != 0 && report.started_ms != 0 {
-            return report.started_ms < self.started_ms;
-        }
-        if report.instance != self.instance {
-            return false;
-        }
-        report.sequence <= self.sequence || self.status > report.status
-    }
-}
-
 impl State {
     fn release(&mut self, tickets: Vec<QueueTicket>) {
         for ticket in tickets {
@@ -419,95 +383,3 @@
         }
     }
 }
-
-/// A nested call of the backend server, in flight until it is dropped.
-pub(crate) struct NestedCall<'a> {
-    runner: &'a Runner,
-    pending_call: Option<PendingCall>,
-}
-
-impl Drop for NestedCall<'_> {
-    fn drop(&mut self) {
-        if let Some(pending_call) = self.pending_call.take() {
-            let now = self.runner.clock.now();
-            self.runner.lock().profiler.end_call(pending_call, now);
-        }
-    }
-}
-
-/// A waiting call. If dropped before it runs, it leaves the queue.
-struct Waiting<'a> {
-    runner: &'a Runner,
-    ticket: QueueTicket,
-    released: Receiver<()>,
-    done: bool,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        if self.done {
-            return;
-        }
-        let mut state = self.runner.lock();
-        state.queue.cancel(self.ticket);
-        state.waiting.remove(&self.ticket);
-        if self.released.try_recv().is_ok() {
-            // The call was released from the queue just before it was dropped.
-            let released = state.queue.finish();
-            state.release(released);
-        }
-    }
-}
-
-/// A slot that is occupied by a running call. Dropping it releases the slot.
-struct Slot<'a> {
-    runner: &'a Runner,
-    route: RouteId,
-    ended: bool,
-}
-
-impl Slot<'_> {
-    /// Ends the run and records its result.
-    fn finish(
-        mut self,
-        result: &Result<filbertwheel_core::Answer, BackendError>,
-        elapsed: Duration,
-    ) {
-        let now = self.runner.clock.now();
-        let mean = self
-            .runner
-            .snapshots
-            .load()
-            .elapsed
-            .get(&self.route)
-            .copied();
-        let mut state = self.runner.lock();
-        match result {
-            Ok(answer) if answer.status < 500 => {
-                let ratio = mean.map_or(1.0, |mean| elapsed.as_secs_f64() / mean.max(0.001));
-                state.health.record_success(ratio, now);
-            }
-            Ok(_) | Err(_) => state.health.record_failure(now),
-        }
-        drop(state);
-        self.end(result.is_ok().then_some(elapsed));
-    }
-
-    fn end(&mut self, elapsed: Option<Duration>) {
-        self.ended = true;
-        let mut state = self.runner.lock();
-        let now = self.runner.clock.now();
-        state.profiler.end_run(&self.route, elapsed, now);
-        let released = state.queue.finish();
-        state.release(released);
-        self.runner.set_gauges(&state);
-    }
-}
-
-impl Drop for Slot<'_> {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.end(None);
-        }
-    }
-}
--- a/crates/peer/src/link/accept.rs
+++ b/crates/peer/src/link/accept.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use filbertwheel_core::{Attempt, Clock, FleetSecret, Refusal, RefusalKind, Version, VmId};
+use filbertwheel_core::{
+    Attempt, Clock, FleetSecret, InstanceNotice, Refusal, RefusalKind, Version, VmId,
+};
 use filbertwheel_http::{ShutdownSignal, configure_socket};
 use filbertwheel_runtime::{TcpListener, TcpStream};
 use futures_lite::FutureExt as _;
@@ -137,8 +139,8 @@
         loop {
             loop {
                 match Frame::decode(&mut buffer) {
-                    Ok(Some(frame)) => {
-                        if !self.handle_frame(frame, &mut sender) {
+                    Ok(Some((frame, notice))) => {
+                        if !self.handle_frame(frame, notice, &mut sender) {
                             return;
                         }
                     }
@@ -161,7 +163,12 @@
     }
 
     /// Handles a frame. Returns whether to keep the link open.
-    fn handle_frame(&self, frame: Frame, sender: &mut Option<VmId>) -> bool {
+    fn handle_frame(
+        &self,
+        frame: Frame,
+        notice: Option<InstanceNotice>,
+        sender: &mut Option<VmId>,
+    ) -> bool {
         let handler = &self.endpoint.handler;
         if let Frame::Hello { member, signature } = frame {
             let wall = self.endpoint.clock.wall();
@@ -170,8 +177,11 @@
                 return false;
             }
             *sender = Some(member.vm.clone());
+            if let Some(notice) = notice {
+                handler.learn_notice(notice);
+            }
             handler.handle_event(LinkEvent::Connected(member));
-            return self.push(&Frame::Welcome {
+            return self.push_with_notice(&Frame::Welcome {
                 member: handler.local_member(),
             });
         }
@@ -196,7 +206,7 @@
                 let version = report.version;
                 handler.handle_event(LinkEvent::Report(report));
                 self.request_rules(version);
-                self.push(&Frame::ReportAck {
+                self.push_with_notice(&Frame::ReportAck {
                     load: handler.load(),
                     version: handler.rules_version(),
                 })
@@ -252,7 +262,8 @@
             let verdict = handler.run(attempt).await;
             let (head, body) = VerdictHead::from_verdict(verdict);
             // If the link is down by now, the verdict is dropped.
-            let _down = outbox.push(&Frame::Verdict(id, head, handler.load(), body));
+            let frame = Frame::Verdict(id, head, handler.load(), body);
+            let _down = outbox.push_with(&frame, handler.notice());
             if let Some((task, _)) = running.borrow_mut().remove(&id) {
                 task.detach();
             }
@@ -271,6 +282,12 @@
         ));
     }
 
+    /// Sends a frame with what the local backend server states about itself.
+    fn push_with_notice(&self, frame: &Frame) -> bool {
+        let notice = self.endpoint.handler.notice();
+        self.outbox.push_with(frame, notice).is_some()
+    }
+
     fn push(&self, frame: &Frame) -> bool {
         self.outbox.push(frame).is_some()
     }
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -10,7 +10,7 @@
 use async_channel::Sender;
 use bytes::BytesMut;
 use filbertwheel_core::{
-    Attempt, Clock, Fence, FleetSecret, OrganisationId, Verdict, Version, VmId,
+    Attempt, Clock, Fence, FleetSecret, InstanceNotice, OrganisationId, Verdict, Version, VmId,
 };
 use filbertwheel_http::{configure_socket, reset_on_close};
 use filbertwheel_policy::{BackendLoad, CrashReport, PortionRequest};
@@ -59,6 +59,9 @@
 struct State {
     load: BackendLoad,
     last_failure: Option<Instant>,
+    /// What the other node's backend server has stated about itself, and when this node learned it.
+    /// It outlasts the connection: after a restart the other node learns it from here.
+    notice: Option<(InstanceNotice, Instant)>,
     /// Time of the first hello or report since the last incoming bytes.
     awaiting_since: Option<Instant>,
 }
@@ -242,6 +245,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns what the other node's backend server has stated about itself, with its present age.
+    fn known_notice(&self) -> Option<InstanceNotice> {
+        let (notice, received) = self.state().notice.clone()?;
+        let elapsed = self.clock.now().saturating_duration_since(received);
+        let age = notice.age.saturating_add(elapsed);
+        Some(InstanceNotice { age, ..notice })
+    }
+
     /// Completes the pending calls of a lost link with an error and closes the outbox.
     fn fail_pending(&self) {
         self.up.store(false, Ordering::Relaxed);
@@ -324,10 +335,11 @@
         inner.outbox.reset();
         let local_member = self.handler.local_member();
         let signature = sign_vm(&self.secret, &local_member.vm, inner.clock.wall());
-        inner.outbox.push(&Frame::Hello {
+        let hello = Frame::Hello {
             member: local_member,
             signature,
-        });
+        };
+        inner.outbox.push_with(&hello, inner.known_notice());
         inner.state().awaiting_since = Some(inner.clock.now());
         let writer = stream.clone();
         let write = async {
@@ -361,7 +373,7 @@
         loop {
             loop {
                 match Frame::decode(&mut buffer) {
-                    Ok(Some(frame)) => self.handle_frame(frame),
+                    Ok(Some((frame, notice))) => self.handle_frame(frame, notice),
                     Ok(None) => break,
                     Err(error) => {
                         tracing::warn!(
@@ -379,8 +391,11 @@
         }
     }
 
-    fn handle_frame(&self, frame: Frame) {
+    fn handle_frame(&self, frame: Frame, notice: Option<InstanceNotice>) {
         let inner = &self.link.0;
+        if let Some(notice) = notice {
+            inner.state().notice = Some((notice, inner.clock.now()));
+        }
         match frame {
             Frame::Welcome { member } => {
                 if member.vm != inner.vm {
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -1,16 +1,17 @@
 //! Frames of a link between two nodes, and their encoding.
 //!
-//! A frame on the wire consists of its length (four bytes, big-endian) and the message in postcard
-//! encoding.
+//! A frame on the wire consists of its length (four bytes, big-endian), the message in postcard
+//! encoding and, optionally, a notice about a backend server in the same encoding. Nodes of earlier
+//! versions ignore what follows the message.
 
 use std::time::{Duration, Instant};
 
 use bytes::{Buf as _, BufMut as _, Bytes, BytesMut};
 use derive_more::{Display, Error};
 use filbertwheel_core::{
-    Answer, Attempt, Failure, Fence, Header, Member, Method, OrganisationId, Priority, Refusal,
-    RefusalKind, RequestId, RouteId, ServiceId, Text, UnknownReason, Verdict, Version, message,
-    value,
+    Answer, Attempt, Failure, Fence, Header, InstanceNotice, Member, Method, OrganisationId,
+    Priority, Refusal, RefusalKind, RequestId, RouteId, ServiceId, Text, UnknownReason, Verdict,
+    Version, message, value,
 };
 use filbertwheel_policy::{
     BackendLoad, CrashReport, PortionGrant, PortionRequest, RouteDemand, RouteProfile,
@@ -122,21 +123,37 @@
 }
 
 impl Frame {
-    /// Encodes the frame and appends it to a buffer.
-    pub fn append(&self, buffer: &mut BytesMut) {
+    /// Encodes the frame with a notice and appends it to a buffer. A frame that can't be encoded is
+    /// left out.
+    pub fn append(&self, notice: Option<&InstanceNotice>, buffer: &mut BytesMut) {
         let start = buffer.len();
         buffer.put_u32(0);
-        match postcard::to_extend(self, BufferWriter(buffer)) {
-            Ok(BufferWriter(buffer)) => {
-                let length = (buffer.len() - start - LENGTH_BYTES) as u32;
-                buffer[start..start + LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
-            }
-            Err(error) => tracing::error!("peer: Cannot encode a frame: {error}."),
+        if let Err(error) = self.append_message(notice, buffer) {
+            tracing::error!("peer: Cannot encode a frame: {error}.");
+            buffer.truncate(start);
+            return;
         }
+        let length = (buffer.len() - start - LENGTH_BYTES) as u32;
+        buffer[start..start + LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
     }
 
-    /// Decodes the next frame and removes it from the buffer. Returns `None` if it is incomplete.
-    pub fn decode(buffer: &mut BytesMut) -> Result<Option<Self>, FrameError> {
+    fn append_message(
+        &self,
+        notice: Option<&InstanceNotice>,
+        buffer: &mut BytesMut,
+    ) -> postcard::Result<()> {
+        postcard::to_extend(self, BufferWriter(buffer))?;
+        if let Some(notice) = notice {
+            postcard::to_extend(notice, BufferWriter(buffer))?;
+        }
+        Ok(())
+    }
+
+    /// Decodes the next frame with its notice and removes it from the buffer. Returns `None` if it is
+    /// incomplete.
+    pub fn decode(
+        buffer: &mut BytesMut,
+    ) -> Result<Option<(Self, Option<InstanceNotice>)>, FrameError> {
         let Some(length) = buffer.get(..LENGTH_BYTES) else {
             return Ok(None);
         };
@@ -151,8 +168,13 @@
         }
         buffer.advance(LENGTH_BYTES);
         let bytes = buffer.split_to(length);
-        let decoded = postcard::from_bytes(&bytes);
-        decoded.map(Some).map_err(|_| FrameError::Malformed)
+        let decoded = postcard::take_from_bytes(&bytes);
+        let (frame, rest) = decoded.map_err(|_| FrameError::Malformed)?;
+        if rest.is_empty() {
+            return Ok(Some((frame, None)));
+        }
+        let notice = postcard::from_bytes(rest).map_err(|_| FrameError::Malformed)?;
+        Ok(Some((frame, Some(notice))))
     }
 }
 
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -15,7 +15,8 @@
 
 use bytes::{Bytes, BytesMut};
 use filbertwheel_core::{
-    Attempt, Fence, FleetSecret, Member, OrganisationId, Text, Verdict, Version, VmId,
+    Attempt, Fence, FleetSecret, InstanceNotice, Member, OrganisationId, Text, Verdict, Version,
+    VmId,
 };
 use filbertwheel_http::LocalFuture;
 use filbertwheel_policy::{BackendLoad, CrashReport, PortionGrant, PortionRequest};
@@ -30,6 +31,12 @@
     /// Returns the load of this node's backend server.
     fn load(&self) -> BackendLoad;
 
+    /// Returns what this node's backend server has stated about itself, if anything.
+    fn notice(&self) -> Option<InstanceNotice>;
+
+    /// Applies what another node knew of this node's backend server before the link was opened.
+    fn learn_notice(&self, notice: InstanceNotice);
+
     /// Returns the version of the rules in force at this node.
     fn rules_version(&self) -> Version;
 
--- a/crates/peer/src/link/outbox.rs
+++ b/crates/peer/src/link/outbox.rs
@@ -5,6 +5,7 @@
 
 use async_channel::{Receiver, Sender};
 use bytes::BytesMut;
+use filbertwheel_core::InstanceNotice;
 use filbertwheel_runtime::TcpStream;
 use futures_lite::AsyncWriteExt as _;
 
@@ -61,13 +62,19 @@
 
     /// Appends a frame. Returns its offset, or `None` if the link is down or the queue is full.
     pub fn push(&self, frame: &Frame) -> Option<Offset> {
+        self.push_with(frame, None)
+    }
+
+    /// Appends a frame with a notice. Returns its offset, or `None` if the link is down or the queue
+    /// is full.
+    pub fn push_with(&self, frame: &Frame, notice: Option<InstanceNotice>) -> Option<Offset> {
         let mut state = self.lock();
         if !state.open || state.queued.len() > MAX_QUEUED_BYTES {
             return None;
         }
         let offset = state.appended;
         let before = state.queued.len();
-        frame.append(&mut state.queued);
+        frame.append(notice.as_ref(), &mut state.queued);
         state.appended += (state.queued.len() - before) as u64;
         drop(state);
         // If the channel is full, the writer has been woken already.
--- /dev/null
+++ b/crates/policy/src/pacer.rs
@@ -0,0 +1,95 @@
+//! Paces the calls to a backend server that states how many requests per second it accepts.
+//!
+//! The generic cell rate algorithm: each call reserves the next send time, and a call whose send
+//! time would be too late is turned away. Only the node beside a backend server sends to it, so the
+//! limit holds over the whole fleet.
+
+use std::time::{Duration, Instant};
+
+use filbertwheel_core::RequestRate;
+
+/// Unused time that may be caught up on at once.
+const BURST_TOLERANCE: Duration = Duration::from_millis(250);
+/// Lowest rate that is paced, in requests per second. A backend server that accepts fewer, or none,
+/// still gets this many, because only a response shows that the limit has ended.
+const MIN_RATE: RequestRate = 0.5;
+/// Ratio of a new limit to the one before below which calls that wait must reserve again.
+const FALL_RATIO: f64 = 0.9;
+
+/// Send times of the calls to one backend server.
+#[derive(Debug, Clone)]
+pub struct Pacer {
+    rate: RequestRate,
+    /// When the next call would be due if all calls were spaced evenly. It may be sent earlier by
+    /// the burst tolerance.
+    due: Instant,
+    /// Number of times that the limit has fallen.
+    falls: u64,
+}
+
+/// Reserved send time of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendReservation {
+    /// Time until the call may be sent.
+    pub wait: Duration,
+    falls: u64,
+}
+
+impl Pacer {
+    /// Creates the pacer of a limit that has just become known.
+    pub fn open(limit: RequestRate, now: Instant) -> Self {
+        Self {
+            rate: limit.max(MIN_RATE),
+            due: now + BURST_TOLERANCE,
+            falls: 0,
+        }
+    }
+
+    /// Returns the paced rate, in requests per second.
+    pub fn rate(&self) -> RequestRate {
+        self.rate
+    }
+
+    /// Changes the limit. What was reserved before counts towards the new one.
+    pub fn set_limit(&mut self, limit: RequestRate, now: Instant) {
+        let rate = limit.max(MIN_RATE);
+        if rate < self.rate * FALL_RATIO {
+            self.falls += 1;
+        }
+        let wait = self.wait(now);
+        if !wait.is_zero() {
+            self.due = now + BURST_TOLERANCE + wait.mul_f64(self.rate / rate);
+        }
+        self.rate = rate;
+    }
+
+    /// Reserves the send time of a call, or returns the time until one within `max_wait` can be
+    /// reserved.
+    pub fn reserve(
+        &mut self,
+        max_wait: Duration,
+        now: Instant,
+    ) -> Result<SendReservation, Duration> {
+        let wait = self.wait(now);
+        if wait > max_wait {
+            return Err(wait - max_wait);
+        }
+        self.due = self.due.max(now) + Duration::from_secs_f64(self.rate.recip());
+        Ok(SendReservation {
+            wait,
+            falls: self.falls,
+        })
+    }
+
+    /// Returns whether a reservation is still valid. After the limit has fallen, a waiting call must
+    /// reserve again.
+    pub fn is_valid(&self, reservation: &SendReservation) -> bool {
+        reservation.falls == self.falls
+    }
+
+    /// Returns how long a call would wait.
+    pub fn wait(&self, now: Instant) -> Duration {
+        let earliest = self.due - BURST_TOLERANCE;
+        earliest.saturating_duration_since(now)
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/pacer.rs
@@ -0,0 +1,95 @@
+//! Calls to a backend server that states a limit, paced under random arrivals and limits.
+
+use std::time::{Duration, Instant};
+
+use filbertwheel_policy::Pacer;
+use proptest::prelude::*;
+
+/// Window in which sent calls are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Maximum wait of the calls.
+const MAX_WAIT: Duration = Duration::from_millis(500);
+
+/// Returns the largest number of sent calls in any window.
+fn most_sent(mut sent: Vec<Instant>) -> usize {
+    sent.sort();
+    let within = |(index, first): (usize, &Instant)| {
+        let later = sent[index..].iter();
+        later.take_while(|at| **at - *first <= WINDOW).count()
+    };
+    sent.iter()
+        .enumerate()
+        .map(within)
+        .max()
+        .unwrap_or_default()
+}
+
+proptest! {
+    // Guards against bursts, after idle time or at a fall of the limit, that together exceed what
+    // the backend server accepts.
+    #[test]
+    fn no_window_exceeds_the_limit(
+        limits in proptest::collection::vec(0.0..200.0_f64, 1..4),
+        gaps in proptest::collection::vec(0_u64..40, 2_000),
+    ) {
+        let start = Instant::now();
+        let mut now = start;
+        let mut pacer = Pacer::open(limits[0], now);
+        let mut sent = Vec::new();
+        let part = gaps.len() / limits.len() + 1;
+        for (index, gap) in gaps.iter().enumerate() {
+            // Long pauses between dense arrivals.
+            now += Duration::from_millis(if index % 500 == 499 { 3_000 } else { *gap });
+            if index % part == part - 1 {
+                pacer.set_limit(limits[index / part], now);
+            }
+            if let Ok(reservation) = pacer.reserve(MAX_WAIT, now) {
+                sent.push(now + reservation.wait);
+            }
+        }
+        let highest = limits.iter().copied().fold(0.0, f64::max);
+        let allowed = (1.5 * highest * WINDOW.as_secs_f64() + 5.0) as usize;
+        let most = most_sent(sent);
+        prop_assert!(most <= allowed, "{most} sent, {allowed} allowed at {limits:?}");
+    }
+}
+
+// Guards against a limit that is lowered while calls wait, which would be sent at the old pace.
+#[test]
+fn waiting_calls_reserve_again_after_a_fall() {
+    let now = Instant::now();
+    let mut pacer = Pacer::open(100.0, now);
+    let waiting: Vec<_> = std::iter::from_fn(|| pacer.reserve(MAX_WAIT, now).ok()).collect();
+    assert!(waiting.len() >= 49, "{} reserved", waiting.len());
+    pacer.set_limit(99.0, now);
+    assert!(waiting.iter().all(|one| pacer.is_valid(one)));
+    pacer.set_limit(10.0, now);
+    assert!(waiting.iter().all(|one| !pacer.is_valid(one)));
+    assert!(pacer.reserve(MAX_WAIT, now).is_err(), "the backlog is kept");
+}
+
+// Guards against a limit of 0 whose end no response can show.
+#[test]
+fn a_limit_of_zero_lets_single_calls_through() {
+    let start = Instant::now();
+    let mut pacer = Pacer::open(0.0, start);
+    let steps = (0..8_000).map(|millis| start + Duration::from_millis(millis));
+    let sent = steps.filter(|now| pacer.reserve(Duration::ZERO, *now).is_ok());
+    let sent: Vec<Instant> = sent.collect();
+    assert!((3..=6).contains(&sent.len()), "{} sent in 8 s", sent.len());
+    assert!(most_sent(sent) <= 5);
+}
+
+// Guards against needless refusals: all that the backend server accepts is used.
+#[test]
+fn the_whole_limit_is_used_under_steady_demand() {
+    let start = Instant::now();
+    let mut pacer = Pacer::open(50.0, start);
+    let steps = (0..10_000).map(|millis| start + Duration::from_millis(millis));
+    let sent = steps.filter(|now| pacer.reserve(MAX_WAIT, *now).is_ok());
+    let sent = sent.count();
+    assert!(
+        (490..=530).contains(&sent),
+        "{sent} sent in 10 s at 50 a second"
+    );
+}
