Bound what a server in trouble may send, and give other requests their turn

A server that sends interim responses, or responses to other requests, without end kept a task busy past its deadline (25 s at a deadline of 20 s in the test): its bytes were always there, so the thread's other requests and the timer had no turn. Cause: no bound on skipped responses, no turn for others while bytes are ready, no bound over all bodies. The outcome stays unknown, the connection is closed.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -11,6 +11,7 @@
 use filbertwheel_runtime::TcpStream;
 use futures_lite::{AsyncWriteExt as _, FutureExt as _};
 
+use crate::budget::{BodyLimit, ReceiveBudget};
 use crate::connection::Connection;
 use crate::head::{
     Framing, closes_connection, framing, is_connection_header, parse_response, push_header,
@@ -22,8 +23,12 @@
 
 /// Number of progress intervals without a byte after which a connection counts as stalled.
 const STALL_INTERVALS: u32 = 4;
+/// Interim status of a server that waits for the body.
+const CONTINUE: u16 = 100;
 /// Interim status of a request that is still being processed.
 const PROCESSING: u16 = 102;
+/// Maximum number of `100 Continue` responses, and responses to other requests, before the response.
+const MAX_SKIPPED_RESPONSES: usize = 16;
 /// Share of the idle timeout announced by the server for which a connection is reused, in tenths.
 /// The margin avoids sending a request while the server closes the connection.
 const ANNOUNCED_IDLE_TENTHS: u32 = 7;
@@ -100,6 +105,7 @@
     limits: Limits,
     clock: Arc<dyn Clock>,
     idle: Mutex<Vec<IdleConnection>>,
+    receiving: ReceiveBudget,
 }
 
 #[derive(Debug)]
@@ -125,6 +131,7 @@
             limits,
             clock,
             idle: Mutex::default(),
+            receiving: ReceiveBudget::default(),
         }
     }
 
@@ -314,7 +321,8 @@
         echo: &Option<(&'static str, Text)>,
     ) -> Result<Option<ReceivedResponse>, MessageError> {
         let (mut discarded, mut interim) = (false, false);
-        loop {
+        let mut skipped = 0;
+        while skipped < MAX_SKIPPED_RESPONSES {
             let Some(head) = connection.read_head(self.limits.head_bytes).await? else {
                 return if interim {
                     Err(MessageError::Truncated)
@@ -326,7 +334,8 @@
             if head.line < 200 {
                 let is_progress =
                     head.line == PROCESSING && self.limits.progress_interval.is_some();
-                if is_progress || head.line == 100 {
+                if is_progress || head.line == CONTINUE {
+                    skipped += usize::from(!is_progress);
                     interim = true;
                     continue;
                 }
@@ -354,6 +363,7 @@
             if mismatched {
                 tracing::warn!("http: Discarded a response that belongs to another request.");
                 discarded = true;
+                skipped += 1;
                 continue;
             }
             let mut response = response;
@@ -366,6 +376,7 @@
                 limit,
             }));
         }
+        Err(MessageError::Malformed)
     }
 
     async fn read_body(
@@ -374,12 +385,14 @@
         framing: Framing,
         bodiless: bool,
     ) -> Result<bytes::Bytes, MessageError> {
+        let limit = BodyLimit::open(self.limits.body_bytes)
+            .with_budget(&self.receiving, self.limits.total_bytes);
         match framing {
             _ if bodiless => Ok(bytes::Bytes::new()),
-            Framing::Length(len) if len > self.limits.body_bytes => Err(MessageError::BodyTooLarge),
-            Framing::Length(len) => connection.read_body(len).await,
-            Framing::Chunked => connection.read_chunked(self.limits.body_bytes).await,
-            Framing::UntilClose => connection.read_to_end(self.limits.body_bytes).await,
+            Framing::Length(len) if !limit.allows(len) => Err(MessageError::BodyTooLarge),
+            Framing::Length(len) => connection.read_body(len, limit).await,
+            Framing::Chunked => connection.read_chunked(limit).await,
+            Framing::UntilClose => connection.read_to_end(limit).await,
         }
     }
 
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -7,12 +7,15 @@
 use bytes::{Bytes, BytesMut};
 use filbertwheel_core::Clock;
 use filbertwheel_runtime::TcpStream;
-use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _, future};
 
 use crate::MessageError;
+use crate::budget::BodyLimit;
 
 /// Maximum number of bytes per read.
 const READ_SIZE: usize = 8 * 1024;
+/// Bytes that one connection may read before other tasks have a turn.
+const TURN_BYTES: usize = 128 * 1024;
 /// Maximum length of a line between chunks, in bytes.
 const MAX_CHUNK_LINE: usize = 1_024;
 /// Maximum size of the trailer after the last chunk, in bytes.
@@ -25,6 +28,8 @@
     buffered: BytesMut,
     progress: Option<Progress>,
     stalled: bool,
+    /// Bytes read since other tasks of the thread last had a turn.
+    read_in_turn: usize,
 }
 
 /// Time limit for a read or write that makes no progress.
@@ -44,6 +49,7 @@
             buffered: BytesMut::new(),
             progress: None,
             stalled: false,
+            read_in_turn: 0,
         })
     }
 
@@ -95,7 +101,19 @@
         guard.filled += read.as_ref().map_or(0, |count| *count);
         drop(guard);
         self.record_stall(&read);
-        Ok(read? > 0)
+        let count = read?;
+        self.give_turn(count).await;
+        Ok(count > 0)
+    }
+
+    /// Gives the other tasks of the thread a turn, since a stream whose next bytes are always there
+    /// never waits.
+    async fn give_turn(&mut self, count: usize) {
+        self.read_in_turn += count;
+        if self.read_in_turn >= TURN_BYTES {
+            self.read_in_turn = 0;
+            future::yield_now().await;
+        }
     }
 
     /// Writes a message.
@@ -134,8 +152,23 @@
     }
 
     /// Reads a body of a known length.
-    pub async fn read_body(&mut self, length: usize) -> Result<Bytes, MessageError> {
+    pub(crate) async fn read_body(
+        &mut self,
+        length: usize,
+        mut limit: BodyLimit<'_>,
+    ) -> Result<Bytes, MessageError> {
+        self.read_part(length, 0, &mut limit).await
+    }
+
+    /// Reads a part of a body after the `earlier` bytes of it.
+    async fn read_part(
+        &mut self,
+        length: usize,
+        earlier: usize,
+        limit: &mut BodyLimit<'_>,
+    ) -> Result<Bytes, MessageError> {
         while self.buffered.len() < length {
+            limit.grow(earlier + self.buffered.len())?;
             if !self.fill().await.map_err(|_| MessageError::Truncated)? {
                 return Err(MessageError::Truncated);
             }
@@ -144,27 +177,34 @@
     }
 
     /// Reads a body that ends when the peer closes the connection. A connection reset is an error.
-    pub async fn read_to_end(&mut self, limit: usize) -> Result<Bytes, MessageError> {
+    pub(crate) async fn read_to_end(
+        &mut self,
+        mut limit: BodyLimit<'_>,
+    ) -> Result<Bytes, MessageError> {
+        limit.grow(self.buffered.len())?;
         while self.fill().await.map_err(|_| MessageError::Truncated)? {
-            if self.buffered.len() > limit {
-                return Err(MessageError::BodyTooLarge);
-            }
+            limit.grow(self.buffered.len())?;
         }
         Ok(self.buffered.split().freeze())
     }
 
     /// Reads a chunked body with its trailer, and no bytes beyond it.
-    pub async fn read_chunked(&mut self, limit: usize) -> Result<Bytes, MessageError> {
+    pub(crate) async fn read_chunked(
+        &mut self,
+        mut limit: BodyLimit<'_>,
+    ) -> Result<Bytes, MessageError> {
         let mut body = BytesMut::new();
         loop {
             let size = chunk_size(&self.read_line(MAX_CHUNK_LINE).await?)?;
             if size == 0 {
                 break;
             }
-            if size > limit.saturating_sub(body.len()) {
+            if !limit.allows(body.len().saturating_add(size)) {
                 return Err(MessageError::BodyTooLarge);
             }
-            body.extend_from_slice(&self.read_body(size).await?);
+            let part = self.read_part(size, body.len(), &mut limit).await?;
+            limit.grow(body.len() + size)?;
+            body.extend_from_slice(&part);
             if !self.read_line(MAX_CHUNK_LINE).await?.is_empty() {
                 return Err(MessageError::Malformed);
             }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 //! here, because `async-h1` loses the bytes that follow a chunked body and accepts truncated bodies
 //! as complete.
 
+mod budget;
 mod client;
 mod connection;
 mod head;
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -9,6 +9,9 @@
     pub head_bytes: usize,
     /// Maximum size of a body in bytes.
     pub body_bytes: usize,
+    /// Maximum size, in bytes, of all large bodies that a client receives from one server at the same
+    /// time.
+    pub total_bytes: usize,
     /// Maximum idle time of a connection between messages.
     pub idle_timeout: Duration,
     /// Maximum time to receive a head after its first byte, and to send a response.
@@ -29,6 +32,7 @@
         Self {
             head_bytes: 8 * 1024,
             body_bytes: 8 * 1024 * 1024,
+            total_bytes: 32 * 1024 * 1024,
             idle_timeout: Duration::from_secs(60),
             head_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(10),
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -13,6 +13,7 @@
 use futures_lite::{AsyncWriteExt as _, FutureExt as _};
 use smol::LocalExecutor;
 
+use crate::budget::BodyLimit;
 use crate::connection::Connection;
 use crate::head::{
     Framing, closes_connection, framing, is_connection_header, parse_request, push_header,
@@ -263,14 +264,10 @@
             return Ok(None);
         }
         let timeout = timed_out(&self.clock, self.limits.body_timeout);
+        let limit = BodyLimit::open(self.limits.body_bytes);
         let body = match framing {
-            Framing::Length(length) => self.conn.read_body(length).or(timeout).await?,
-            Framing::Chunked => {
-                self.conn
-                    .read_chunked(self.limits.body_bytes)
-                    .or(timeout)
-                    .await?
-            }
+            Framing::Length(length) => self.conn.read_body(length, limit).or(timeout).await?,
+            Framing::Chunked => self.conn.read_chunked(limit).or(timeout).await?,
             Framing::UntilClose => Bytes::new(),
         };
         let keep_alive = !closes_connection(&head.headers);
