Cut off strangers that send no hello on a link

What callers saw: nothing. The port for other nodes took up to 72 MiB from anybody before the first frame was complete, and kept a connection that sent a byte now and then. Evidence: crates/peer/tests/accept.rs before: 70,909,956 bytes were taken; after: passed. Change: the first frame has 16 KiB and 6 s at most.

--- a/crates/peer/src/link/accept.rs
+++ b/crates/peer/src/link/accept.rs
@@ -18,12 +18,12 @@
 use smol::{LocalExecutor, Task};
 
 use super::fill_buffer;
-use super::frame::{CorrelationId, Frame, VerdictHead};
+use super::frame::{CorrelationId, Frame, MAX_FRAME_BYTES, MAX_HELLO_BYTES, VerdictHead};
 use super::is_valid_signature;
 use super::outbox::Outbox;
 use super::{LinkEvent, LinkHandler, ReplyHandle};
 
-/// Time without incoming bytes after which a link is closed.
+/// Time without incoming bytes, or without a complete hello, after which a link is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -136,9 +136,14 @@
     async fn read(&self, stream: &mut TcpStream) {
         let mut buffer = BytesMut::new();
         let mut sender = None;
+        let began = self.endpoint.clock.now();
         loop {
             loop {
-                match Frame::decode(&mut buffer) {
+                let limit = match sender {
+                    Some(_) => MAX_FRAME_BYTES,
+                    None => MAX_HELLO_BYTES,
+                };
+                match Frame::decode(&mut buffer, limit) {
                     Ok(Some((frame, notice))) => {
                         if !self.handle_frame(frame, notice, &mut sender) {
                             return;
@@ -151,9 +156,14 @@
                     }
                 }
             }
+            let clock = &self.endpoint.clock;
+            let timeout = match sender {
+                Some(_) => IDLE_TIMEOUT,
+                None => IDLE_TIMEOUT.saturating_sub(clock.now().saturating_duration_since(began)),
+            };
             let more = fill_buffer(stream, &mut buffer);
             let idle = async {
-                self.endpoint.clock.sleep(IDLE_TIMEOUT).await;
+                clock.sleep(timeout).await;
                 false
             };
             if !more.or(idle).await {
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -20,7 +20,10 @@
 /// Size of the length field, in bytes.
 const LENGTH_BYTES: usize = 4;
 /// Maximum size of a frame: the largest body that operators can allow, plus its head.
-const MAX_FRAME_BYTES: usize = 72 * 1024 * 1024;
+pub(crate) const MAX_FRAME_BYTES: usize = 72 * 1024 * 1024;
+
+/// Maximum size of the first frame, of a node that has not proved that it belongs to the fleet.
+pub(crate) const MAX_HELLO_BYTES: usize = 16 * 1024;
 
 /// Matches a reply to the call or claim on the same link.
 pub(crate) type CorrelationId = u64;
@@ -149,10 +152,11 @@
         Ok(())
     }
 
-    /// Decodes the next frame with its notice and removes it from the buffer. Returns `None` if it is
-    /// incomplete.
+    /// Decodes the next frame, of up to `limit` bytes, with its notice and removes it from the buffer.
+    /// Returns `None` if it is incomplete.
     pub fn decode(
         buffer: &mut BytesMut,
+        limit: usize,
     ) -> Result<Option<(Self, Option<InstanceNotice>)>, FrameError> {
         let Some(length) = buffer.get(..LENGTH_BYTES) else {
             return Ok(None);
@@ -160,7 +164,7 @@
         let length = length
             .iter()
             .fold(0, |sum, byte| sum << 8 | usize::from(*byte));
-        if length > MAX_FRAME_BYTES {
+        if length > limit {
             return Err(FrameError::TooLong { length });
         }
         if buffer.len() < LENGTH_BYTES + length {
--- /dev/null
+++ b/crates/peer/tests/accept.rs
@@ -0,0 +1,143 @@
+//! The listener for links against raw bytes.
+
+use std::io::Write as _;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use filbertwheel_core::{
+    Attempt, Clock, FleetSecret, InstanceNotice, Member, OrganisationId, Status, SystemClock, Text,
+    Verdict, Version,
+};
+use filbertwheel_http::{LocalFuture, ShutdownTrigger};
+use filbertwheel_peer::{LinkEndpoint, LinkEvent, LinkHandler};
+use filbertwheel_policy::BackendLoad;
+use smol::LocalExecutor;
+
+/// Time in which a link is cut off that sends no hello.
+const GIVE_UP_TIME: Duration = Duration::from_secs(10);
+/// What the sockets of a loopback connection may hold.
+const SOCKET_BYTES: usize = 16 * 1024 * 1024;
+
+fn clock() -> Arc<dyn Clock> {
+    Arc::new(SystemClock)
+}
+
+fn secret() -> FleetSecret {
+    FleetSecret::new(Text::from_static("a secret of the fleet"))
+}
+
+/// Node without a backend server.
+#[derive(Debug)]
+struct Idle;
+
+impl LinkHandler for Idle {
+    fn local_member(&self) -> Member {
+        Member {
+            vm: "vm1".into(),
+            incarnation: 1,
+            region: "lahore".into(),
+            domain: "domain1".into(),
+            service: None,
+            address: "127.0.0.1:1".parse().expect("an address"),
+            slots: 0,
+            status: Status::Joining,
+        }
+    }
+
+    fn load(&self) -> BackendLoad {
+        BackendLoad::default()
+    }
+
+    fn notice(&self) -> Option<InstanceNotice> {
+        None
+    }
+
+    fn learn_notice(&self, _notice: InstanceNotice) {}
+
+    fn rules_version(&self) -> Version {
+        0
+    }
+
+    fn wants_rules(&self, _version: Version) -> bool {
+        false
+    }
+
+    fn run(&self, _attempt: Attempt) -> LocalFuture<'_, Verdict> {
+        Box::pin(std::future::pending())
+    }
+
+    fn claim_tokens(&self, _organisation: &OrganisationId, _count: u32) -> (u32, u32) {
+        (0, 0)
+    }
+
+    fn rules(&self) -> Option<(Version, Bytes)> {
+        None
+    }
+
+    fn handle_event(&self, _event: LinkEvent) {}
+}
+
+/// Sends `begin` and then `block` until the other end closes. Returns the number of bytes.
+fn send_endlessly(mut stream: TcpStream, begin: &[u8], block: &[u8], pause: Duration) -> usize {
+    let mut sent = 0;
+    let mut next = begin;
+    while sent < 256 * 1024 * 1024 {
+        if stream.write_all(next).is_err() {
+            break;
+        }
+        sent += next.len();
+        next = block;
+        std::thread::sleep(pause);
+    }
+    sent
+}
+
+// Guards against a stranger that fills the memory of a node, or keeps a connection for ever, before
+// it has shown that it belongs to the fleet.
+#[test]
+fn bytes_without_end_before_the_hello_are_cut_off() {
+    let (stopper, stop) = ShutdownTrigger::open();
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let served = std::thread::spawn(move || {
+        let executor = Rc::new(LocalExecutor::new());
+        filbertwheel_runtime::block_on(executor.run(async {
+            let address = "127.0.0.1:0".parse().expect("an address");
+            let links = LinkEndpoint::bind(address, Arc::new(Idle), secret(), clock(), stop).await;
+            let links = links.expect("a port is free");
+            sender.send(links.address()).expect("the test waits");
+            links.run(Rc::clone(&executor)).await;
+        }));
+    });
+    let address = receiver.recv().expect("the endpoint runs");
+    let address = address.expect("the endpoint is bound");
+    let zeros = [0; 64 * 1024];
+    let ones = [0xff; 64 * 1024];
+    // 64 MiB, which a node of the fleet may send.
+    let large = [0x04, 0, 0, 0];
+    for (begin, block) in [
+        (&large[..], &zeros),
+        (&ones[..4], &ones),
+        (&[0, 0, 0, 9], &ones),
+    ] {
+        let stream = TcpStream::connect(address).expect("the endpoint accepts");
+        let sent = send_endlessly(stream, begin, block, Duration::ZERO);
+        assert!(
+            sent <= SOCKET_BYTES,
+            "{sent} bytes were taken after {begin:?}"
+        );
+    }
+    let began = Instant::now();
+    let stream = TcpStream::connect(address).expect("the endpoint accepts");
+    send_endlessly(
+        stream,
+        &[0, 0, 0x3f, 0xff],
+        &[0],
+        Duration::from_millis(100),
+    );
+    assert!(began.elapsed() < GIVE_UP_TIME, "{:?}", began.elapsed());
+    stopper.trigger();
+    served.join().expect("the endpoint ends");
+}
