Close a lost link's queue before its calls are completed

Seen by reading, not reproduced: a call that begins between the completion of the pending calls and the closing of the queue is registered for a reply that nobody sends. It would end at its deadline as one that may have run, though it was never sent. Change: the queue is closed first, under the same lock.

--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -17,7 +17,7 @@
 use filbertwheel_runtime::TcpStream;
 use futures_lite::FutureExt as _;
 
-use super::frame::{CallHead, CorrelationId, Frame, NodeReport};
+use super::frame::{CallHead, CorrelationId, Frame, MAX_FRAME_BYTES, NodeReport};
 use super::outbox::{Offset, Outbox};
 use super::{LinkEvent, LinkHandler, fill_buffer, sign_vm};
 use crate::ForwardError;
@@ -257,6 +257,8 @@
     fn fail_pending(&self) {
         self.up.store(false, Ordering::Relaxed);
         let mut pending = self.pending();
+        // A call that begins from now on must not be registered any more: nobody would complete it.
+        self.outbox.close();
         for (_, reply) in pending.drain() {
             if let PendingReply::Call(offset, sender) = reply {
                 let error = if self.outbox.may_have_been_sent(offset) {
@@ -269,7 +271,6 @@
             }
         }
         drop(pending);
-        self.outbox.close();
         let mut state = self.state();
         state.last_failure = Some(self.clock.now());
         state.awaiting_since = None;
@@ -372,7 +373,7 @@
         let mut buffer = BytesMut::new();
         loop {
             loop {
-                match Frame::decode(&mut buffer) {
+                match Frame::decode(&mut buffer, MAX_FRAME_BYTES) {
                     Ok(Some((frame, notice))) => self.handle_frame(frame, notice),
                     Ok(None) => break,
                     Err(error) => {
