Give rows of a query one order

What operators would see: a node that ends. A query sorted by a column whose cells are numbers and names such as 9, 10 and 1a has no consistent order; the sort panics (one unexpected message takes a whole process down). Evidence: crates/operator/tests/order.rs before: panicked, 'does not correctly implement a total order'. Change: numbers come first, by value, then the others bytewise. After: passed.

--- a/crates/operator/src/query.rs
+++ b/crates/operator/src/query.rs
@@ -158,11 +158,14 @@
     row.get(index?)
 }
 
-/// Compares two numbers by value, and other cells bytewise.
+/// Compares two numbers by value, and other cells bytewise. Numbers come first.
 fn compare_cells(left: Option<&Text>, right: Option<&Text>) -> Ordering {
     let number = |cell: Option<&Text>| cell?.as_str()?.parse::<f64>().ok();
-    match (number(left), number(right)) {
+    let by_value = match (number(left), number(right)) {
         (Some(left), Some(right)) => left.total_cmp(&right),
-        _ => left.cmp(&right),
-    }
+        (Some(_), None) => Ordering::Less,
+        (None, Some(_)) => Ordering::Greater,
+        (None, None) => Ordering::Equal,
+    };
+    by_value.then_with(|| left.cmp(&right))
 }
