Take an unreadable row of the store neither for an absent one nor for a free lease

What callers saw: nothing so far. A row whose value isn't base64 was read as absent. Change: the successor's token is above the row's revision, which no token exceeds, and above each that was heard; all other nodes count as grantees.

--- a/crates/engine/src/control/lease.rs
+++ b/crates/engine/src/control/lease.rs
@@ -98,17 +98,19 @@
 ) -> Result<Option<(AcquiredLease, Grantees)>, StoreError> {
     let read = store.list(LEASES_TABLE).await?;
     let row = read.value.iter().find(|row| row.key == RATES_KEY);
-    let known = row.and_then(decode);
-    if let Some((known, _)) = &known {
-        let end = Duration::from_millis(known.until_ms) + LEASE_MARGIN;
-        // An earlier process on this VM must have ended, since this one is running.
-        let own = known.holder == control.borrow().local_member.vm;
-        if read.store_time < end && !own {
-            return Ok(None);
+    let (fence, grantees) = match row.map(|row| (row, decode(row))) {
+        None => (1, Grantees::default()),
+        Some((row, None)) => control.borrow().successor_of_unknown(row.revision),
+        Some((_, Some((known, _)))) => {
+            let end = Duration::from_millis(known.until_ms) + LEASE_MARGIN;
+            // An earlier process on this VM must have ended, since this one is running.
+            let own = known.holder == control.borrow().local_member.vm;
+            if read.store_time < end && !own {
+                return Ok(None);
+            }
+            (known.fence + 1, known.grantees)
         }
-    }
-    let fence = known.as_ref().map_or(1, |(known, _)| known.fence + 1);
-    let grantees = known.map(|(known, _)| known.grantees).unwrap_or_default();
+    };
     let expected_revision = row.map_or(0, |row| row.revision);
     let began = control.borrow().parts.clock.now();
     let until_ms = (read.store_time + LEASE_DURATION).as_millis() as u64;
@@ -261,6 +263,15 @@
         self.stopping || matches!(self.local_member.status, Status::Draining | Status::Gone)
     }
 
+    /// Returns the fencing token and the grantees of a lease that succeeds one whose row can't be
+    /// decoded. Each token was written with a revision of the store of its own, so none exceeds the
+    /// row's revision. Any other node may hold portions.
+    fn successor_of_unknown(&self, revision: Revision) -> (Fence, Grantees) {
+        let heard = self.holder.as_ref().map_or(0, |(_, fence, _)| *fence);
+        let grantees = self.peers.keys().map(|vm| (vm.clone(), 1.0));
+        (heard.max(revision) + 1, grantees.collect())
+    }
+
     /// Returns how many connected nodes precede this one by name, up to `MAX_RANK`.
     fn candidate_rank(&self) -> usize {
         let peers = self.peers.iter();
