--- a/crates/engine/src/notices.rs
+++ b/crates/engine/src/notices.rs
@@ -87,14 +87,26 @@
         }
     }
 
-    /// Keeps what another node knew until the backend server reports; the latest life counts.
+    /// Keeps what other nodes knew until the backend server reports: the latest life, of that what was
+    /// heard last, and that it was leaving.
     fn keep_early(&mut self, notice: InstanceNotice, now: Instant) {
-        let is_newer = self.early.as_ref().is_none_or(|(known, _)| {
-            (notice.started_ms, notice.leaving) > (known.started_ms, known.leaving)
-        });
-        if is_newer {
+        let Some((known, received)) = &mut self.early else {
             self.early = Some((notice, now));
+            return;
+        };
+        if known.instance != notice.instance || known.started_ms != notice.started_ms {
+            if notice.started_ms > known.started_ms {
+                self.early = Some((notice, now));
+            }
+            return;
+        }
+        let leaving = known.leaving || notice.leaving;
+        let elapsed = now.saturating_duration_since(*received);
+        let known_age = known.age.saturating_add(elapsed);
+        if notice.age < known_age {
+            (*known, *received) = (notice, now);
         }
+        known.leaving = leaving;
     }
 
     /// Records that the present life leaves, as its status reports say.
