End a request limit only by the response to a call that was sent after it was stated

Seen by reading, no run shows it: when a limit begins, a response from just before it may be handled after the first one with it, on another connection; the limit would end for some milliseconds, and calls would go out unpaced. Change: a response without a limit ends it only if its call was sent after the last response with one. With it: metrics are created and registered in one place each (they stood in three lists).

--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -11,7 +11,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::{Registry, Unit};
+use prometheus_client::registry::{Metric, Registry, Unit};
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -66,79 +66,34 @@
     /// Creates all metrics, at zero.
     pub fn open() -> Self {
         let mut registry = Registry::with_prefix("filbertwheel");
-        let histogram = || Histogram::new(LATENCY_BUCKETS);
-        let metrics = Self {
-            requests: Family::default(),
-            latency: Family::new_with_constructor(histogram),
-            retries: Counter::default(),
-            claims: Counter::default(),
-            running: Gauge::default(),
-            queued: Gauge::default(),
-            sent: Counter::default(),
-            over_limit: Counter::default(),
-            backend_limit: Gauge::default(),
-            rules: Gauge::default(),
-            links: Gauge::default(),
-            broken: Gauge::default(),
-            registry: Registry::default(),
-        };
-        registry.register("requests", "Finished requests", metrics.requests.clone());
+        let latency = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
         registry.register_with_unit(
             "request_duration",
             "Time from the arrival of a request to its outcome",
             Unit::Seconds,
-            metrics.latency.clone(),
-        );
-        registry.register(
-            "repeats",
-            "Attempts beyond the first of a request",
-            metrics.retries.clone(),
-        );
-        registry.register(
-            "claims",
-            "Token claims sent to the lease holder",
-            metrics.claims.clone(),
-        );
-        registry.register(
-            "running",
-            "Calls that run at the backend server",
-            metrics.running.clone(),
-        );
-        registry.register(
-            "queued",
-            "Calls that wait for a slot of the backend server",
-            metrics.queued.clone(),
-        );
-        registry.register(
-            "backend_requests",
-            "Calls sent to the backend server",
-            metrics.sent.clone(),
-        );
-        registry.register(
-            "over_backend_limit",
-            "Calls turned away because of the limit that the backend server states",
-            metrics.over_limit.clone(),
-        );
-        registry.register(
-            "backend_request_limit",
-            "Requests per second that the backend server accepts; 0 if it states no limit",
-            metrics.backend_limit.clone(),
+            latency.clone(),
         );
-        registry.register(
-            "rules_version",
-            "Version of the rules in force",
-            metrics.rules.clone(),
-        );
-        registry.register(
-            "links_up",
-            "Links to other nodes that are connected",
-            metrics.links.clone(),
-        );
-        let broken = metrics.broken.clone();
-        registry.register("broken_invariants", "Invariant violations", broken);
+        let mut add = Registration(&mut registry);
         Self {
+            requests: add.metric("requests", "Finished requests"),
+            retries: add.metric("repeats", "Attempts beyond the first of a request"),
+            claims: add.metric("claims", "Token claims sent to the lease holder"),
+            running: add.metric("running", "Calls that run at the backend server"),
+            queued: add.metric("queued", "Calls that wait for a slot of the backend server"),
+            sent: add.metric("backend_requests", "Calls sent to the backend server"),
+            over_limit: add.metric(
+                "over_backend_limit",
+                "Calls turned away because of the limit that the backend server states",
+            ),
+            backend_limit: add.metric(
+                "backend_request_limit",
+                "Requests per second that the backend server accepts; 0 if it states no limit",
+            ),
+            rules: add.metric("rules_version", "Version of the rules in force"),
+            links: add.metric("links_up", "Links to other nodes that are connected"),
+            broken: add.metric("broken_invariants", "Invariant violations"),
+            latency,
             registry,
-            ..metrics
         }
     }
 
@@ -174,3 +129,18 @@
         text
     }
 }
+
+/// Creates metrics and registers them.
+struct Registration<'a>(&'a mut Registry);
+
+impl Registration<'_> {
+    fn metric<M: Metric + Clone + Default>(&mut self, name: &str, help: &str) -> M {
+        let metric = M::default();
+        self.0.register(name, help, metric.clone());
+        metric
+    }
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BUCKETS)
+}
--- a/crates/engine/src/notices.rs
+++ b/crates/engine/src/notices.rs
@@ -24,6 +24,8 @@
     life: Life,
     /// The limit in force, in requests per second.
     limit: Option<RequestRate>,
+    /// When a response last stated a limit.
+    limited_at: Option<Instant>,
     /// Paces the calls while a limit is in force.
     pacer: Option<Pacer>,
     leaving: bool,
@@ -50,13 +52,21 @@
         }
     }
 
-    /// Applies what a response of a life states.
-    pub fn record(&mut self, life: &Life, notice: ResponseNotice, now: Instant) {
+    /// Applies what a response states. Its call was sent at `sent` to that life.
+    pub fn record(&mut self, life: &Life, notice: ResponseNotice, sent: Instant, now: Instant) {
         let Some(present) = self.present.as_mut().filter(|one| one.life == *life) else {
             return;
         };
         let limit = present.readable_limit(notice.limit);
-        present.set_limit(limit, "response", now);
+        // A response from before the limit may arrive after one with it. Only the response to a later
+        // call shows that the limit has ended.
+        let may_be_late = limit.is_none() && present.limited_at.is_some_and(|at| sent < at);
+        if !may_be_late {
+            present.set_limit(limit, "response", now);
+        }
+        if limit.is_some() {
+            present.limited_at = Some(now);
+        }
         if notice.leaving && !present.leaving {
             present.leave("response");
         }
@@ -157,6 +167,7 @@
         Self {
             life,
             limit: None,
+            limited_at: None,
             pacer: None,
             leaving: false,
             heard: None,
--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -257,7 +257,7 @@
         self.metrics.sent.inc();
         let reply = instance.server.run(attempt, &instance.instance).await;
         if let Some(notice) = reply.notice {
-            self.record_notice(&instance.life(), notice);
+            self.record_notice(&instance.life(), notice, started);
         }
         let result = reply.outcome;
         let elapsed = self.clock.now().saturating_duration_since(started);
--- a/crates/engine/src/runner/pacing.rs
+++ b/crates/engine/src/runner/pacing.rs
@@ -1,7 +1,7 @@
 //! Keeps to what the backend server states about itself: the limit on its requests, and that it is
 //! leaving.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filbertwheel_backend::ResponseNotice;
 use filbertwheel_core::{Attempt, Failure, InstanceNotice, Refusal, RefusalKind, Status};
@@ -59,11 +59,12 @@
         self.apply_notices(&mut state);
     }
 
-    /// Applies what a response of a life of the backend server states.
-    pub(super) fn record_notice(&self, life: &Life, notice: ResponseNotice) {
+    /// Applies what a response of the backend server states. Its call was sent at
+    /// `sent` to that life.
+    pub(super) fn record_notice(&self, life: &Life, notice: ResponseNotice, sent: Instant) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.notices.record(life, notice, now);
+        state.notices.record(life, notice, sent, now);
         self.apply_notices(&mut state);
     }
 
