Let a call through soon after a request limit has fallen to almost nothing

What callers would see: a backend server that stays unused long after its need has ended. The reservations of waiting calls, which are void after a fall, still counted towards the new limit: 500 calls that wait at 1,000 a second, then a limit of 0, held back every call for 1,000 s, and only a response shows that the limit has ended.

--- a/crates/policy/src/pacer.rs
+++ b/crates/policy/src/pacer.rs
@@ -50,15 +50,19 @@
         self.rate
     }
 
-    /// Changes the limit. What was reserved before counts towards the new one.
+    /// Changes the limit. What was reserved before counts towards the new one. After a fall that is
+    /// at most one call, since those that wait reserve again.
     pub fn set_limit(&mut self, limit: RequestRate, now: Instant) {
         let rate = limit.max(MIN_RATE);
-        if rate < self.rate * FALL_RATIO {
+        let calls = self.wait(now).as_secs_f64() * self.rate;
+        let calls = if rate < self.rate * FALL_RATIO {
             self.falls += 1;
-        }
-        let wait = self.wait(now);
-        if !wait.is_zero() {
-            self.due = now + BURST_TOLERANCE + wait.mul_f64(self.rate / rate);
+            calls.min(1.0)
+        } else {
+            calls
+        };
+        if calls > 0.0 {
+            self.due = now + BURST_TOLERANCE + Duration::from_secs_f64(calls / rate);
         }
         self.rate = rate;
     }
