--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -134,3 +134,24 @@
         }
     }
 }
+
+// Guards against calls of running requests that are turned away while their backend server's limit
+// goes to requests that haven't begun.
+#[test]
+fn calls_that_may_wait_longer_are_turned_away_last() {
+    const SHORT_WAIT: Duration = Duration::from_millis(100);
+    let start = Instant::now();
+    let mut pacer = Pacer::open(20.0, start);
+    let (mut long, mut short) = (0, 0);
+    for millis in 0..10_000 {
+        let now = start + Duration::from_millis(millis);
+        // 20 a second of those that may wait, and ten times as many others.
+        if millis % 50 == 0 {
+            long += usize::from(pacer.reserve(MAX_WAIT, now).is_ok());
+        }
+        if millis % 5 == 0 {
+            short += usize::from(pacer.reserve(SHORT_WAIT, now).is_ok());
+        }
+    }
+    assert_eq!(long, 200, "{short} others were sent");
+}
