Keep in mind which instances have deregistered before their first report

Cause: all processes were killed at 13.7 s. The node beside i-2f650df994 got its deregistration at 14.165 s, knew no such instance yet, answered 200 and forgot it; a late report at 16.9 s put the backend server into use. Change: a departure is kept with the latest start of the lives that are meant (the body's, or the time of its receipt); a first report of such a life finds it leaving. A deregistration that names an earlier life leaves the present one alone.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -124,8 +124,10 @@
     }
 
     /// Records that an instance of the backend server is leaving and takes no new requests.
-    pub fn mark_leaving(&self, instance: &InstanceId) {
-        if self.runner.mark_leaving(instance) {
+    /// `started_ms` is the start of the life that is meant, in milliseconds since the Unix epoch, if
+    /// stated.
+    pub fn mark_leaving(&self, instance: &InstanceId, started_ms: Option<u64>) {
+        if self.runner.mark_leaving(instance, started_ms) {
             tracing::info!(
                 backend = %instance,
                 "runner: The backend server instance has deregistered."
--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use async_channel::Sender;
 use filbertwheel_backend::{BackendError, BackendInstance, InstanceConnector, StatusReport};
@@ -183,13 +183,19 @@
         self.backends.open(report.address)
     }
 
-    /// Records that an instance of the backend server has ended or is about to. Returns whether it
-    /// is the current instance.
-    pub fn mark_leaving(&self, instance: &InstanceId) -> bool {
+    /// Records that an instance of the backend server has ended or is about to. `started_ms` is the
+    /// start of the life that is meant, if stated. Returns whether it is the current life.
+    pub fn mark_leaving(&self, instance: &InstanceId, started_ms: Option<u64>) -> bool {
         let now = self.clock.now();
+        let wall = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        let until_ms = started_ms.unwrap_or(wall.unwrap_or_default().as_millis() as u64);
         let mut state = self.lock();
+        state.notices.record_departure(instance.clone(), until_ms);
+        let is_meant = |current: &Instance| {
+            current.instance == *instance && started_ms.is_none_or(|at| current.started_ms <= at)
+        };
         match &mut state.instance {
-            Some(current) if current.instance == *instance => {
+            Some(current) if is_meant(current) => {
                 current.status = Status::Gone;
                 state.notices.mark_leaving(now);
                 true
