Take a response without an id on a reused connection for no answer

What callers saw: 'not run' for a request that a faulty backend server had run or was running, after it had written an earlier refusal once more on a kept connection.

Cause: a response that echoes another request's id was discarded, but one that echoes none was taken for the answer to the request just sent, on reused connections too. A refusal needs no seal, so nothing else told the copy from the answer.

Evidence: platform/tests/stale_answers.rs, copies with and without the earlier id, before the answer and in its place. Before this change two of its five tests failed with Refused(Shed). Heads cut at every byte, of a backend server and of the store, were broken answers already; their tests stay. Ruled out: copies that arrive while a connection is idle (it is not reused then).

Change: on a reused connection only a response with the id of the request counts; another one ends the connection, and the outcome is unknown. On a new connection nothing else can have been answered. The stand-in echoes the id with refusals, as the platform's backend servers do.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -54,7 +54,8 @@
     /// Maximum idle time of a reused connection.
     pub idle: Duration,
     /// Name and value of a header that the response must echo. A response with another value
-    /// belongs to another request and is discarded.
+    /// belongs to another request and is discarded. One without the header is taken for the
+    /// response only on a new connection: on a reused one it may belong to an earlier request.
     pub echo: Option<(&'static str, Text)>,
 }
 
@@ -123,6 +124,36 @@
     limit: Duration,
 }
 
+/// What the response to a request is recognised by.
+struct Exchange<'a> {
+    /// Whether the response has no body.
+    bodiless: bool,
+    /// Name and value of a header that it must echo.
+    echo: Option<&'a (&'static str, Text)>,
+    /// Whether the connection has carried earlier requests.
+    reused: bool,
+}
+
+impl Exchange<'_> {
+    /// Returns whether a response belongs to this request. Fails if that is unknown.
+    fn is_answered_by(&self, response: &Response) -> Result<bool, MessageError> {
+        let Some((name, value)) = self.echo else {
+            return Ok(true);
+        };
+        match response.header(name) {
+            Some(found) => Ok(found == value),
+            None if self.reused => {
+                tracing::warn!(
+                    status = response.status,
+                    "http: A response on a reused connection doesn't say which request it is for."
+                );
+                Err(MessageError::Malformed)
+            }
+            None => Ok(true),
+        }
+    }
+}
+
 impl Pool {
     /// Creates an empty pool. Connections are opened on demand.
     pub fn open(address: SocketAddr, limits: Limits, clock: Arc<dyn Clock>) -> Self {
@@ -173,8 +204,12 @@
     ) -> Result<Response, SendError> {
         let encoded = self.encode(request)?;
         let (mut connection, used) = self.checkout(options).await?;
-        let bodiless = request.method.as_bytes() == b"HEAD";
-        let received = self.send_and_receive(&mut connection, &encoded, bodiless, &options.echo);
+        let exchange = Exchange {
+            bodiless: request.method.as_bytes() == b"HEAD",
+            echo: options.echo.as_ref(),
+            reused: used,
+        };
+        let received = self.send_and_receive(&mut connection, &encoded, &exchange);
         let timeout = async {
             // The timers run one after the other, because each costs a system call.
             let watched = used && options.on_stall != StallPolicy::Ignore;
@@ -285,8 +320,7 @@
         &self,
         connection: &mut Connection,
         encoded: &[u8],
-        bodiless: bool,
-        echo: &Option<(&'static str, Text)>,
+        exchange: &Exchange<'_>,
     ) -> Result<ReceivedResponse, SendError> {
         let mut stream = connection.stream().clone();
         let mut written = None;
@@ -296,7 +330,7 @@
             // The server may respond and close the connection before it has read the whole request.
             std::future::pending().await
         };
-        let received = self.receive(connection, bodiless, echo).or(write).await;
+        let received = self.receive(connection, exchange).or(write).await;
         if connection.is_stalled() {
             self.discard_idle();
         }
@@ -317,9 +351,9 @@
     async fn receive(
         &self,
         connection: &mut Connection,
-        bodiless: bool,
-        echo: &Option<(&'static str, Text)>,
+        exchange: &Exchange<'_>,
     ) -> Result<Option<ReceivedResponse>, MessageError> {
+        let bodiless = exchange.bodiless;
         let (mut discarded, mut interim) = (false, false);
         let mut skipped = 0;
         while skipped < MAX_SKIPPED_RESPONSES {
@@ -357,10 +391,7 @@
                 headers: head.headers,
                 body,
             };
-            let mismatched = echo.as_ref().is_some_and(|(name, value)| {
-                response.header(name).is_some_and(|found| found != value)
-            });
-            if mismatched {
+            if !exchange.is_answered_by(&response)? {
                 tracing::warn!("http: Discarded a response that belongs to another request.");
                 discarded = true;
                 skipped += 1;
