Keep the sums of the rates' ledger up to date instead of adding them up anew

Cause: the lease holder was out of processor time. For each portion that it granted or stored it added up the demand of all nodes anew. Claims then went unanswered, its own portions expired, and it lost the lease.

Change: sums by organisation, changed with each request and counted anew at each renewal. A node asks for portions only if it has demand enough to get one, once per lease holder, or while it holds some. What may be lent is stored by organisation too, so that one organisation's portions withhold nothing of the others from a successor, and grants are bounded by what is stored before and after a write in progress. The ledger's state and the claims of each organisation are logged and shown as metrics, and a refusal says whether the holder had no token or no holder answered.

--- a/crates/engine/src/control/lease.rs
+++ b/crates/engine/src/control/lease.rs
@@ -6,7 +6,7 @@
 
 use filbertwheel_core::{Fence, Status, Text, VmId, message};
 use filbertwheel_platform::{Revision, Store, StoreError, StoreResponse, StoreRow, StoreWrite};
-use filbertwheel_policy::{Grantees, PortionLedger};
+use filbertwheel_policy::{PortionLedger, StoredGrants};
 
 use super::Shared;
 use super::state::HeldLease;
@@ -38,8 +38,8 @@
     fence: Fence,
     /// Time of expiry, in milliseconds of the store's clock.
     until_ms: u64,
-    /// Nodes that may hold portions.
-    grantees: Grantees,
+    /// Portions that nodes may hold.
+    grants: StoredGrants,
 }
 
 /// A lease that this node has acquired.
@@ -91,15 +91,15 @@
 }
 
 /// Acquires the lease if no node holds it, or if an earlier process of this node does. Returns it
-/// with the nodes that may hold portions from an earlier lease holder.
+/// with the portions that nodes may hold from an earlier lease holder.
 async fn try_acquire(
     control: &Shared,
     store: &dyn Store,
-) -> Result<Option<(AcquiredLease, Grantees)>, StoreError> {
+) -> Result<Option<(AcquiredLease, StoredGrants)>, StoreError> {
     let read = store.list(LEASES_TABLE).await?;
     let row = read.value.iter().find(|row| row.key == RATES_KEY);
-    let (fence, grantees) = match row.map(|row| (row, decode(row))) {
-        None => (1, Grantees::default()),
+    let (fence, grants) = match row.map(|row| (row, decode(row))) {
+        None => (1, StoredGrants::default()),
         Some((row, None)) => control.borrow().successor_of_unknown(row.revision),
         Some((_, Some((known, _)))) => {
             let end = Duration::from_millis(known.until_ms) + LEASE_MARGIN;
@@ -108,27 +108,19 @@
             if read.store_time < end && !own {
                 return Ok(None);
             }
-            (known.fence + 1, known.grantees)
+            (known.fence + 1, known.grants)
         }
     };
     let expected_revision = row.map_or(0, |row| row.revision);
     let began = control.borrow().parts.clock.now();
     let until_ms = (read.store_time + LEASE_DURATION).as_millis() as u64;
-    let written = write(
-        control,
-        store,
-        fence,
-        expected_revision,
-        until_ms,
-        &grantees,
-    )
-    .await?;
+    let written = write(control, store, fence, expected_revision, until_ms, &grants).await?;
     let acquired = AcquiredLease {
         fence,
         revision: written.revision,
         expires: began + LEASE_DURATION,
     };
-    Ok(Some((acquired, grantees)))
+    Ok(Some((acquired, grants)))
 }
 
 fn decode(row: &StoreRow) -> Option<(LeaseRow, Revision)> {
@@ -147,13 +139,13 @@
     fence: Fence,
     expected_revision: Revision,
     until_ms: u64,
-    grantees: &Grantees,
+    grants: &StoredGrants,
 ) -> Result<StoreResponse<()>, StoreError> {
     let row = LeaseRow {
         holder: control.borrow().local_member.vm.clone(),
         fence,
         until_ms,
-        grantees: grantees.clone(),
+        grants: grants.clone(),
     };
     let value = serde_json::to_vec(&row).map_err(|_| StoreError::Malformed)?;
     let write = StoreWrite {
@@ -165,10 +157,15 @@
     store.commit(&[write]).await
 }
 
-fn begin_holding(control: &Shared, acquired: &AcquiredLease, earlier: Grantees, since: Instant) {
+fn begin_holding(
+    control: &Shared,
+    acquired: &AcquiredLease,
+    earlier: StoredGrants,
+    since: Instant,
+) {
     let mut control = control.borrow_mut();
     let own = control.local_member.vm.clone();
-    let waits_for = earlier.len();
+    let waits_for = earlier.nodes.len();
     control.lease = Some(HeldLease {
         fence: acquired.fence,
         ledger: PortionLedger::open(own, earlier, since),
@@ -190,27 +187,28 @@
     loop {
         clock.sleep(RENEWAL_INTERVAL).await;
         let began = clock.now();
-        let grantees = {
-            let control = control.borrow();
-            let limits = control.limits();
-            let lease = control.lease.as_ref().filter(|_| began < acquired.expires);
-            match lease {
-                Some(lease) => lease.ledger.grantees(&limits),
-                None => break,
-            }
+        let grants = {
+            let control = &mut *control.borrow_mut();
+            let lease = control.lease.as_mut();
+            let Some(lease) = lease.filter(|_| began < acquired.expires) else {
+                break;
+            };
+            let grants = lease.ledger.grants_to_store(&control.limits, began);
+            lease.ledger.begin_store(&grants);
+            grants
         };
         if control.borrow().is_leaving() {
-            release(control, store, &acquired, &grantees).await;
+            release(control, store, &acquired, &grants).await;
             break;
         }
-        match renew_once(control, store, &acquired, &grantees).await {
+        match renew_once(control, store, &acquired, &grants).await {
             Ok(written) => {
                 acquired.revision = written.revision;
                 acquired.expires = began + LEASE_DURATION;
                 let mut control = control.borrow_mut();
                 if let Some(lease) = &mut control.lease {
                     lease.expires = acquired.expires;
-                    lease.ledger.record_grantees(grantees);
+                    lease.ledger.record_stored(grants);
                 }
                 control.publish();
             }
@@ -229,7 +227,7 @@
     control: &Shared,
     store: &dyn Store,
     acquired: &AcquiredLease,
-    grantees: &Grantees,
+    grants: &StoredGrants,
 ) -> Result<StoreResponse<()>, StoreError> {
     let read = store.list(LEASES_TABLE).await?;
     let own = read.value.iter().find(|row| row.key == RATES_KEY);
@@ -240,7 +238,7 @@
         .filter(|(row, _)| row.fence == acquired.fence);
     let (_, revision) = known.ok_or(StoreError::Conflict)?;
     let until_ms = (read.store_time + LEASE_DURATION).as_millis() as u64;
-    write(control, store, acquired.fence, revision, until_ms, grantees).await
+    write(control, store, acquired.fence, revision, until_ms, grants).await
 }
 
 /// Ends the lease before it expires, so that another node can acquire it at once.
@@ -248,10 +246,10 @@
     control: &Shared,
     store: &dyn Store,
     acquired: &AcquiredLease,
-    grantees: &Grantees,
+    grants: &StoredGrants,
 ) {
     let (fence, revision) = (acquired.fence, acquired.revision);
-    let released = write(control, store, fence, revision, 0, grantees).await;
+    let released = write(control, store, fence, revision, 0, grants).await;
     if let Err(error) = released {
         tracing::warn!("control: The lease can't be released: {error}.");
     }
@@ -263,13 +261,17 @@
         self.stopping || matches!(self.local_member.status, Status::Draining | Status::Gone)
     }
 
-    /// Returns the fencing token and the grantees of a lease that succeeds one whose row can't be
+    /// Returns the fencing token and the earlier grants of a lease that succeeds one whose row can't be
     /// decoded. Each token was written with a revision of the store of its own, so none exceeds the
     /// row's revision. Any other node may hold portions.
-    fn successor_of_unknown(&self, revision: Revision) -> (Fence, Grantees) {
+    fn successor_of_unknown(&self, revision: Revision) -> (Fence, StoredGrants) {
         let heard = self.holder.as_ref().map_or(0, |(_, fence, _)| *fence);
-        let grantees = self.peers.keys().map(|vm| (vm.clone(), 1.0));
-        (heard.max(revision) + 1, grantees.collect())
+        let nodes = self.peers.keys().map(|vm| (vm.clone(), 1.0));
+        let grants = StoredGrants {
+            nodes: nodes.collect(),
+            lent: None,
+        };
+        (heard.max(revision) + 1, grants)
     }
 
     /// Returns how many connected nodes precede this one by name, up to `MAX_RANK`.
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -9,10 +9,10 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use filbertwheel_core::{
-    Clock, Fence, FleetSecret, Member, OrganisationId, Rate, ServiceId, Status, Version, VmId,
+    Clock, Fence, FleetSecret, Member, Rules, ServiceId, Status, Version, VmId,
 };
 use filbertwheel_peer::{Link, LinkDriver, LinkEvent, LinkHandler, NodeReport};
-use filbertwheel_policy::{Distance, PortionLedger, RouteProfile};
+use filbertwheel_policy::{Distance, PortionLedger, RateLimits, RouteProfile};
 
 use super::plan::Plan;
 use super::{Message, Shared};
@@ -55,6 +55,10 @@
     /// The peer that last reported that it holds the lease, with its fencing token and the time of
     /// the report.
     pub(super) holder: Option<(VmId, Fence, Instant)>,
+    /// Fencing token of the lease holder that this node last requested portions from.
+    pub(super) asked_fence: Option<Fence>,
+    /// Rate limits of the organisations that have one, by the rules in force.
+    pub(super) limits: Arc<RateLimits>,
     pub(super) stopping: bool,
     /// Total suspension of the VM that has been handled so far.
     pub(super) suspended: Duration,
@@ -90,6 +94,8 @@
         plan: Plan::default(),
         lease: None,
         holder: None,
+        asked_fence: None,
+        limits: Arc::default(),
         stopping: false,
         suspended: super::ticks::suspended_time(),
         members_known: false,
@@ -308,6 +314,7 @@
         if version <= known {
             return None;
         }
+        self.limits = Arc::new(rate_limits(&rules));
         let snapshot = Snapshot {
             rules: Some(Arc::new(rules)),
             document,
@@ -392,19 +399,14 @@
             peer.link.send_report(&report);
         }
     }
+}
 
-    /// Returns the rate limits of the organisations that have one.
-    pub(super) fn limits(&self) -> BTreeMap<OrganisationId, Rate> {
-        let snapshot = self.parts.snapshots.load();
-        let organisations = snapshot
-            .rules
-            .as_ref()
-            .map(|rules| rules.organisations.iter());
-        let known = organisations.into_iter().flatten();
-        known
-            .filter_map(|(name, policy)| Some((name.clone(), policy.limit?)))
-            .collect()
-    }
+/// Returns the rate limits of the organisations that have one.
+fn rate_limits(rules: &Rules) -> RateLimits {
+    let organisations = rules.organisations.iter();
+    organisations
+        .filter_map(|(name, policy)| Some((name.clone(), policy.limit?)))
+        .collect()
 }
 
 /// Handles messages from the traffic threads as urgent ones arrive.
@@ -447,7 +449,7 @@
                 self.apply_rules(document);
             }
             LinkEvent::PortionRequest(request, reply) => {
-                let (now, limits) = (self.parts.clock.now(), self.limits());
+                let (now, limits) = (self.parts.clock.now(), Arc::clone(&self.limits));
                 if let Some(lease) = self.lease.as_mut().filter(|lease| now < lease.expires) {
                     let grant = lease.ledger.handle_request(&request, &limits, now);
                     reply.grant(lease.fence, grant);
@@ -486,7 +488,7 @@
         {
             return;
         }
-        let (now, limits) = (self.parts.clock.now(), self.limits());
+        let (now, limits) = (self.parts.clock.now(), Arc::clone(&self.limits));
         self.parts
             .engine
             .portions()
--- a/crates/engine/src/control/ticks.rs
+++ b/crates/engine/src/control/ticks.rs
@@ -1,7 +1,7 @@
 //! Periodic tasks of the control thread.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filbertwheel_core::Status;
 
@@ -20,6 +20,8 @@
 const MIN_SUSPENSION: Duration = Duration::from_millis(300);
 /// Number of ticks between requests for portions.
 const REQUEST_TICKS: u64 = 2;
+/// Number of ticks between log lines about the rate limits at the lease holder.
+const LEDGER_TICKS: u64 = 4;
 
 /// Runs the periodic tasks without end.
 pub(crate) async fn run_ticks(control: Shared) {
@@ -42,9 +44,10 @@
         control.send_reports(tick.is_multiple_of(PROFILE_TICKS));
         control.replan();
         if tick.is_multiple_of(REQUEST_TICKS) {
-            let limits = control.limits();
-            control.parts.engine.portions().fill_emergency(&limits, now);
-            control.request_portions(false);
+            control.update_portions(now);
+        }
+        if tick.is_multiple_of(LEDGER_TICKS) {
+            control.report_ledger(now);
         }
         if tick.is_multiple_of(JOURNAL_TICKS) {
             control.parts.engine.journal.begin_second();
@@ -88,6 +91,44 @@
         }
     }
 
+    /// Updates the demand for portions, and requests some if this node needs them. The lease holder
+    /// also hears once from each node, so that it knows what an earlier one has lent.
+    fn update_portions(&mut self, now: Instant) {
+        let limits = Arc::clone(&self.limits);
+        let needed = {
+            let mut portions = self.parts.engine.portions();
+            portions.fill_emergency(&limits, now);
+            portions.update_demand(&limits, now);
+            portions.needs_portions(&limits, now)
+        };
+        let fence = self.holder.as_ref().map(|(_, fence, _)| *fence);
+        if needed || self.lease.is_some() || fence != self.asked_fence {
+            self.asked_fence = fence;
+            self.request_portions(false);
+        }
+    }
+
+    /// Logs and records the state of the rate limits, if this node holds the lease.
+    fn report_ledger(&self, now: Instant) {
+        let Some(lease) = &self.lease else { return };
+        let ledger = lease.ledger.summary(now);
+        let claims = self.parts.engine.claims.take();
+        self.parts.engine.metrics.record_ledger(&ledger, &claims);
+        tracing::info!(
+            fence = lease.fence,
+            nodes = ledger.nodes,
+            lent_organisations = ledger.lent_organisations,
+            max_lent = ledger.max_lent,
+            max_unconfirmed = ledger.max_unconfirmed,
+            emergency_reserve = ledger.emergency_reserve,
+            granted = claims.granted,
+            denied = claims.denied,
+            denied_organisations = claims.denied_organisations,
+            most_denied = claims.most_denied,
+            "control: State of the rate limits at the lease holder."
+        );
+    }
+
     /// Returns this node's portions to the lease holder before the node ends.
     pub fn return_portions(&mut self) {
         self.parts.engine.portions().clear();
@@ -96,7 +137,7 @@
 
     /// Requests portions of the organisations' rate limits from the lease holder.
     pub(super) fn request_portions(&mut self, leaving: bool) {
-        let (now, limits) = (self.parts.clock.now(), self.limits());
+        let (now, limits) = (self.parts.clock.now(), Arc::clone(&self.limits));
         let vm = self.local_member.vm.clone();
         let link = match (&self.lease, &self.holder) {
             (Some(_), _) => None,
@@ -106,11 +147,7 @@
             },
             (None, None) => return,
         };
-        let request = self
-            .parts
-            .engine
-            .portions()
-            .next_request(&vm, &limits, leaving, now);
+        let request = self.parts.engine.portions().next_request(&vm, leaving, now);
         match (link, &mut self.lease) {
             (Some(link), _) => link.request_portions(request),
             (None, Some(lease)) if now < lease.expires => {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -11,12 +11,13 @@
     RouteId, RouteRule, Rules, ServiceId, Verdict, Version,
 };
 use filbertwheel_http::LocalFuture;
-use filbertwheel_peer::{LinkEvent, LinkHandler, NodeReport};
+use filbertwheel_peer::{Link, LinkEvent, LinkHandler, NodeReport};
 use filbertwheel_policy::{
     BackendLoad, FairShedder, PortionBuckets, RetryBudget, RetryLimits, RouteDemand, RulesCatchup,
     TokenReceipt, WeightedRoundRobin,
 };
 
+use crate::claims::{ClaimCounts, TokenShortage};
 use crate::control::Message;
 use crate::inbox::Inbox;
 use crate::journal::Journal;
@@ -28,8 +29,10 @@
 const MIN_CLAIM_PAUSE: Duration = Duration::from_millis(50);
 /// Maximum pause between claims for an organisation that has no tokens left.
 const MAX_CLAIM_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between claims to a lease holder that did not respond.
-const HOLDER_RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Number of claims that a lease holder may leave unanswered before it counts as unresponsive.
+const CLAIM_ATTEMPTS: u32 = 2;
+/// Pause between claims to an unresponsive lease holder.
+const HOLDER_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Minimum `retry-after` of a request over its organisation's rate limit.
 const MIN_RATE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -57,6 +60,8 @@
     /// Time until which no claims are sent to the lease holder, because it did not respond.
     holder_paused_until: Mutex<Option<Instant>>,
     rules_catchup: Mutex<RulesCatchup>,
+    /// Token claims of other nodes that this node has answered as the lease holder.
+    pub(crate) claims: ClaimCounts,
 }
 
 /// Outcome of a token claim.
@@ -98,6 +103,7 @@
             exhausted_until: Mutex::default(),
             holder_paused_until: Mutex::default(),
             rules_catchup: Mutex::default(),
+            claims: ClaimCounts::default(),
         }
     }
 
@@ -176,7 +182,7 @@
         rules: &Rules,
         organisation: &OrganisationId,
         now: Instant,
-    ) -> Result<Option<TokenReceipt>, Refusal> {
+    ) -> Result<Option<TokenReceipt>, (Refusal, TokenShortage)> {
         let Some(limit) = rules.limit(organisation) else {
             return Ok(None);
         };
@@ -184,21 +190,21 @@
             Ok(receipt) => return Ok(Some(receipt)),
             Err(wait) => wait,
         };
-        let granted = match self.claim_from_holder(snapshot, organisation, now).await {
+        let shortage = match self.claim_from_holder(snapshot, organisation, now).await {
             ClaimOutcome::Granted => return Ok(None),
-            ClaimOutcome::Exhausted => false,
+            ClaimOutcome::Exhausted => TokenShortage::Exhausted,
             ClaimOutcome::NoHolder => {
                 let nodes = snapshot.nodes;
                 let mut portions = self.portions();
                 let charged = portions.charge_emergency(organisation, limit, nodes, now);
-                charged.is_ok()
+                if charged.is_ok() {
+                    return Ok(None);
+                }
+                TokenShortage::NoHolder
             }
         };
-        if granted {
-            return Ok(None);
-        }
         let after = wait.unwrap_or_default().max(MIN_RATE_RETRY_AFTER);
-        Err(Refusal::retry_after(RefusalKind::OverRate, after))
+        Err((Refusal::retry_after(RefusalKind::OverRate, after), shortage))
     }
 
     /// Refunds the token of a request that did not run.
@@ -239,8 +245,7 @@
         if exhausted_until.is_some_and(|until| now < until) {
             return ClaimOutcome::Exhausted;
         }
-        self.metrics.claims.inc();
-        match link.claim_tokens(organisation, 1).await {
+        match self.claim_token(link, organisation).await {
             None => {
                 *lock(&self.holder_paused_until) = Some(self.clock.now() + HOLDER_RETRY_PAUSE);
                 tracing::warn!("engine: The lease holder does not respond to token claims.");
@@ -257,6 +262,18 @@
         }
     }
 
+    /// Claims one token. Returns `None` if the lease holder does not respond.
+    async fn claim_token(&self, link: &Link, organisation: &OrganisationId) -> Option<(u32, u32)> {
+        for _ in 0..CLAIM_ATTEMPTS {
+            self.metrics.claims.inc();
+            let claimed = link.claim_tokens(organisation, 1).await;
+            if claimed.is_some() {
+                return claimed;
+            }
+        }
+        None
+    }
+
     /// Returns whether the reporting node is already published as it describes itself, so that the
     /// control thread need not act on the report at once.
     fn is_unchanged(&self, report: &NodeReport) -> bool {
@@ -307,10 +324,11 @@
         let (Some(limit), true) = (limit, expires.is_some_and(|expires| now < expires)) else {
             return CANNOT_GRANT;
         };
-        match self
+        let granted = self
             .portions()
-            .grant_tokens(organisation, limit, count, now)
-        {
+            .grant_tokens(organisation, limit, count, now);
+        self.claims.record(organisation, granted.0 > 0);
+        match granted {
             (granted, Some(wait)) => (granted, wait.as_millis().max(1) as u32),
             // No tokens may be granted before the portions of earlier lease holders are known.
             (0, None) => CANNOT_GRANT,
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -9,6 +9,7 @@
 };
 use filbertwheel_policy::TokenReceipt;
 
+use crate::claims::TokenShortage;
 use crate::dispatch::{DispatchResult, with_retry_after};
 use crate::engine::Engine;
 use crate::incoming::IncomingRequest;
@@ -26,6 +27,15 @@
 /// together.
 const RETRY_AFTER_JITTER: f64 = 0.6;
 
+/// A request that is refused at the entry.
+struct EntryRefusal {
+    /// Route of the request, if it has one.
+    route: Option<RouteId>,
+    refusal: Refusal,
+    /// Why the organisation's rate limit has no token, if that is the reason.
+    shortage: Option<TokenShortage>,
+}
+
 /// A request that may run, with the token it was charged.
 struct Admitted<'a> {
     rule: Arc<RouteRule>,
@@ -44,6 +54,7 @@
         let organisation = organisation_of_key(&snapshot, &incoming);
         let admitted = self.admit(&snapshot, &incoming, began).await;
         let mut objective = None;
+        let mut shortage = None;
         let (route, result) = match admitted {
             Ok(admitted) => {
                 let route = admitted.rule.id.clone();
@@ -51,13 +62,14 @@
                 let result = self.run(&snapshot, incoming, admitted, began).await;
                 (Some(route), result)
             }
-            Err((route, refusal)) => {
+            Err(refused) => {
+                shortage = refused.shortage;
                 let result = DispatchResult {
-                    verdict: Err(refusal.into()),
+                    verdict: Err(refused.refusal.into()),
                     vm: snapshot.local_member.vm.clone(),
                     attempts: 0,
                 };
-                (route, result)
+                (refused.route, result)
             }
         };
         let took = self.clock.now().saturating_duration_since(began);
@@ -67,11 +79,14 @@
             organisation: organisation.as_ref(),
             version: snapshot.version(),
         };
+        if let Some(shortage) = shortage {
+            self.metrics.record_shortage(shortage);
+        }
         let name = route.as_ref().and_then(|route| route.as_str());
         self.metrics
             .record_request(name.unwrap_or("none"), &result.verdict, took);
         let slow = objective.is_some_and(|objective| took > objective);
-        self.record(&snapshot, entry, &result, took, slow);
+        self.record(&snapshot, entry, &result, took, slow, shortage);
         result.verdict
     }
 
@@ -82,6 +97,7 @@
         result: &DispatchResult,
         took: Duration,
         slow: bool,
+        shortage: Option<TokenShortage>,
     ) {
         let took_ms = took.as_millis() as u64;
         let attempts_text = || format!("{} attempts, last to {}", result.attempts, result.vm);
@@ -93,8 +109,11 @@
                     .request_answered(entry, answer.status, vm, tries, took_ms, failed);
             }
             Err(Failure::Refused(refusal)) => {
-                let detail = refusal_detail(snapshot, entry.route, refusal.kind)
-                    .unwrap_or_else(attempts_text);
+                let detail = match shortage {
+                    Some(shortage) => Some(shortage_detail(snapshot, shortage)),
+                    None => refusal_detail(snapshot, entry.route, refusal.kind),
+                };
+                let detail = detail.unwrap_or_else(attempts_text);
                 let reason = refusal.kind.to_string();
                 self.journal
                     .request_failed(entry, "not-run", &reason, &detail, took_ms);
@@ -113,36 +132,39 @@
         snapshot: &Snapshot,
         incoming: &IncomingRequest,
         now: Instant,
-    ) -> Result<Admitted<'_>, (Option<RouteId>, Refusal)> {
+    ) -> Result<Admitted<'_>, EntryRefusal> {
         let Some(rules) = &snapshot.rules else {
             let refusal = Refusal::retry_after(RefusalKind::Stale, STARTUP_RETRY_AFTER);
-            return Err((None, refusal));
+            return Err(EntryRefusal::new(None, refusal));
         };
         let route = rules.route(
             incoming.host.as_bytes(),
             path_only(incoming.path.as_bytes()),
         );
         let Some(rule) = route.cloned() else {
-            return Err((None, RefusalKind::NoRoute.into()));
+            return Err(EntryRefusal::new(None, RefusalKind::NoRoute.into()));
         };
-        let refused = |refusal: Refusal| (Some(rule.id.clone()), refusal);
+        let refused = |refusal: Refusal| EntryRefusal::new(Some(rule.id.clone()), refusal);
         let organisation =
             organisation(rules, &rule, incoming).map_err(|kind| refused(kind.into()))?;
         let rank = rules.rank(&rule, organisation.as_ref());
-        let receipt = match &organisation {
-            Some(name) => self
-                .charge(snapshot, rules, name, now)
-                .await
-                .map_err(refused)?,
-            None => None,
-        };
+        let receipt =
+            match &organisation {
+                Some(name) => self.charge(snapshot, rules, name, now).await.map_err(
+                    |(refusal, shortage)| EntryRefusal {
+                        shortage: Some(shortage),
+                        ..refused(refusal)
+                    },
+                )?,
+                None => None,
+            };
         let nested = is_nested(rules, &rule, incoming);
         let nested_call = nested.then(|| self.runner.begin_nested_call(&rule.id));
         if nested_call.is_none() {
             self.record_demand(&rule, rank);
             if let Err(refusal) = self.check_capacity(snapshot, &rule, rank, &organisation) {
                 self.refund(&organisation, receipt);
-                return Err((Some(rule.id.clone()), refusal));
+                return Err(refused(refusal));
             }
         }
         Ok(Admitted {
@@ -228,6 +250,24 @@
     }
 }
 
+impl EntryRefusal {
+    fn new(route: Option<RouteId>, refusal: Refusal) -> Self {
+        Self {
+            route,
+            refusal,
+            shortage: None,
+        }
+    }
+}
+
+/// Returns the state that a refusal over an organisation's rate was based on, for the log.
+fn shortage_detail(snapshot: &Snapshot, shortage: TokenShortage) -> String {
+    match &snapshot.holder {
+        Some(holder) => format!("{shortage}; the lease holder is {}", holder.vm),
+        None => format!("{shortage}; no lease holder is known"),
+    }
+}
+
 /// Returns the state that a refusal at the entry was based on, for the log.
 fn refusal_detail(
     snapshot: &Snapshot,
@@ -235,10 +275,6 @@
     kind: RefusalKind,
 ) -> Option<String> {
     match kind {
-        RefusalKind::OverRate => Some(match &snapshot.holder {
-            Some(holder) => format!("lease holder is {}", holder.vm),
-            None => "no lease holder is known".to_owned(),
-        }),
         RefusalKind::OverloadedDeep => {
             let overloaded = snapshot.admission_plan.overloaded_services(route?);
             let overloaded = overloaded.map(|(service, threshold)| {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,6 +5,7 @@
 //! decide about requests from the latest snapshot. The engine doesn't depend on the encoding of any
 //! message.
 
+mod claims;
 mod control;
 mod crashes;
 mod dispatch;
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use filbertwheel_core::{Failure, Verdict, broken_invariants};
+use filbertwheel_policy::LedgerSummary;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -13,6 +14,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Metric, Registry, Unit};
 
+use crate::claims::{ClaimSummary, TokenShortage};
+
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
@@ -29,6 +32,13 @@
     reason: String,
 }
 
+/// Labels of requests refused as over a rate limit.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ShortageLabels {
+    /// `exhausted` or `no-holder`.
+    reason: &'static str,
+}
+
 /// Labels of latencies.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RouteLabels {
@@ -45,6 +55,13 @@
     pub(crate) retries: Counter,
     /// Token claims sent to the lease holder.
     pub(crate) claims: Counter,
+    shortages: Family<ShortageLabels, Counter>,
+    /// Token claims that this node has granted as the lease holder.
+    claims_granted: Counter,
+    /// Token claims that this node has denied as the lease holder.
+    claims_denied: Counter,
+    lent: Gauge<f64, AtomicU64>,
+    withheld: Gauge<f64, AtomicU64>,
     /// Calls that run at the backend server.
     pub(crate) running: Gauge,
     /// Calls that wait for a slot of the backend server.
@@ -78,6 +95,18 @@
             requests: add.metric("requests", "Finished requests"),
             retries: add.metric("repeats", "Attempts beyond the first of a request"),
             claims: add.metric("claims", "Token claims sent to the lease holder"),
+            shortages: add.metric("over_rate", "Requests refused as over a rate limit"),
+            claims_granted: add
+                .metric("claims_granted", "Token claims granted as the lease holder"),
+            claims_denied: add.metric("claims_denied", "Token claims denied as the lease holder"),
+            lent: add.metric(
+                "lent_portion",
+                "Largest part of a rate limit that this node has lent as the lease holder",
+            ),
+            withheld: add.metric(
+                "withheld_portion",
+                "Largest part of a rate limit that this node withholds as the lease holder",
+            ),
             running: add.metric("running", "Calls that run at the backend server"),
             queued: add.metric("queued", "Calls that wait for a slot of the backend server"),
             sent: add.metric("backend_requests", "Calls sent to the backend server"),
@@ -117,6 +146,26 @@
         latency.observe(elapsed.as_secs_f64());
     }
 
+    /// Records a request refused as over a rate limit.
+    pub(crate) fn record_shortage(&self, shortage: TokenShortage) {
+        let reason = match shortage {
+            TokenShortage::Exhausted => "exhausted",
+            TokenShortage::NoHolder => "no-holder",
+        };
+        self.shortages
+            .get_or_create(&ShortageLabels { reason })
+            .inc();
+    }
+
+    /// Records the state of the rate limits at the lease holder.
+    pub(crate) fn record_ledger(&self, ledger: &LedgerSummary, claims: &ClaimSummary) {
+        self.claims_granted.inc_by(claims.granted);
+        self.claims_denied.inc_by(claims.denied);
+        self.lent.set(ledger.max_lent);
+        self.withheld
+            .set(ledger.max_unconfirmed + ledger.emergency_reserve);
+    }
+
     /// Returns all metrics in the text format.
     pub fn text(&self) -> String {
         self.broken.set(broken_invariants() as i64);
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -31,8 +31,8 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time beyond a call's deadline during which its verdict may still arrive.
 const VERDICT_GRACE: Duration = Duration::from_millis(30);
-/// Timeout of a token claim.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of a token claim. The lease holder counts a claimed token as unspent for a little longer.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Links to all known other nodes.
 pub type Links = BTreeMap<VmId, Link>;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -60,8 +60,8 @@
 pub use profiler::{PendingCall, Profiler, RouteProfile};
 pub use quarantine::{CRASH_LIMIT, CrashReport, Fingerprint, Quarantine, RunMode};
 pub use quota::{
-    Grantees, PORTION_LIFETIME, PortionBuckets, PortionGrant, PortionLedger, PortionRequest,
-    Portions,
+    LedgerSummary, PORTION_LIFETIME, PortionBuckets, PortionGrant, PortionLedger, PortionRequest,
+    Portions, RateLimits, StoredGrants,
 };
 pub use rank::shed_rank;
 pub use retry::{RETRIES_PER_CALL, RetryThrottle, RetryThrottles, retry_after};
--- a/crates/policy/tests/portions.rs
+++ b/crates/policy/tests/portions.rs
@@ -6,7 +6,7 @@
 
 use filbertwheel_core::{OrganisationId, Rate, VmId};
 use filbertwheel_policy::{
-    Grantees, PORTION_LIFETIME, PortionBuckets, PortionGrant, PortionLedger, PortionRequest,
+    PORTION_LIFETIME, PortionBuckets, PortionGrant, PortionLedger, PortionRequest, StoredGrants,
 };
 use proptest::prelude::*;
 
@@ -34,8 +34,8 @@
     nodes: Vec<PortionBuckets>,
     ledger: PortionLedger,
     holder: usize,
-    /// Grantees as stored in the lease row.
-    stored: Grantees,
+    /// Grants as stored in the lease row.
+    stored: StoredGrants,
     /// Grants in transit, with their destination.
     grants: Vec<(usize, PortionGrant)>,
 }
@@ -46,22 +46,30 @@
         Self {
             now,
             nodes: (0..count).map(|_| PortionBuckets::default()).collect(),
-            ledger: PortionLedger::open(vm(0), Grantees::new(), now),
+            ledger: PortionLedger::open(vm(0), StoredGrants::default(), now),
             holder: 0,
-            stored: Grantees::new(),
+            stored: StoredGrants::default(),
             grants: Vec::new(),
         }
     }
 
-    /// Renews the lease, which stores the grantees.
+    /// Renews the lease, which stores the grants.
     fn renew(&mut self) {
-        let grantees = self.ledger.grantees(&limits());
-        self.stored.clone_from(&grantees);
-        self.ledger.record_grantees(grantees);
+        self.begin_renewal();
+        self.ledger.record_stored(self.stored.clone());
+    }
+
+    /// Stores the grants without the lease holder hearing of it yet.
+    fn begin_renewal(&mut self) {
+        let grants = self.ledger.grants_to_store(&limits(), self.now);
+        self.ledger.begin_store(&grants);
+        self.stored = grants;
     }
 
     fn request(&mut self, node: usize) -> PortionRequest {
-        self.nodes[node].next_request(&vm(node), &limits(), false, self.now)
+        let buckets = &mut self.nodes[node];
+        buckets.update_demand(&limits(), self.now);
+        buckets.next_request(&vm(node), false, self.now)
     }
 
     fn answer(&mut self, node: usize) {
@@ -133,13 +141,14 @@
     };
     let limits = BTreeMap::from([(organisation(), small)]);
     let now = Instant::now();
-    let mut ledger = PortionLedger::open(vm(0), Grantees::new(), now);
+    let mut ledger = PortionLedger::open(vm(0), StoredGrants::default(), now);
     let (mut holder, mut node) = (PortionBuckets::default(), PortionBuckets::default());
     for step in 0..4 {
         let now = now + STEP * step;
         assert!(node.charge(&organisation(), small, now).is_err());
         for (index, buckets) in [&mut holder, &mut node].into_iter().enumerate() {
-            let request = buckets.next_request(&vm(index), &limits, false, now);
+            buckets.update_demand(&limits, now);
+            let request = buckets.next_request(&vm(index), false, now);
             let grant = ledger.handle_request(&request, &limits, now);
             assert!(buckets.set_portions(&grant, &limits, now));
         }
@@ -168,7 +177,8 @@
         spend(&mut fleet, 1, 100);
         fleet.exchange();
     }
-    assert_eq!(fleet.stored.keys().cloned().collect::<Vec<_>>(), [vm(1)]);
+    let grantees: Vec<_> = fleet.stored.nodes.keys().cloned().collect();
+    assert_eq!(grantees, [vm(1)]);
     fleet.replace_holder(2);
     assert!(!fleet.ledger.all_portions_known(fleet.now));
     fleet.answer(0);
@@ -233,6 +243,7 @@
 #[derive(Debug, Clone)]
 enum Event {
     Renew,
+    BeginRenewal,
     Answer(usize),
     Deliver(usize),
     Drop(usize),
@@ -250,6 +261,7 @@
         6 => ((0..nodes), (0..200_usize)).prop_map(|(node, count)| Event::Spend(node, count)),
         6 => (1..2_000_u64).prop_map(Event::Wait),
         3 => Just(Event::Renew),
+        2 => Just(Event::BeginRenewal),
         1 => (0..nodes).prop_map(Event::Replace),
         1 => (0..nodes).prop_map(Event::Restart),
     ]
@@ -276,6 +288,7 @@
                 }
                 Event::Wait(millis) => fleet.now += Duration::from_millis(millis),
                 Event::Renew => fleet.renew(),
+                Event::BeginRenewal => fleet.begin_renewal(),
                 Event::Replace(holder) => fleet.replace_holder(holder),
                 Event::Restart(node) => {
                     fleet.nodes[node] = PortionBuckets::default();
