--- a/crates/engine/src/control/feed.rs
+++ b/crates/engine/src/control/feed.rs
@@ -6,8 +6,9 @@
 use filbertwheel_core::Clock;
 use filbertwheel_platform::{Revision, RowChanges, Store, StoreError, StoreRow};
 
-/// Timeout of one watch request.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// Timeout of one watch request. A watcher that is cut off from the store without an error finds out
+/// when it ends.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
 /// Minimum and maximum backoff after a failed request to the store.
 const MIN_BACKOFF: Duration = Duration::from_millis(300);
 const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
--- a/crates/engine/src/control/lease.rs
+++ b/crates/engine/src/control/lease.rs
@@ -23,13 +23,21 @@
 const ACQUIRE_PAUSE: Duration = Duration::from_millis(900);
 /// Time after the expiry of a lease before another node may acquire it.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the end of a lease that can't be renewed at which it is offered to another node.
+const OFFER_TIME: Duration = Duration::from_secs(5);
+/// Time beyond the longest lease up to which an expiry is plausible. A renewal estimates the store's
+/// time from an earlier response, which may have taken long.
+const EXPIRY_MARGIN: Duration = Duration::from_secs(10);
 /// Interval at which a node checks whether to acquire the lease.
-const CANDIDATE_INTERVAL: Duration = Duration::from_millis(300);
+const CANDIDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// Additional delay for each connected node that precedes this one by name, so that the nodes don't
 /// all try to acquire the lease together.
 const RANK_DELAY: Duration = Duration::from_millis(400);
-/// Maximum number of preceding nodes that add a delay.
+/// Number of preceding nodes that add a delay each. The nodes after them leave it to these for a
+/// while, so that a large fleet doesn't ask the store all at once.
 const MAX_RANK: usize = 8;
+/// Delay of all further nodes.
+const LATE_DELAY: Duration = Duration::from_secs(8);
 
 /// Row of the lease in the store.
 #[message]
@@ -42,14 +50,34 @@
     grants: StoredGrants,
 }
 
+impl LeaseRow {
+    /// Returns whether a node of the fleet may have written the row. No other row may keep the
+    /// lease from being acquired for ever.
+    fn is_plausible(&self, store_time: Duration) -> bool {
+        let latest = store_time + LEASE_DURATION + EXPIRY_MARGIN;
+        self.fence < Fence::MAX && Duration::from_millis(self.until_ms) <= latest
+    }
+}
+
 /// A lease that this node has acquired.
 struct AcquiredLease {
     fence: Fence,
     revision: Revision,
+    /// Reading of the store's clock in its last response, and when that was requested.
+    store_time: (Duration, Instant),
     /// Time until which this node may act on the lease, by its own clock.
     expires: Instant,
 }
 
+impl AcquiredLease {
+    /// Returns the time at which a renewal that is written now expires, by the store's clock.
+    fn next_expiry_ms(&self, now: Instant) -> u64 {
+        let (reading, requested) = self.store_time;
+        let store_time = reading + now.saturating_duration_since(requested);
+        (store_time + LEASE_DURATION).as_millis() as u64
+    }
+}
+
 /// Acquires the lease when no node holds it, and renews it.
 pub(crate) async fn hold_lease(control: Shared) {
     let (store, clock) = {
@@ -57,25 +85,33 @@
         let store = Arc::clone(&control.parts.dependencies.store);
         (store, Arc::clone(&control.parts.clock))
     };
+    // Time before which this node leaves the lease to others.
+    let mut not_before = clock.now();
+    let mut candidate_since = None;
     loop {
         clock.sleep(CANDIDATE_INTERVAL).await;
-        if !is_candidate(&control, clock.now()) {
-            continue;
-        }
-        let rank = control.borrow().candidate_rank();
-        clock.sleep(RANK_DELAY * rank as u32).await;
-        if !is_candidate(&control, clock.now()) {
-            continue;
+        let now = clock.now();
+        let offered = control.borrow_mut().offered_fence.take();
+        if offered.is_none() {
+            if now < not_before || !is_candidate(&control, now) {
+                candidate_since = None;
+                continue;
+            }
+            let since = *candidate_since.get_or_insert(now);
+            let delay = control.borrow().candidate_delay(now);
+            if now.saturating_duration_since(since) < delay {
+                continue;
+            }
         }
-        let began = clock.now();
-        match try_acquire(&control, store.as_ref()).await {
-            Ok(Some((acquired, earlier))) => {
-                begin_holding(&control, &acquired, earlier, began);
+        match try_acquire(&control, store.as_ref(), offered).await {
+            Ok(Attempt::Acquired(acquired, earlier)) => {
+                begin_holding(&control, &acquired, earlier, now);
                 renew(&control, store.as_ref(), acquired).await;
             }
-            Ok(None) => clock.sleep(ACQUIRE_PAUSE).await,
+            Ok(Attempt::Held(left)) => not_before = clock.now() + left.max(ACQUIRE_PAUSE),
             Err(error) => {
                 tracing::warn!("control: The lease can't be acquired: {error}.");
+                control.borrow_mut().offered_fence = offered;
                 clock.sleep(ACQUIRE_PAUSE).await;
             }
         }
@@ -90,23 +126,42 @@
     ready && backend_stays && !control.has_holder(now)
 }
 
-/// Acquires the lease if no node holds it, or if an earlier process of this node does. Returns it
-/// with the portions that nodes may hold from an earlier lease holder.
+/// Outcome of an attempt to acquire the lease.
+enum Attempt {
+    /// Acquired, with the portions that nodes may hold from an earlier lease holder.
+    Acquired(AcquiredLease, StoredGrants),
+    /// Another node holds it for this time.
+    Held(Duration),
+}
+
+/// Acquires the lease if no node holds it, if an earlier process of this node does, or if its holder
+/// has given it up and offered it to this node.
 async fn try_acquire(
     control: &Shared,
     store: &dyn Store,
-) -> Result<Option<(AcquiredLease, StoredGrants)>, StoreError> {
+    offered: Option<Fence>,
+) -> Result<Attempt, StoreError> {
     let read = store.list(LEASES_TABLE).await?;
     let row = read.value.iter().find(|row| row.key == RATES_KEY);
     let (fence, grants) = match row.map(|row| (row, decode(row))) {
         None => (1, StoredGrants::default()),
         Some((row, None)) => control.borrow().successor_of_unknown(row.revision),
+        Some((row, Some((known, _)))) if !known.is_plausible(read.store_time) => {
+            tracing::warn!(
+                holder = %known.holder,
+                fence = known.fence,
+                until_ms = known.until_ms,
+                "control: The row of the lease is not plausible, so it is replaced."
+            );
+            control.borrow().successor_of_unknown(row.revision)
+        }
         Some((_, Some((known, _)))) => {
             let end = Duration::from_millis(known.until_ms) + LEASE_MARGIN;
             // An earlier process on this VM must have ended, since this one is running.
             let own = known.holder == control.borrow().local_member.vm;
-            if read.store_time < end && !own {
-                return Ok(None);
+            let given_up = offered == Some(known.fence);
+            if read.store_time < end && !own && !given_up {
+                return Ok(Attempt::Held(end.saturating_sub(read.store_time)));
             }
             (known.fence + 1, known.grants)
         }
@@ -118,9 +173,10 @@
     let acquired = AcquiredLease {
         fence,
         revision: written.revision,
+        store_time: (written.store_time, began),
         expires: began + LEASE_DURATION,
     };
-    Ok(Some((acquired, grants)))
+    Ok(Attempt::Acquired(acquired, grants))
 }
 
 fn decode(row: &StoreRow) -> Option<(LeaseRow, Revision)> {
@@ -177,7 +233,7 @@
         "control: This node holds the lease on the rate limits."
     );
     control.publish();
-    control.send_reports(false);
+    control.send_reports();
     control.request_portions(false);
 }
 
@@ -204,6 +260,7 @@
         match renew_once(control, store, &acquired, &grants).await {
             Ok(written) => {
                 acquired.revision = written.revision;
+                acquired.store_time = (written.store_time, began);
                 acquired.expires = began + LEASE_DURATION;
                 let mut control = control.borrow_mut();
                 if let Some(lease) = &mut control.lease {
@@ -213,7 +270,13 @@
                 control.publish();
             }
             Err(StoreError::Conflict) => break,
-            Err(error) => tracing::warn!("control: The lease can't be renewed: {error}."),
+            Err(error) => {
+                tracing::warn!("control: The lease can't be renewed: {error}.");
+                let left = acquired.expires.saturating_duration_since(clock.now());
+                if left < OFFER_TIME && offer(control, acquired.fence) {
+                    break;
+                }
+            }
         }
     }
     tracing::warn!(
@@ -223,22 +286,49 @@
     control.borrow_mut().drop_lease();
 }
 
+/// Writes the row of the lease anew. A conflict may also come from an earlier renewal whose response
+/// was lost, so then the row is read, and its fencing token decides.
 async fn renew_once(
     control: &Shared,
     store: &dyn Store,
     acquired: &AcquiredLease,
     grants: &StoredGrants,
 ) -> Result<StoreResponse<()>, StoreError> {
+    let (fence, now) = (acquired.fence, control.borrow().parts.clock.now());
+    let until_ms = acquired.next_expiry_ms(now);
+    let renewed = write(control, store, fence, acquired.revision, until_ms, grants).await;
+    if !matches!(renewed, Err(StoreError::Conflict)) {
+        return renewed;
+    }
     let read = store.list(LEASES_TABLE).await?;
     let own = read.value.iter().find(|row| row.key == RATES_KEY);
-    // The row may also come from a write of this node whose response was lost, so the fencing token
-    // is compared and not the revision.
-    let known = own
-        .and_then(decode)
-        .filter(|(row, _)| row.fence == acquired.fence);
+    let known = own.and_then(decode).filter(|(row, _)| row.fence == fence);
     let (_, revision) = known.ok_or(StoreError::Conflict)?;
     let until_ms = (read.store_time + LEASE_DURATION).as_millis() as u64;
-    write(control, store, acquired.fence, revision, until_ms, grants).await
+    write(control, store, fence, revision, until_ms, grants).await
+}
+
+/// Gives up the lease and offers it to a node that the store answers, if there is one. Returns
+/// whether there was.
+fn offer(control: &Shared, fence: Fence) -> bool {
+    let mut control = control.borrow_mut();
+    let now = control.parts.clock.now();
+    let watchers = control
+        .sums
+        .fleet(now)
+        .map(|(sums, _)| sums.watchers.clone());
+    let mut answered = watchers.into_iter().flatten();
+    let successor = answered.find_map(|vm| {
+        let peer = control.peers.get(&vm)?;
+        (peer.link.is_up() && peer.member.status == Status::Serving).then(|| peer.link.clone())
+    });
+    let Some(link) = successor else {
+        return false;
+    };
+    // Nothing may be granted any more once the offer is on its way.
+    control.drop_lease();
+    link.offer_lease(fence);
+    true
 }
 
 /// Ends the lease before it expires, so that another node can acquire it at once.
@@ -274,10 +364,16 @@
         (heard.max(revision) + 1, grants)
     }
 
-    /// Returns how many connected nodes precede this one by name, up to `MAX_RANK`.
-    fn candidate_rank(&self) -> usize {
-        let peers = self.peers.iter();
-        let before = peers.filter(|(vm, peer)| **vm < self.local_member.vm && peer.link.is_up());
-        before.count().min(MAX_RANK)
+    /// Returns how long this node leaves the lease to the connected nodes that precede it by name.
+    fn candidate_delay(&self, now: Instant) -> Duration {
+        let starting = self.is_starting(now);
+        let before = self
+            .peers
+            .iter()
+            .filter(|(vm, peer)| **vm < self.local_member.vm && (starting || peer.link.is_up()));
+        match before.count() {
+            rank if rank <= MAX_RANK => RANK_DELAY * rank as u32,
+            _ => LATE_DELAY,
+        }
     }
 }
--- a/crates/engine/src/control/mod.rs
+++ b/crates/engine/src/control/mod.rs
@@ -8,13 +8,15 @@
 mod profiles;
 mod rules;
 mod state;
+mod sums;
 mod ticks;
 
 pub(crate) use lease::hold_lease;
-pub(crate) use members::{remove_dead_members, watch_members};
+pub(crate) use members::{join_members, keep_members};
 pub(crate) use profiles::store_profiles;
 pub(crate) use rules::watch_rules;
 pub(crate) use state::{Control, ControlParts, handle_messages, open_control};
+pub(crate) use sums::exchange_sums;
 pub(crate) use ticks::run_ticks;
 
 use filbertwheel_peer::LinkEvent;
--- a/crates/engine/src/control/plan.rs
+++ b/crates/engine/src/control/plan.rs
@@ -1,24 +1,18 @@
 //! Plans load shedding from the demand, the request costs and the capacity of the fleet.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use filbertwheel_core::{Member, Rank, RouteId, ServiceId, Status};
+use filbertwheel_core::{Member, ServiceId};
 use filbertwheel_policy::{
-    AdmissionPlan, AdmissionPlanner, BackendLoad, CallGraph, Capacity, RouteDemand, RouteProfile,
-    ShedThreshold,
+    AdmissionPlan, AdmissionPlanner, BackendLoad, CallGraph, Capacity, DemandMeter, FleetSums,
+    RouteProfile, ShedThreshold,
 };
 
 use super::state::Control;
-use crate::engine::demand_rates;
 use crate::snapshots::Snapshot;
 
-/// Weight of the newest interval in the smoothed demand of callers.
-const DEMAND_WEIGHT: f64 = 0.4;
-/// Requests per second below which a demand is dropped.
-const MIN_DEMAND: f32 = 0.05;
-
 /// Maximum number of runs that a stored profile counts as, so that new measurements soon outweigh
 /// it.
 const STORED_RUNS: f32 = 5.0;
@@ -29,11 +23,13 @@
 /// Measurements of this node, and the state of its planning.
 #[derive(Debug, Default)]
 pub(crate) struct Plan {
-    pub own_demand: Vec<RouteDemand>,
+    pub demand: DemandMeter,
     pub own_profiles: Vec<RouteProfile>,
-    /// Route profiles that were read from the store at the start.
-    stored_profiles: Vec<RouteProfile>,
+    /// Route profiles that were read from the store, if this node holds the lease.
+    stored_profiles: Option<Vec<RouteProfile>>,
     planner: AdmissionPlanner,
+    /// Time of the last plan.
+    planned: Option<Instant>,
     /// Shed thresholds as they were last logged.
     logged_thresholds: BTreeMap<ServiceId, ShedThreshold>,
 }
@@ -42,31 +38,18 @@
     /// Updates the smoothed demand by the requests that callers sent in the last interval.
     pub(super) fn measure_demand(&mut self, interval: Duration) {
         let counts = self.parts.engine.take_demand();
-        let mut smoothed: HashMap<(RouteId, Rank), f32> = self
-            .plan
-            .own_demand
-            .drain(..)
-            .map(|demand| ((demand.route, demand.rank), demand.rate))
-            .collect();
-        for rate in smoothed.values_mut() {
-            *rate *= 1.0 - DEMAND_WEIGHT as f32;
-        }
-        for demand in demand_rates(counts, interval) {
-            // The first interval of a route counts in full.
-            let known = smoothed.entry((demand.route, demand.rank));
-            known
-                .and_modify(|rate| *rate += demand.rate * DEMAND_WEIGHT as f32)
-                .or_insert(demand.rate);
-        }
-        let known = smoothed.into_iter().filter(|(_, rate)| *rate >= MIN_DEMAND);
-        self.plan.own_demand = known
-            .map(|((route, rank), rate)| RouteDemand { route, rank, rate })
-            .collect();
+        self.plan.demand.update(counts, interval);
         self.parts.engine.shedder().end_interval();
     }
 
-    /// Plans which requests are shed, and publishes the plan.
-    pub(super) fn replan(&mut self) {
+    /// Updates the profiles of the routes that run at this node.
+    pub(super) fn measure_profiles(&mut self) {
+        self.plan.own_profiles = self.parts.engine.runner.profiles();
+    }
+
+    /// Plans which requests are shed, and publishes the plan. Without sums over the fleet, a node
+    /// plans for itself.
+    pub(super) fn replan(&mut self, now: Instant) {
         let snapshot = self.parts.snapshots.load_full();
         let Some(rules) = &snapshot.rules else {
             return;
@@ -77,11 +60,18 @@
             .routes()
             .filter_map(|rule| Some((rule.id.clone(), call_graph.mean_run_seconds(&rule.id)?)))
             .collect();
-        let capacities = self.capacities();
-        let demand = self.peers.values().flat_map(|peer| &peer.demand);
-        let demand: Vec<RouteDemand> = demand.chain(&self.plan.own_demand).cloned().collect();
-        let admission_plan = self.plan.planner.plan(&demand, &costs, &capacities);
-        self.log_thresholds(&admission_plan, &capacities);
+        let fleet = self.sums.fleet(now);
+        let (sums, age) = fleet.map_or_else(
+            || (self.sample(), Duration::ZERO),
+            |(sums, age)| (sums.clone(), age),
+        );
+        self.parts.engine.metrics.record_sums(sums.nodes, age);
+        let capacities = capacities(&sums);
+        let before = self.plan.planned.replace(now).unwrap_or(now);
+        let since = now.saturating_duration_since(before);
+        let planner = &mut self.plan.planner;
+        let admission_plan = planner.plan(&sums.demand, &costs, &capacities, since);
+        self.log_thresholds(&admission_plan, &capacities, sums.nodes, age);
         self.parts.snapshots.store(Arc::new(Snapshot {
             admission_plan: Arc::new(admission_plan),
             costs: Arc::new(costs),
@@ -92,19 +82,32 @@
 
     /// Merges the route profiles of all nodes.
     fn call_graph(&self) -> CallGraph {
-        let peers = self.peers.values();
-        let profiles = peers.flat_map(|peer| &peer.profiles);
-        let profiles = profiles.chain(&self.plan.own_profiles);
-        CallGraph::merge(profiles.chain(&self.plan.stored_profiles))
+        let fleet = self.sums.profiles();
+        let own = self.profiles();
+        CallGraph::merge(if fleet.is_empty() { &own } else { fleet })
+    }
+
+    /// Returns the profiles that this node contributes to those of the fleet: its own and, at the
+    /// lease holder, the stored ones.
+    pub(super) fn profiles(&self) -> Vec<RouteProfile> {
+        let stored = self.plan.stored_profiles.iter().flatten();
+        CallGraph::merge(self.plan.own_profiles.iter().chain(stored)).profiles()
     }
 
     /// Sets the route profiles that were read from the store.
-    pub(super) fn set_stored_profiles(&mut self, profiles: Vec<RouteProfile>) {
-        let profiles = profiles.into_iter().map(|profile| RouteProfile {
-            runs: profile.runs.min(STORED_RUNS),
-            ..profile
+    pub(super) fn set_stored_profiles(&mut self, profiles: Option<Vec<RouteProfile>>) {
+        self.plan.stored_profiles = profiles.map(|profiles| {
+            let profiles = profiles.into_iter().map(|profile| RouteProfile {
+                runs: profile.runs.min(STORED_RUNS),
+                ..profile
+            });
+            profiles.collect()
         });
-        self.plan.stored_profiles = profiles.collect();
+    }
+
+    /// Returns whether the stored profiles were read.
+    pub(super) fn has_stored_profiles(&self) -> bool {
+        self.plan.stored_profiles.is_some()
     }
 
     /// Returns the route profiles to store; none unless this node holds the lease.
@@ -115,11 +118,14 @@
         self.call_graph().profiles()
     }
 
-    /// Logs shed thresholds that are new, have ended or have changed significantly.
+    /// Logs shed thresholds that are new, have ended or have changed significantly, with the number
+    /// of nodes whose measurements they are based on and the mean age of these.
     fn log_thresholds(
         &mut self,
         admission_plan: &AdmissionPlan,
         capacities: &BTreeMap<ServiceId, Capacity>,
+        nodes: u32,
+        age: Duration,
     ) {
         let known = &self.plan.logged_thresholds;
         let has_changed = |service: &ServiceId, threshold: &ShedThreshold| {
@@ -140,6 +146,8 @@
                     kept = threshold.admitted_permille,
                     slots = capacity.slots,
                     busy = capacity.in_flight,
+                    nodes,
+                    age_ms = age.as_millis() as u64,
                     "control: A service is overloaded; requests of this rank are shed."
                 );
             }
@@ -160,27 +168,23 @@
             });
         self.plan.logged_thresholds = logged.collect();
     }
+}
 
-    /// Returns the slots and the load of each service over all connected nodes.
-    fn capacities(&self) -> BTreeMap<ServiceId, Capacity> {
-        let mut capacities: BTreeMap<ServiceId, Capacity> = BTreeMap::new();
-        let own = (&self.local_member, self.parts.engine.runner.load());
-        let peers = self.peers.values().filter(|peer| peer.link.is_up());
-        let loads = peers.map(|peer| (&peer.member, peer.link.load()));
-        for (member, load) in loads.chain([own]) {
-            if let (Some(service), Status::Serving) = (&member.service, member.status) {
-                let capacity = capacities.entry(service.clone()).or_default();
-                capacity.slots += f64::from(usable_slots(member, &load));
-                capacity.in_flight += f64::from(load.running + load.queued);
-            }
-        }
-        capacities
-    }
+/// Returns the slots and the load of each service.
+fn capacities(sums: &FleetSums) -> BTreeMap<ServiceId, Capacity> {
+    let capacities = sums.capacities.iter().map(|one| {
+        let capacity = Capacity {
+            slots: f64::from(one.slots),
+            in_flight: f64::from(one.in_flight),
+        };
+        (one.service.clone(), capacity)
+    });
+    capacities.collect()
 }
 
 /// Returns the slots that a backend server can use at present. Its node reports fewer than it has
 /// while the backend server limits its requests, and none before its first report.
-fn usable_slots(member: &Member, load: &BackendLoad) -> u32 {
+pub(super) fn usable_slots(member: &Member, load: &BackendLoad) -> u32 {
     match load.slots {
         0 => member.slots,
         usable => usable.min(member.slots),
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -12,7 +12,7 @@
     Clock, Fence, FleetSecret, Member, Rules, ServiceId, Status, Version, VmId,
 };
 use filbertwheel_peer::{Link, LinkDriver, LinkEvent, LinkHandler, NodeReport};
-use filbertwheel_policy::{Distance, PortionLedger, RateLimits, RouteProfile};
+use filbertwheel_policy::{Aggregation, Distance, PortionLedger, RateLimits, WatchDuty};
 
 use super::plan::Plan;
 use super::{Message, Shared};
@@ -21,16 +21,17 @@
 use crate::settings::Dependencies;
 use crate::snapshots::{Holder, SharedSnapshot, Snapshot, Target};
 
-/// Time without a report after which a peer counts as unreachable, so that it may be spending its
-/// emergency portion.
+/// Time without a report after which a peer counts as unreachable even if its link seems to be up,
+/// so that it may be spending its emergency portion.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(1_500);
 /// Minimum number of reports that an unreachable peer has missed.
 const MISSED_REPORTS: u32 = 3;
-/// Time without a report after which the row of a node is removed from the store.
-const REMOVE_AFTER: Duration = Duration::from_secs(120);
 /// Time without a report of the lease holder after which it counts as lost.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time after the start of a node in which its links to the listed nodes come up.
+const LINK_START_TIME: Duration = Duration::from_millis(1_500);
+
 /// Parts that the control state is built from.
 #[derive(Debug)]
 pub(crate) struct ControlParts {
@@ -50,11 +51,19 @@
     pub(super) local_member: Member,
     pub(super) peers: BTreeMap<VmId, Peer>,
     pub(super) plan: Plan,
+    pub(super) sums: Aggregation,
+    /// Node that the sums over the fleet come from, as last logged.
+    pub(super) aggregator: Option<VmId>,
     /// The lease on the rate limits, if this node holds it.
     pub(super) lease: Option<HeldLease>,
     /// The peer that last reported that it holds the lease, with its fencing token and the time of
     /// the report.
     pub(super) holder: Option<(VmId, Fence, Instant)>,
+    /// Fencing token of the last lease that its holder has given up. Older notices of it may still
+    /// arrive with the sums over the fleet.
+    pub(super) released_fence: Option<Fence>,
+    /// Fencing token of a lease that its holder has given up and offered to this node.
+    pub(super) offered_fence: Option<Fence>,
     /// Fencing token of the lease holder that this node last requested portions from.
     pub(super) asked_fence: Option<Fence>,
     /// Rate limits of the organisations that have one, by the rules in force.
@@ -63,6 +72,13 @@
     /// Total suspension of the VM that has been handled so far.
     pub(super) suspended: Duration,
     pub(super) members_known: bool,
+    /// Whether this node is entered in the table of nodes and has read it since.
+    pub(super) joined: bool,
+    /// When this node started.
+    pub(super) started: Instant,
+    pub(super) watch_duty: WatchDuty,
+    /// Whether this node follows the store, as it tells the others.
+    pub(super) watching: bool,
 }
 
 /// The lease on the organisations' rate limits, held by this node.
@@ -79,26 +95,39 @@
 pub(super) struct Peer {
     pub member: Member,
     pub link: Link,
-    pub profiles: Vec<RouteProfile>,
-    pub demand: Vec<filbertwheel_policy::RouteDemand>,
     /// Time of the last report, or of the discovery of the node if it has not reported yet.
     pub last_heard: Instant,
 }
 
 /// Creates the control state that the tasks of the control thread share.
 pub(crate) fn open_control(parts: ControlParts, local_member: Member) -> Shared {
+    let sums = Aggregation::open(
+        local_member.vm.clone(),
+        local_member.domain.clone(),
+        local_member.incarnation,
+    );
+    let watch_duty = WatchDuty::open(local_member.vm.clone(), local_member.domain.clone());
+    let started = parts.clock.now();
     Rc::new(RefCell::new(Control {
         parts,
         local_member,
         peers: BTreeMap::new(),
         plan: Plan::default(),
+        sums,
+        aggregator: None,
         lease: None,
         holder: None,
+        released_fence: None,
+        offered_fence: None,
         asked_fence: None,
         limits: Arc::default(),
         stopping: false,
         suspended: super::ticks::suspended_time(),
         members_known: false,
+        joined: false,
+        started,
+        watch_duty,
+        watching: false,
     }))
 }
 
@@ -123,7 +152,7 @@
                 "control: The state of the backend server has changed."
             );
             self.publish();
-            self.send_reports(false);
+            self.send_reports();
         }
     }
 
@@ -136,7 +165,7 @@
             );
             self.local_member.status = status;
             self.publish();
-            self.send_reports(false);
+            self.send_reports();
         }
     }
 
@@ -145,7 +174,7 @@
         self.stopping = true;
         self.local_member.status = Status::Draining;
         self.publish();
-        self.send_reports(false);
+        self.send_reports();
     }
 
     /// Adds or updates a peer. Opens a link if the peer or its address is new.
@@ -187,8 +216,6 @@
         }
         let peer = Peer {
             link,
-            profiles: Vec::new(),
-            demand: Vec::new(),
             last_heard: self.parts.clock.now(),
             member: member.clone(),
         };
@@ -209,23 +236,7 @@
         let vm = report.member.vm.clone();
         self.upsert_peer(report.member);
         if let Some(fence) = report.holder_fence {
-            let newer = self
-                .holder
-                .as_ref()
-                .is_none_or(|(_, known, _)| fence >= *known);
-            let holder_changed = self.holder.as_ref().is_none_or(|(known, ..)| *known != vm);
-            if newer {
-                self.holder = Some((vm.clone(), fence, now));
-                self.drop_lease_if_older(fence);
-            }
-            if newer && holder_changed {
-                tracing::info!(
-                    vm = %vm,
-                    fence,
-                    "control: Another node holds the lease on the rate limits."
-                );
-                self.publish();
-            }
+            self.note_holder(&vm, fence, now);
         }
         let was_holder = self.holder.as_ref().is_some_and(|(known, ..)| *known == vm);
         if report.holder_fence.is_none() && was_holder {
@@ -233,7 +244,7 @@
                 vm = %vm,
                 "control: The lease holder no longer holds the lease on the rate limits."
             );
-            self.holder = None;
+            self.released_fence = self.holder.take().map(|(_, fence, _)| fence);
             self.publish();
         }
         let Some(peer) = self.peers.get_mut(&vm) else {
@@ -241,9 +252,36 @@
         };
         peer.last_heard = now;
         peer.link.set_load(report.load);
-        peer.demand = report.demand;
-        if let Some(profiles) = report.profiles {
-            peer.profiles = profiles;
+    }
+
+    /// Records that the lease holder has given up its lease and offers it to this node.
+    fn note_offer(&mut self, vm: &VmId, fence: Fence) {
+        let known = self.holder.as_ref();
+        if known.is_some_and(|(holder, known, _)| (holder, *known) == (vm, fence)) {
+            self.holder = None;
+            self.released_fence = Some(fence);
+            self.offered_fence = Some(fence);
+            self.publish();
+        }
+    }
+
+    /// Records that the node on `vm` has stated at `heard` that it holds the lease.
+    pub(super) fn note_holder(&mut self, vm: &VmId, fence: Fence, heard: Instant) {
+        let released = self.released_fence.is_some_and(|ended| fence <= ended);
+        let known = self.holder.as_ref();
+        if released || known.is_some_and(|(_, known, at)| (fence, heard) < (*known, *at)) {
+            return;
+        }
+        let holder_changed = known.is_none_or(|(known, ..)| known != vm);
+        self.holder = Some((vm.clone(), fence, heard));
+        self.drop_lease_if_older(fence);
+        if holder_changed {
+            tracing::info!(
+                vm = %vm,
+                fence,
+                "control: Another node holds the lease on the rate limits."
+            );
+            self.publish();
         }
     }
 
@@ -271,25 +309,19 @@
     pub(super) fn check_reachability(&mut self, now: Instant) {
         let timeout = UNREACHABLE_AFTER.max(self.report_interval() * MISSED_REPORTS);
         let peers = self.peers.values();
-        let unreachable =
-            peers.filter(|peer| now.saturating_duration_since(peer.last_heard) > timeout);
+        let unreachable = peers.filter(|peer| {
+            !peer.link.is_up() || now.saturating_duration_since(peer.last_heard) > timeout
+        });
         let (unreachable, nodes) = (unreachable.count(), self.peers.len() + 1);
         if let Some(lease) = &mut self.lease {
             lease.ledger.reserve_emergency(unreachable, nodes);
         }
     }
 
-    /// Returns the nodes that have been silent for so long that their rows can be removed; none
-    /// unless this node holds the lease.
-    pub(super) fn dead_members(&self, now: Instant) -> Vec<VmId> {
-        if self.lease.is_none() {
-            return Vec::new();
-        }
-        let peers = self.peers.iter();
-        let dead_members = peers.filter(|(_, peer)| {
-            !peer.link.is_up() && now.saturating_duration_since(peer.last_heard) > REMOVE_AFTER
-        });
-        dead_members.map(|(vm, _)| vm.clone()).collect()
+    /// Returns whether this node has just started, so that its links to the listed nodes may not be up
+    /// yet.
+    pub(super) fn is_starting(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) < LINK_START_TIME
     }
 
     /// Returns whether this node holds the lease or the lease holder has reported recently.
@@ -323,9 +355,6 @@
         self.parts.snapshots.store(Arc::new(snapshot));
         self.parts.engine.metrics.rules.set(version as i64);
         tracing::info!(version, before = known, "control: New rules are in force.");
-        for peer in self.peers.values() {
-            peer.link.announce_rules(version);
-        }
         Some(version)
     }
 
@@ -381,18 +410,11 @@
     }
 
     /// Sends a report of this node to all peers.
-    pub(super) fn send_reports(&mut self, with_profiles: bool) {
-        let profiles = with_profiles.then(|| {
-            let profiles = self.parts.engine.runner.profiles();
-            self.plan.own_profiles.clone_from(&profiles);
-            profiles
-        });
+    pub(super) fn send_reports(&self) {
         let report = NodeReport {
             member: self.local_member.clone(),
             load: self.parts.engine.runner.load(),
             version: self.parts.snapshots.load().version(),
-            demand: self.plan.own_demand.clone(),
-            profiles,
             holder_fence: self.lease.as_ref().map(|lease| lease.fence),
         };
         for peer in self.peers.values() {
@@ -441,6 +463,7 @@
                 self.upsert_peer(member);
                 self.publish();
                 self.send_known_crash_reports(&vm);
+                self.announce_known_rules(&vm);
             }
             LinkEvent::Disconnected(vm) => {
                 tracing::info!(vm = %vm, "control: The link to a node was lost.")
@@ -457,6 +480,17 @@
             }
             LinkEvent::PortionGrant(fence, grant) => self.apply_grant(fence, &grant),
             LinkEvent::CrashReports(reports) => self.parts.engine.runner.merge_crashes(&reports),
+            LinkEvent::Sums(message) => self.handle_sums(*message),
+            LinkEvent::LeaseOffer(vm, fence) => self.note_offer(&vm, fence),
+        }
+    }
+
+    /// Announces the rules in force to a peer of the failure domain that has just connected.
+    fn announce_known_rules(&self, vm: &VmId) {
+        let version = self.parts.snapshots.load().version();
+        let near = |peer: &&Peer| peer.member.domain == self.local_member.domain;
+        if let Some(peer) = self.peers.get(vm).filter(near).filter(|_| version > 0) {
+            peer.link.announce_rules(version);
         }
     }
 
--- a/crates/engine/src/control/ticks.rs
+++ b/crates/engine/src/control/ticks.rs
@@ -7,12 +7,14 @@
 
 use super::Shared;
 
-/// Interval between reports to the other nodes in a small fleet.
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-/// Fleet size above which the report interval grows in proportion, so that the number of reports
-/// per second that a node receives stays constant.
-const SMALL_FLEET: usize = 32;
-/// Number of ticks between reports that include the route profiles.
+/// Interval at which this node measures, plans and checks its state, whatever the size of the
+/// fleet.
+const TICK_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum number of reports per second that a node sends to the others and receives from them.
+const MAX_REPORTS_PER_SECOND: f64 = 128.0;
+/// Longest interval between two reports to another node. Links without reports are closed.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(4);
+/// Number of ticks between updates of the route profiles.
 const PROFILE_TICKS: u64 = 2;
 /// Number of ticks after which the journal's count of lines starts anew.
 const JOURNAL_TICKS: u64 = 4;
@@ -21,16 +23,16 @@
 /// Number of ticks between requests for portions.
 const REQUEST_TICKS: u64 = 2;
 /// Number of ticks between log lines about the rate limits at the lease holder.
-const LEDGER_TICKS: u64 = 4;
+const LEDGER_TICKS: u64 = 20;
 
 /// Runs the periodic tasks without end.
 pub(crate) async fn run_ticks(control: Shared) {
     let clock = Arc::clone(&control.borrow().parts.clock);
     let mut tick: u64 = 0;
     let mut last = clock.now();
+    let mut reported = last;
     loop {
-        let interval = control.borrow().report_interval();
-        clock.sleep(interval).await;
+        clock.sleep(TICK_INTERVAL).await;
         tick += 1;
         let now = clock.now();
         let mut control = control.borrow_mut();
@@ -41,8 +43,16 @@
         control.check_backend();
         control.broadcast_crash_reports();
         control.check_reachability(now);
-        control.send_reports(tick.is_multiple_of(PROFILE_TICKS));
-        control.replan();
+        control.forget_dead_peers(now);
+        control.apply_notices(now);
+        if now.saturating_duration_since(reported) >= control.report_interval() {
+            control.send_reports();
+            reported = now;
+        }
+        if tick.is_multiple_of(PROFILE_TICKS) {
+            control.measure_profiles();
+        }
+        control.replan(now);
         if tick.is_multiple_of(REQUEST_TICKS) {
             control.update_portions(now);
         }
@@ -58,10 +68,11 @@
 }
 
 impl super::Control {
-    /// Returns the interval between reports to the other nodes.
+    /// Returns the interval between reports to each other node. In a large fleet they only say that
+    /// a link works and how loaded a backend server without calls is.
     pub(super) fn report_interval(&self) -> Duration {
-        let nodes = self.peers.len() + 1;
-        REPORT_INTERVAL.mul_f64((nodes as f64 / SMALL_FLEET as f64).max(1.0))
+        let interval = Duration::from_secs_f64(self.peers.len() as f64 / MAX_REPORTS_PER_SECOND);
+        interval.clamp(TICK_INTERVAL, MAX_REPORT_INTERVAL)
     }
 
     /// Gives up the portions and the lease after a suspension of the VM. The other nodes may have
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,6 +1,7 @@
 //! State that the traffic threads of a node share.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -13,8 +14,8 @@
 use filbertwheel_http::LocalFuture;
 use filbertwheel_peer::{Link, LinkEvent, LinkHandler, NodeReport};
 use filbertwheel_policy::{
-    BackendLoad, FairShedder, PortionBuckets, RetryBudget, RetryLimits, RouteDemand, RulesCatchup,
-    TokenReceipt, WeightedRoundRobin,
+    BackendLoad, FairShedder, PortionBuckets, RetryBudget, RetryLimits, RulesCatchup, TokenReceipt,
+    WeightedRoundRobin,
 };
 
 use crate::claims::{ClaimCounts, TokenShortage};
@@ -60,6 +61,8 @@
     /// Time until which no claims are sent to the lease holder, because it did not respond.
     holder_paused_until: Mutex<Option<Instant>>,
     rules_catchup: Mutex<RulesCatchup>,
+    /// Whether this node watches the store.
+    pub(crate) watching: AtomicBool,
     /// Token claims of other nodes that this node has answered as the lease holder.
     pub(crate) claims: ClaimCounts,
 }
@@ -103,6 +106,7 @@
             exhausted_until: Mutex::default(),
             holder_paused_until: Mutex::default(),
             rules_catchup: Mutex::default(),
+            watching: AtomicBool::new(false),
             claims: ClaimCounts::default(),
         }
     }
@@ -142,6 +146,11 @@
         }
     }
 
+    /// Returns whether to request rules of a version that another node has.
+    pub(crate) fn wants_newer_rules(&self, version: Version) -> bool {
+        LinkHandler::wants_rules(self, version)
+    }
+
     /// Returns the number of calls that run or wait at this node.
     pub(crate) fn in_flight(&self) -> usize {
         self.runner.in_flight()
@@ -308,7 +317,8 @@
 
     fn wants_rules(&self, version: Version) -> bool {
         let (local_version, now) = (self.rules_version(), self.clock.now());
-        lock(&self.rules_catchup).should_pull(local_version, version, now)
+        let watching = self.watching.load(Ordering::Relaxed);
+        lock(&self.rules_catchup).should_pull(local_version, version, watching, now)
     }
 
     fn run(&self, attempt: Attempt) -> LocalFuture<'_, Verdict> {
@@ -345,7 +355,9 @@
     fn handle_event(&self, event: LinkEvent) {
         let deferrable = match &event {
             LinkEvent::Report(report) => self.is_unchanged(report),
-            LinkEvent::PortionRequest(..) | LinkEvent::PortionGrant(..) => true,
+            LinkEvent::PortionRequest(..) | LinkEvent::PortionGrant(..) | LinkEvent::Sums(_) => {
+                true
+            }
             _ => false,
         };
         let message = Message::LinkEvent(event);
@@ -357,22 +369,6 @@
     }
 }
 
-/// Converts the request counts of an interval to requests per second.
-pub(crate) fn demand_rates(
-    counts: HashMap<(RouteId, Rank), u32>,
-    interval: Duration,
-) -> Vec<RouteDemand> {
-    let seconds = interval.as_secs_f64().max(0.001);
-    let counts = counts.into_iter();
-    counts
-        .map(|((route, rank), count)| RouteDemand {
-            route,
-            rank,
-            rate: (f64::from(count) / seconds) as f32,
-        })
-        .collect()
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod claims;
 mod control;
+mod counted_store;
 mod crashes;
 mod dispatch;
 mod engine;
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -39,6 +39,14 @@
     reason: &'static str,
 }
 
+/// Labels of calls to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreLabels {
+    /// `list`, `watch` or `commit`.
+    operation: &'static str,
+    table: &'static str,
+}
+
 /// Labels of latencies.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RouteLabels {
@@ -56,10 +64,15 @@
     /// Token claims sent to the lease holder.
     pub(crate) claims: Counter,
     shortages: Family<ShortageLabels, Counter>,
+    store_calls: Family<StoreLabels, Counter>,
     /// Token claims that this node has granted as the lease holder.
     claims_granted: Counter,
     /// Token claims that this node has denied as the lease holder.
     claims_denied: Counter,
+    /// 1 while this node watches the store for the nodes of its failure domain, else 0.
+    pub(crate) watching: Gauge,
+    sum_nodes: Gauge,
+    sum_age: Gauge<f64, AtomicU64>,
     lent: Gauge<f64, AtomicU64>,
     withheld: Gauge<f64, AtomicU64>,
     /// Calls that run at the backend server.
@@ -95,10 +108,20 @@
             requests: add.metric("requests", "Finished requests"),
             retries: add.metric("repeats", "Attempts beyond the first of a request"),
             claims: add.metric("claims", "Token claims sent to the lease holder"),
+            store_calls: add.metric("store_calls", "Calls to the store"),
             shortages: add.metric("over_rate", "Requests refused as over a rate limit"),
             claims_granted: add
                 .metric("claims_granted", "Token claims granted as the lease holder"),
             claims_denied: add.metric("claims_denied", "Token claims denied as the lease holder"),
+            watching: add.metric("watching_store", "Whether this node watches the store"),
+            sum_nodes: add.metric(
+                "plan_nodes",
+                "Nodes whose measurements the present plan is based on",
+            ),
+            sum_age: add.metric(
+                "plan_age_seconds",
+                "Mean age of the measurements that the present plan is based on",
+            ),
             lent: add.metric(
                 "lent_portion",
                 "Largest part of a rate limit that this node has lent as the lease holder",
@@ -157,6 +180,18 @@
             .inc();
     }
 
+    /// Records a call to the store.
+    pub(crate) fn record_store_call(&self, operation: &'static str, table: &'static str) {
+        let labels = StoreLabels { operation, table };
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
+    /// Records which measurements a plan is based on.
+    pub(crate) fn record_sums(&self, nodes: u32, age: Duration) {
+        self.sum_nodes.set(nodes.into());
+        self.sum_age.set(age.as_secs_f64());
+    }
+
     /// Records the state of the rate limits at the lease holder.
     pub(crate) fn record_ledger(&self, ledger: &LedgerSummary, claims: &ClaimSummary) {
         self.claims_granted.inc_by(claims.granted);
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -16,9 +16,10 @@
 use smol::LocalExecutor;
 
 use crate::control::{
-    ControlParts, Shared, handle_messages, hold_lease, open_control, remove_dead_members,
-    run_ticks, store_profiles, watch_members, watch_rules,
+    ControlParts, Shared, exchange_sums, handle_messages, hold_lease, join_members, keep_members,
+    open_control, run_ticks, store_profiles, watch_rules,
 };
+use crate::counted_store::CountedStore;
 use crate::engine::{Engine, EngineParts};
 use crate::inbox::Inbox;
 use crate::journal::Journal;
@@ -100,6 +101,11 @@
         let snapshots: SharedSnapshot =
             Arc::new(ArcSwap::from_pointee(Snapshot::open(local_member.clone())));
         let (journal, metrics) = (Arc::new(Journal::default()), Arc::new(Metrics::open()));
+        let store = CountedStore::open(dependencies.store, Arc::clone(&metrics));
+        let dependencies = Dependencies {
+            store: Arc::new(store),
+            ..dependencies
+        };
         let inbox = Arc::new(Inbox::open());
         let runner = Runner::open(
             local_member.vm.clone(),
@@ -185,10 +191,11 @@
         let control_tasks = [
             executor.spawn(handle_messages(control())),
             executor.spawn(watch_rules(control())),
-            executor.spawn(watch_members(control())),
-            executor.spawn(remove_dead_members(control())),
+            executor.spawn(join_members(control())),
+            executor.spawn(keep_members(control())),
             executor.spawn(store_profiles(control())),
             executor.spawn(run_ticks(control())),
+            executor.spawn(exchange_sums(control())),
             executor.spawn(hold_lease(control())),
         ];
         executor
--- a/crates/peer/src/link/accept.rs
+++ b/crates/peer/src/link/accept.rs
@@ -239,6 +239,14 @@
                 handler.handle_event(LinkEvent::CrashReports(reports));
                 true
             }
+            Frame::Sums(message) => {
+                handler.handle_event(LinkEvent::Sums(message));
+                true
+            }
+            Frame::LeaseOffer(fence) => {
+                handler.handle_event(LinkEvent::LeaseOffer(vm.clone(), fence));
+                true
+            }
             Frame::PortionRequest(request) => {
                 let reply = ReplyHandle(Arc::clone(&self.outbox));
                 handler.handle_event(LinkEvent::PortionRequest(request, reply));
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -13,7 +13,7 @@
     Attempt, Clock, Fence, FleetSecret, InstanceNotice, OrganisationId, Verdict, Version, VmId,
 };
 use filbertwheel_http::{configure_socket, reset_on_close};
-use filbertwheel_policy::{BackendLoad, CrashReport, PortionRequest};
+use filbertwheel_policy::{BackendLoad, CrashReport, PortionRequest, SumMessage};
 use filbertwheel_runtime::TcpStream;
 use futures_lite::FutureExt as _;
 
@@ -210,6 +210,21 @@
         self.push(&Frame::CrashReports(reports));
     }
 
+    /// Requests the rules in force at the other node.
+    pub fn request_rules(&self) {
+        self.push(&Frame::RulesRequest);
+    }
+
+    /// Offers the other node a lease that this node no longer acts on.
+    pub fn offer_lease(&self, fence: Fence) {
+        self.push(&Frame::LeaseOffer(fence));
+    }
+
+    /// Sends sums over a part of the fleet or all of it.
+    pub fn send_sums(&self, message: SumMessage) {
+        self.push(&Frame::Sums(Box::new(message)));
+    }
+
     /// Closes the link for good.
     pub fn close(self) {
         self.0.closed.store(true, Ordering::Relaxed);
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -13,9 +13,7 @@
     Priority, Refusal, RefusalKind, RequestId, RouteId, ServiceId, Text, UnknownReason, Verdict,
     Version, message, value,
 };
-use filbertwheel_policy::{
-    BackendLoad, CrashReport, PortionGrant, PortionRequest, RouteDemand, RouteProfile,
-};
+use filbertwheel_policy::{BackendLoad, CrashReport, PortionGrant, PortionRequest, SumMessage};
 
 /// Size of the length field, in bytes.
 const LENGTH_BYTES: usize = 4;
@@ -62,6 +60,10 @@
     Tokens(CorrelationId, u32, u32),
     /// Requests that were in flight when a backend server crashed.
     CrashReports(Vec<CrashReport>),
+    /// Sums over a part of the fleet or all of it.
+    Sums(Box<SumMessage>),
+    /// Offers the lease on the rate limits, which the sender no longer acts on, to be taken over.
+    LeaseOffer(Fence),
 }
 
 /// Report that a node sends to all other nodes periodically.
@@ -73,10 +75,6 @@
     pub load: BackendLoad,
     /// Version of the rules in force at the node.
     pub version: Version,
-    /// Demand of callers at the node, by route.
-    pub demand: Vec<RouteDemand>,
-    /// Measured profiles of the routes that run at the node; only some reports include them.
-    pub profiles: Option<Vec<RouteProfile>>,
     /// Fencing token of the lease on the rate limits, if the node holds that lease.
     pub holder_fence: Option<Fence>,
 }
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -19,7 +19,7 @@
     VmId,
 };
 use filbertwheel_http::LocalFuture;
-use filbertwheel_policy::{BackendLoad, CrashReport, PortionGrant, PortionRequest};
+use filbertwheel_policy::{BackendLoad, CrashReport, PortionGrant, PortionRequest, SumMessage};
 use filbertwheel_runtime::TcpStream;
 use futures_lite::AsyncReadExt as _;
 
@@ -74,6 +74,10 @@
     PortionGrant(Fence, PortionGrant),
     /// Requests that were in flight when a backend server crashed.
     CrashReports(Vec<CrashReport>),
+    /// Sums over a part of the fleet or all of it.
+    Sums(Box<SumMessage>),
+    /// A node has given up the lease with this fencing token and offers it to this node.
+    LeaseOffer(VmId, Fence),
 }
 
 /// Sends the reply to a request on the link that received it.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -5,6 +5,7 @@
 //! request of each route at each service, and the capacity of each service.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use filbertwheel_core::{OrganisationId, Rank, RouteId, ServiceId, message, value};
 
@@ -12,9 +13,11 @@
 
 /// Fraction of a service's slots that the plan assigns. The rest absorbs bursts of calls.
 const PLANNED_OCCUPANCY: f64 = 0.92;
+/// Time in which the trim of a service changes by one factor.
+const TRIM_TIME: Duration = Duration::from_millis(250);
 /// Factors by which the trim of a service, the correction of its planned capacity, changes per
-/// interval, each with the highest occupancy that it applies to. Costs learnt while requests waited
-/// for each other are far too high, so the trim of a mostly idle service rises in large steps.
+/// `TRIM_TIME`, each with the highest occupancy that it applies to. Costs learnt while requests
+/// waited for each other are far too high, so the trim of a mostly idle service rises in large steps.
 const TRIM_FACTORS: [(f64, f64); 5] = [
     (0.5, 1.2),
     (0.75, 1.06),
@@ -28,7 +31,7 @@
 const SLOTS_PER_QUEUED_CALL: f64 = 0.15;
 /// Lowest and highest trim.
 const TRIM_RANGE: (f64, f64) = (0.4, 6.0);
-/// Fraction by which the trim of a service that is not overloaded returns to 1 per interval.
+/// Fraction by which the trim of a service that is not overloaded returns to 1 per `TRIM_TIME`.
 const TRIM_DECAY: f64 = 0.1;
 /// Slot-seconds per request below which a route does not count as using a service.
 const MIN_SLOT_SECONDS: f64 = 0.000_5;
@@ -116,13 +119,15 @@
 }
 
 impl AdmissionPlanner {
-    /// Returns the plan for the next interval.
+    /// Returns the plan from now on, where `elapsed` is the time since the last one.
     pub fn plan<'a>(
         &mut self,
         demands: impl IntoIterator<Item = &'a RouteDemand>,
         costs: &HashMap<RouteId, RequestCost>,
         capacities: &BTreeMap<ServiceId, Capacity>,
+        elapsed: Duration,
     ) -> AdmissionPlan {
+        let steps = elapsed.as_secs_f64() / TRIM_TIME.as_secs_f64();
         let mut slots_by_rank: BTreeMap<&ServiceId, BTreeMap<Rank, f64>> = BTreeMap::new();
         let mut slots_by_route: BTreeMap<&ServiceId, BTreeMap<&RouteId, f64>> = BTreeMap::new();
         for demand in demands {
@@ -146,7 +151,7 @@
             let planned =
                 capacity.slots * PLANNED_OCCUPANCY * trim - queued * SLOTS_PER_QUEUED_CALL;
             let threshold = shed_threshold(&by_rank, planned.max(0.0));
-            self.adjust_trim(service, *capacity, threshold.is_some());
+            self.adjust_trim(service, *capacity, threshold.is_some(), steps);
             if let Some(threshold) = threshold {
                 thresholds.insert(service.clone(), threshold);
             }
@@ -165,8 +170,15 @@
         AdmissionPlan { thresholds, routes }
     }
 
-    /// Corrects the planned capacity of a service by its occupancy.
-    fn adjust_trim(&mut self, service: &ServiceId, capacity: Capacity, is_overloaded: bool) {
+    /// Corrects the planned capacity of a service by its occupancy. `steps` is the time since the
+    /// last correction in units of `TRIM_TIME`.
+    fn adjust_trim(
+        &mut self,
+        service: &ServiceId,
+        capacity: Capacity,
+        is_overloaded: bool,
+        steps: f64,
+    ) {
         let trim = self.trims.entry(service.clone()).or_insert(1.0);
         let occupancy = capacity.in_flight / capacity.slots;
         let step = TRIM_FACTORS
@@ -174,9 +186,9 @@
             .find(|(highest, _)| occupancy <= *highest);
         let factor = step.map_or(OVERLOAD_TRIM_FACTOR, |(_, factor)| *factor);
         if is_overloaded || factor < 1.0 {
-            *trim = (*trim * factor).clamp(TRIM_RANGE.0, TRIM_RANGE.1);
+            *trim = (*trim * factor.powf(steps)).clamp(TRIM_RANGE.0, TRIM_RANGE.1);
         } else {
-            *trim += (1.0 - *trim) * TRIM_DECAY;
+            *trim += (1.0 - *trim) * (1.0 - (1.0 - TRIM_DECAY).powf(steps));
         }
     }
 }
--- a/crates/policy/src/catchup.rs
+++ b/crates/policy/src/catchup.rs
@@ -1,13 +1,13 @@
 //! Pulling newer rules from other nodes.
 //!
-//! Most nodes receive new rules from the store at the same moment. A node that can't reach the
-//! store learns of them from its peers and pulls them from one peer at a time.
+//! The nodes that watch the store receive new rules from it at the same moment. The others learn of
+//! them from their peers and pull them from one peer at a time.
 
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::Version;
 
-/// How long a node waits for the store to deliver rules that a peer already has.
+/// How long a node that watches the store waits for it to deliver rules that a peer already has.
 const STORE_GRACE_PERIOD: Duration = Duration::from_millis(150);
 /// Minimum time between two pulls.
 const MIN_PULL_INTERVAL: Duration = Duration::from_millis(250);
@@ -28,8 +28,14 @@
 
 impl RulesCatchup {
     /// Returns whether to pull from a peer that announced version `announced`, where this node has
-    /// version `own`.
-    pub fn should_pull(&mut self, own: Version, announced: Version, now: Instant) -> bool {
+    /// version `own` and may be watching the store.
+    pub fn should_pull(
+        &mut self,
+        own: Version,
+        announced: Version,
+        watching: bool,
+        now: Instant,
+    ) -> bool {
         if announced <= own {
             return false;
         }
@@ -45,7 +51,7 @@
         let due = match behind.last_pull {
             Some(last_pull) => waited(last_pull) >= MIN_PULL_INTERVAL,
             // A node without rules can't serve requests, so it pulls at once.
-            None => own == 0 || waited(behind.since) >= STORE_GRACE_PERIOD,
+            None => own == 0 || !watching || waited(behind.since) >= STORE_GRACE_PERIOD,
         };
         if due {
             behind.last_pull = Some(now);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod child;
 mod cutoff;
 mod dedup;
+mod demand;
 mod gate;
 mod graph;
 mod lease;
@@ -28,14 +29,17 @@
 mod queue;
 mod quota;
 mod rank;
+mod rendezvous;
 mod retry;
 mod root;
 mod roster;
 mod round_robin;
 mod routing;
 mod subtree;
+mod sums;
 mod term;
 mod tree;
+mod watch;
 
 pub use admission::{
     AdmissionPlan, AdmissionPlanner, Capacity, FairShedder, RouteDemand, ShedThreshold,
@@ -48,6 +52,7 @@
 pub use catchup::RulesCatchup;
 pub use cutoff::{CUT_OFF_LIFETIME, CutOffs};
 pub use dedup::{DEDUP_WINDOW, DedupDecision, DedupTable, MAX_CLOCK_SKEW};
+pub use demand::DemandMeter;
 pub use gate::{Gate, GateOutcome, GateRequest, GateTicket, WaitOutcome};
 pub use graph::{CallGraph, RequestCost, ServiceCost};
 pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch, Voter};
@@ -70,8 +75,13 @@
 pub use round_robin::WeightedRoundRobin;
 pub use routing::{Candidate, LoadTracker, choose_backend};
 pub use subtree::{REJOIN_TIMEOUT, Subtree};
+pub use sums::{
+    Aggregation, FleetReport, FleetSums, HolderNotice, Outgoing, PartReport, ServiceCapacity,
+    SumMessage,
+};
 pub use term::{LeaseTerm, OUTAGE_LIMIT, SUPPORT_LIFETIME};
 pub use tree::{MAX_CHILDREN, MAX_CLAIM_HOPS, choose_child};
+pub use watch::WatchDuty;
 
 /// A full rate and burst, in the integer units that shares are counted in.
 pub const FULL_PORTION: u64 = 1_000_000_000;
--- a/crates/policy/src/profiler.rs
+++ b/crates/policy/src/profiler.rs
@@ -18,8 +18,9 @@
 const PRIOR_WEIGHT: f64 = 0.05;
 /// Minimum number of runs that calls are divided by.
 pub(crate) const MIN_RUNS: f64 = 0.05;
-/// Minimum number of finished runs for a profile to be reported.
-const MIN_REPORTED_RUNS: f64 = 3.0;
+/// Minimum number of finished runs, decayed, for a profile to be reported. Profiles are merged by
+/// their runs, so that few runs at each of many nodes count as much as many at one.
+const MIN_REPORTED_RUNS: f64 = 0.2;
 /// Minimum fraction of the runs in progress that counts as working, for runs that make several
 /// concurrent calls.
 const MIN_WORKING_FRACTION: f64 = 0.02;
@@ -67,6 +68,24 @@
     pub calls: Vec<(RouteId, f32)>,
 }
 
+/// Longest mean run, and most calls per run, of a plausible profile.
+const MAX_PROFILE_SECONDS: f32 = 3_600.0;
+const MAX_PROFILE_CALLS: f32 = 10_000.0;
+
+impl RouteProfile {
+    /// Returns whether the figures can come from a measurement. Others would spoil the sums over
+    /// all nodes.
+    pub fn is_plausible(&self) -> bool {
+        let calls = self.calls.iter().map(|(_, per_run)| *per_run);
+        // Not a number is in no range.
+        (0.0..=f32::MAX).contains(&self.runs)
+            && (0.0..=MAX_PROFILE_SECONDS).contains(&self.elapsed)
+            && calls
+                .into_iter()
+                .all(|calls| (0.0..=MAX_PROFILE_CALLS).contains(&calls))
+    }
+}
+
 impl Profiler {
     /// Records the start of a run.
     pub fn begin_run(&mut self, route: &RouteId, now: Instant) {
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -1,12 +1,16 @@
 //! Load shedding: which requests the entry node refuses when a service is overloaded.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use filbertwheel_core::{OrganisationId, Priority, Rank, RouteId, ServiceId};
 use filbertwheel_policy::{
     AdmissionPlan, AdmissionPlanner, Capacity, FairShedder, RequestCost, RouteDemand, ServiceCost,
 };
 
+/// Time between two plans.
+const INTERVAL: Duration = Duration::from_millis(250);
+
 /// Returns the rank of requests whose organisation and route have the same priority.
 fn rank(route: Priority) -> Rank {
     Rank {
@@ -59,7 +63,7 @@
         demand("tickets", 0, tickets),
         demand("photos", 2, 50.0),
     ];
-    AdmissionPlanner::default().plan(&demands, &costs(), &capacities(54.0))
+    AdmissionPlanner::default().plan(&demands, &costs(), &capacities(54.0), INTERVAL)
 }
 
 fn admitted(plan: &AdmissionPlan, route: &str, priority: Priority) -> u32 {
@@ -87,14 +91,14 @@
 fn an_overloaded_service_is_assigned_less_until_it_recovers() {
     let mut planner = AdmissionPlanner::default();
     let demands = [demand("sheets", 2, 400.0)];
-    let first = planner.plan(&demands, &costs(), &capacities(90.0));
+    let first = planner.plan(&demands, &costs(), &capacities(90.0), INTERVAL);
     let mut last = first.clone();
     for _ in 0..10 {
-        last = planner.plan(&demands, &costs(), &capacities(90.0));
+        last = planner.plan(&demands, &costs(), &capacities(90.0), INTERVAL);
     }
     assert!(admitted(&last, "sheets", 2) < admitted(&first, "sheets", 2));
     for _ in 0..60 {
-        last = planner.plan(&demands, &costs(), &capacities(30.0));
+        last = planner.plan(&demands, &costs(), &capacities(30.0), INTERVAL);
     }
     assert!(admitted(&last, "sheets", 2) > admitted(&first, "sheets", 2));
 }
@@ -129,11 +133,11 @@
 fn a_mostly_idle_service_is_assigned_more_quickly() {
     let mut planner = AdmissionPlanner::default();
     let demands = [demand("sheets", 2, 2_000.0)];
-    let mut plan = planner.plan(&demands, &costs(), &capacities(120.0));
+    let mut plan = planner.plan(&demands, &costs(), &capacities(120.0), INTERVAL);
     assert!(admitted(&plan, "sheets", 2) < 200);
     // The costs were learnt while requests waited for each other. Now the slots are idle.
     for _ in 0..12 {
-        plan = planner.plan(&demands, &costs(), &capacities(10.0));
+        plan = planner.plan(&demands, &costs(), &capacities(10.0), INTERVAL);
     }
     assert!(
         admitted(&plan, "sheets", 2) > 400,
@@ -154,7 +158,7 @@
         rate,
     };
     let demands = [demand("sheets", 2, 200.0), demand("tickets", 0, 100.0)];
-    let plan = AdmissionPlanner::default().plan(&demands, &costs(), &capacities(54.0));
+    let plan = AdmissionPlanner::default().plan(&demands, &costs(), &capacities(54.0), INTERVAL);
     let admitted = |route: &str, priority| {
         let permille = plan.admitted_permille(&route.into(), rank(priority));
         permille.map_or(1_000, |(permille, _)| permille)
@@ -172,7 +176,7 @@
         demand("tickets", 0, 100.0),
         demand("photos", 2, 100.0),
     ];
-    let plan = AdmissionPlanner::default().plan(&demands, &costs, &capacities(54.0));
+    let plan = AdmissionPlanner::default().plan(&demands, &costs, &capacities(54.0), INTERVAL);
     assert!(admitted(&plan, "sheets", 2) < 500);
     assert_eq!(admitted(&plan, "photos", 2), 1_000);
 }
@@ -185,7 +189,7 @@
         .map(|name| (name.as_str().into(), cost("desk", 0.1)));
     let costs: HashMap<RouteId, RequestCost> = costs.collect();
     let demands: Vec<RouteDemand> = names.iter().map(|name| demand(name, 2, 30.0)).collect();
-    let plan = AdmissionPlanner::default().plan(&demands, &costs, &capacities(54.0));
+    let plan = AdmissionPlanner::default().plan(&demands, &costs, &capacities(54.0), INTERVAL);
     let unaffected = names
         .iter()
         .filter(|name| admitted(&plan, name, 2) == 1_000);
--- a/crates/policy/tests/graph.rs
+++ b/crates/policy/tests/graph.rs
@@ -223,3 +223,32 @@
         assert!(difference.abs() < 1e-3, "{service}: {difference}");
     }
 }
+
+/// Demand over the capacity from the first second on, in a fleet where each node has run hardly
+/// anything yet: the costs must be known before the queues are full.
+#[test]
+fn one_run_at_each_of_many_nodes_shows_the_costs() {
+    let rules = Rules::with_routes(1, [rule("sheets", "rounds"), rule("rates", "scales")]);
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let (sheets, rates) = (RouteId::from("sheets"), RouteId::from("rates"));
+    let profiles = (0..100).flat_map(|_| {
+        let (mut caller, mut called) = (Profiler::default(), Profiler::default());
+        caller.begin_run(&sheets, at(0));
+        for call in 0..2 {
+            let pending = caller.begin_call(&rates, at(call * 100));
+            called.begin_run(&rates, at(call * 100));
+            called.end_run(&rates, Some(Duration::from_millis(50)), at(call * 100 + 50));
+            caller.end_call(pending, at(call * 100 + 50));
+        }
+        caller.end_run(&sheets, Some(Duration::from_millis(200)), at(200));
+        [caller.profiles(), called.profiles()].concat()
+    });
+    let profiles: Vec<RouteProfile> = profiles.collect();
+    let costs = CallGraph::merge(&profiles).costs(&rules);
+    let cost = costs[&sheets]
+        .get(&RouteId::from("scales"))
+        .copied()
+        .unwrap_or_default();
+    assert!((cost.slot_seconds - 0.1).abs() < 0.02, "{cost:?}");
+}
