Give odd entries of other writers a stated rule

Here: a lease row with the highest fencing token ended every node that read it (overflow in debug builds; in release builds the fence began at 0 again). One with an expiry in the far future kept the lease from everybody for ever. A node's own row, once spoilt, stayed so. A report with the highest sequence number, start or slots was believed: later reports passed for older ones. Stored route profiles with figures out of any range would have spoilt the plan. Not possible: deep nesting (the decoders stop at a depth), ports out of range, an odd row hiding others.

--- a/crates/policy/src/quota/ledger.rs
+++ b/crates/policy/src/quota/ledger.rs
@@ -88,6 +88,11 @@
     /// portions from an earlier lease holder that granted nothing after `since`.
     pub fn open(own_vm: VmId, mut earlier: StoredGrants, since: Instant) -> Self {
         earlier.nodes.remove(&own_vm);
+        // The row may come from another writer.
+        let portions = earlier.nodes.values_mut();
+        for portion in portions.chain(earlier.lent.iter_mut().flat_map(BTreeMap::values_mut)) {
+            *portion = portion.clamp(0.0, 1.0);
+        }
         let earlier_grants = (!earlier.nodes.is_empty()).then(|| EarlierGrants {
             until: since + PORTION_LIFETIME + CLOCK_DRIFT_MARGIN,
             nodes: earlier.nodes.clone(),
