--- a/crates/engine/src/control/mod.rs
+++ b/crates/engine/src/control/mod.rs
@@ -2,8 +2,10 @@
 //! the store.
 
 mod feed;
+mod holder;
 mod lease;
 mod members;
+mod messages;
 mod plan;
 mod profiles;
 mod rules;
@@ -13,9 +15,10 @@
 
 pub(crate) use lease::hold_lease;
 pub(crate) use members::{join_members, keep_members};
+pub(crate) use messages::handle_messages;
 pub(crate) use profiles::store_profiles;
 pub(crate) use rules::watch_rules;
-pub(crate) use state::{Control, ControlParts, handle_messages, open_control};
+pub(crate) use state::{Control, ControlParts, open_control};
 pub(crate) use sums::exchange_sums;
 pub(crate) use ticks::run_ticks;
 
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -11,24 +11,16 @@
 use filbertwheel_core::{
     Clock, Fence, FleetSecret, Member, Rules, ServiceId, Status, Version, VmId,
 };
-use filbertwheel_peer::{Link, LinkDriver, LinkEvent, LinkHandler, NodeReport};
+use filbertwheel_peer::{Link, LinkDriver, LinkHandler, NodeReport};
 use filbertwheel_policy::{Aggregation, Distance, PortionLedger, RateLimits, WatchDuty};
 
+use super::Shared;
 use super::plan::Plan;
-use super::{Message, Shared};
 use crate::engine::Engine;
 use crate::runner::BackendState;
 use crate::settings::Dependencies;
 use crate::snapshots::{Holder, SharedSnapshot, Snapshot, Target};
 
-/// Time without a report after which a peer counts as unreachable even if its link seems to be up,
-/// so that it may be spending its emergency portion.
-const UNREACHABLE_AFTER: Duration = Duration::from_millis(1_500);
-/// Minimum number of reports that an unreachable peer has missed.
-const MISSED_REPORTS: u32 = 3;
-/// Time without a report of the lease holder after which it counts as lost.
-const HOLDER_TIMEOUT: Duration = Duration::from_millis(2_500);
-
 /// Time after the start of a node in which its links to the listed nodes come up.
 const LINK_START_TIME: Duration = Duration::from_millis(1_500);
 
@@ -133,7 +125,7 @@
 
 impl Control {
     /// Applies a reported state of the backend server.
-    fn set_backend_state(&mut self, state: BackendState) {
+    pub(super) fn set_backend_state(&mut self, state: BackendState) {
         let status = if self.stopping {
             Status::Draining
         } else {
@@ -231,7 +223,7 @@
     }
 
     /// Applies the report of another node.
-    fn apply_report(&mut self, report: NodeReport) {
+    pub(super) fn apply_report(&mut self, report: NodeReport) {
         let now = self.parts.clock.now();
         let vm = report.member.vm.clone();
         self.upsert_peer(report.member);
@@ -254,85 +246,12 @@
         peer.link.set_load(report.load);
     }
 
-    /// Records that the lease holder has given up its lease and offers it to this node.
-    fn note_offer(&mut self, vm: &VmId, fence: Fence) {
-        let known = self.holder.as_ref();
-        if known.is_some_and(|(holder, known, _)| (holder, *known) == (vm, fence)) {
-            self.holder = None;
-            self.released_fence = Some(fence);
-            self.offered_fence = Some(fence);
-            self.publish();
-        }
-    }
-
-    /// Records that the node on `vm` has stated at `heard` that it holds the lease.
-    pub(super) fn note_holder(&mut self, vm: &VmId, fence: Fence, heard: Instant) {
-        let released = self.released_fence.is_some_and(|ended| fence <= ended);
-        let known = self.holder.as_ref();
-        if released || known.is_some_and(|(_, known, at)| (fence, heard) < (*known, *at)) {
-            return;
-        }
-        let holder_changed = known.is_none_or(|(known, ..)| known != vm);
-        self.holder = Some((vm.clone(), fence, heard));
-        self.drop_lease_if_older(fence);
-        if holder_changed {
-            tracing::info!(
-                vm = %vm,
-                fence,
-                "control: Another node holds the lease on the rate limits."
-            );
-            self.publish();
-        }
-    }
-
-    /// Gives up the lease if `fence`, another node's fencing token, is newer.
-    fn drop_lease_if_older(&mut self, fence: Fence) {
-        if self.lease.as_ref().is_some_and(|own| own.fence < fence) {
-            self.drop_lease();
-            tracing::warn!(
-                fence,
-                "control: Another node holds a newer lease on the rate limits."
-            );
-        }
-    }
-
-    /// Gives up the lease, and with it this node's own portions.
-    pub(super) fn drop_lease(&mut self) {
-        if self.lease.take().is_some() {
-            self.parts.engine.portions().clear();
-            self.publish();
-        }
-    }
-
-    /// If this node holds the lease, reserves the emergency portions of the unreachable peers,
-    /// which they may spend without it.
-    pub(super) fn check_reachability(&mut self, now: Instant) {
-        let timeout = UNREACHABLE_AFTER.max(self.report_interval() * MISSED_REPORTS);
-        let peers = self.peers.values();
-        let unreachable = peers.filter(|peer| {
-            !peer.link.is_up() || now.saturating_duration_since(peer.last_heard) > timeout
-        });
-        let (unreachable, nodes) = (unreachable.count(), self.peers.len() + 1);
-        if let Some(lease) = &mut self.lease {
-            lease.ledger.reserve_emergency(unreachable, nodes);
-        }
-    }
-
     /// Returns whether this node has just started, so that its links to the listed nodes may not be up
     /// yet.
     pub(super) fn is_starting(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.started) < LINK_START_TIME
     }
 
-    /// Returns whether this node holds the lease or the lease holder has reported recently.
-    pub(super) fn has_holder(&self, now: Instant) -> bool {
-        self.lease.is_some()
-            || self
-                .holder
-                .as_ref()
-                .is_some_and(|(_, _, heard)| now.saturating_duration_since(*heard) < HOLDER_TIMEOUT)
-    }
-
     /// Puts rules in force if they are newer than the current ones. Returns their version.
     pub(super) fn apply_rules(&mut self, document: Bytes) -> Option<Version> {
         let rules = match self.parts.dependencies.decoder.decode(&document) {
@@ -430,102 +349,3 @@
         .filter_map(|(name, policy)| Some((name.clone(), policy.limit?)))
         .collect()
 }
-
-/// Handles messages from the traffic threads as urgent ones arrive.
-pub(crate) async fn handle_messages(control: Shared) {
-    let engine = Arc::clone(&control.borrow().parts.engine);
-    loop {
-        engine.inbox.wait_urgent().await;
-        control.borrow_mut().handle_inbox();
-    }
-}
-
-impl Control {
-    /// Handles all waiting messages.
-    pub(super) fn handle_inbox(&mut self) {
-        for message in self.parts.engine.inbox.drain() {
-            match message {
-                Message::BackendState(state) => self.set_backend_state(state),
-                Message::Leaving => self.set_status(Status::Gone),
-                Message::LinkEvent(event) => self.handle_link_event(event),
-            }
-        }
-    }
-
-    fn handle_link_event(&mut self, event: LinkEvent) {
-        match event {
-            LinkEvent::Report(report) => self.apply_report(*report),
-            LinkEvent::Connected(member) => {
-                // Even if the store can't be read, the nodes that already know this one connect to
-                // it.
-                self.members_known = true;
-                let vm = member.vm.clone();
-                self.upsert_peer(member);
-                self.publish();
-                self.send_known_crash_reports(&vm);
-                self.announce_known_rules(&vm);
-            }
-            LinkEvent::Disconnected(vm) => {
-                tracing::info!(vm = %vm, "control: The link to a node was lost.")
-            }
-            LinkEvent::Rules(_, document) => {
-                self.apply_rules(document);
-            }
-            LinkEvent::PortionRequest(request, reply) => {
-                let (now, limits) = (self.parts.clock.now(), Arc::clone(&self.limits));
-                if let Some(lease) = self.lease.as_mut().filter(|lease| now < lease.expires) {
-                    let grant = lease.ledger.handle_request(&request, &limits, now);
-                    reply.grant(lease.fence, grant);
-                }
-            }
-            LinkEvent::PortionGrant(fence, grant) => self.apply_grant(fence, &grant),
-            LinkEvent::CrashReports(reports) => self.parts.engine.runner.merge_crashes(&reports),
-            LinkEvent::Sums(message) => self.handle_sums(*message),
-            LinkEvent::LeaseOffer(vm, fence) => self.note_offer(&vm, fence),
-        }
-    }
-
-    /// Announces the rules in force to a peer of the failure domain that has just connected.
-    fn announce_known_rules(&self, vm: &VmId) {
-        let version = self.parts.snapshots.load().version();
-        let near = |peer: &&Peer| peer.member.domain == self.local_member.domain;
-        if let Some(peer) = self.peers.get(vm).filter(near).filter(|_| version > 0) {
-            peer.link.announce_rules(version);
-        }
-    }
-
-    /// Sends all known crash reports to a peer that has just connected.
-    fn send_known_crash_reports(&self, vm: &VmId) {
-        let known = self.parts.engine.runner.crash_reports();
-        if let (Some(peer), false) = (self.peers.get(vm), known.is_empty()) {
-            peer.link.send_crash_reports(known);
-        }
-    }
-
-    /// Sends new crash reports of the local backend server to all peers.
-    pub(super) fn broadcast_crash_reports(&self) {
-        let unsent = self.parts.engine.runner.take_unsent_crash_reports();
-        if unsent.is_empty() {
-            return;
-        }
-        for peer in self.peers.values() {
-            peer.link.send_crash_reports(unsent.clone());
-        }
-    }
-
-    /// Applies granted portions, unless a newer lease holder is known.
-    pub(super) fn apply_grant(&mut self, fence: Fence, grant: &filbertwheel_policy::PortionGrant) {
-        if self
-            .holder
-            .as_ref()
-            .is_some_and(|(_, known, _)| fence < *known)
-        {
-            return;
-        }
-        let (now, limits) = (self.parts.clock.now(), Arc::clone(&self.limits));
-        self.parts
-            .engine
-            .portions()
-            .set_portions(grant, &limits, now);
-    }
-}
