--- a/crates/policy/tests/large_ledger.rs
+++ b/crates/policy/tests/large_ledger.rs
@@ -1,6 +1,6 @@
 //! Rate limits in a fleet of hundreds of nodes with many organisations.
 //!
-//! The lease holder once spent a second of processor time per renewal and several milliseconds per
+//! The lease holder once spent half a second of processor time per renewal and several milliseconds per
 //! request, because each request summed the demand of all nodes anew. It stopped answering claims,
 //! and nearly all requests of all organisations were refused as over their rate.
 
