Show the store's epoch in the log and the metrics

The platform's store states in each response which history it serves; the number rises when it comes back from an older copy. No source read it, so neither log nor metric could tell a restored store from one that went on.

The store's interface carries it as the epoch; the first response and each change are logged with the newest revision, and the metric store_epoch shows it. No decision changes otherwise.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -32,6 +32,13 @@
 /// Version of the configuration. Each change increments it by one.
 pub type Version = u64;
 
+/// Position in a store's history of writes.
+pub type Revision = u64;
+
+/// Number of a store's history. Each restore of the store from an older copy begins the next one, in
+/// which revisions of the earlier history are given out again.
+pub type Epoch = u64;
+
 /// Distinguishes runs of a process on the same VM. Later runs have larger numbers.
 pub type Incarnation = u64;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,8 +32,8 @@
 pub use control::{Claim, Delta, Demand, Grant, Heartbeat, HeartbeatReply, Share, Tokens};
 pub use filbertwheel_macros::{copy_value, message, settings, value};
 pub use ids::{
-    CallId, CommandId, DomainId, Fence, Incarnation, InstanceId, KeyHash, OrganisationId, Priority,
-    RegionId, RequestId, RouteId, ServiceId, Version, VmId,
+    CallId, CommandId, DomainId, Epoch, Fence, Incarnation, InstanceId, KeyHash, OrganisationId,
+    Priority, RegionId, RequestId, Revision, RouteId, ServiceId, Version, VmId,
 };
 pub use invariant::{InvariantReport, broken_invariants, report_invariant};
 pub use logging::{LogFormat, init_json_logging, init_logging};
--- a/crates/engine/src/control/feed.rs
+++ b/crates/engine/src/control/feed.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbertwheel_core::Clock;
-use filbertwheel_platform::{Revision, RowChanges, Store, StoreError, StoreRow};
+use filbertwheel_core::{Clock, Revision};
+use filbertwheel_platform::{RowChanges, Store, StoreError, StoreRow};
 
 /// Timeout of one watch request. A watcher that is cut off from the store without an error finds out
 /// when it ends.
--- a/crates/engine/src/control/lease.rs
+++ b/crates/engine/src/control/lease.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertwheel_core::{Fence, Status, Text, VmId, message};
-use filbertwheel_platform::{Revision, Store, StoreError, StoreResponse, StoreRow, StoreWrite};
+use filbertwheel_core::{Fence, Revision, Status, Text, VmId, message};
+use filbertwheel_platform::{Store, StoreError, StoreResponse, StoreRow, StoreWrite};
 use filbertwheel_policy::{PortionLedger, StoredGrants};
 
 use super::Shared;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod engine;
 mod entry;
+mod epochs;
 mod inbox;
 mod incoming;
 mod journal;
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -89,6 +89,8 @@
     pub(crate) rules: Gauge,
     /// Links to other nodes that are connected.
     pub(crate) links: Gauge,
+    /// Epoch of the store.
+    pub(crate) store_epoch: Gauge,
     broken: Gauge,
 }
 
@@ -143,6 +145,7 @@
             ),
             rules: add.metric("rules_version", "Version of the rules in force"),
             links: add.metric("links_up", "Links to other nodes that are connected"),
+            store_epoch: add.metric("store_epoch", "Epoch of the store; each restore raises it"),
             broken: add.metric("broken_invariants", "Invariant violations"),
             latency,
             registry,
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -21,6 +21,7 @@
 };
 use crate::counted_store::CountedStore;
 use crate::engine::{Engine, EngineParts};
+use crate::epochs::StoreEpoch;
 use crate::inbox::Inbox;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
@@ -101,7 +102,8 @@
         let snapshots: SharedSnapshot =
             Arc::new(ArcSwap::from_pointee(Snapshot::open(local_member.clone())));
         let (journal, metrics) = (Arc::new(Journal::default()), Arc::new(Metrics::open()));
-        let store = CountedStore::open(dependencies.store, Arc::clone(&metrics));
+        let epoch = Arc::new(StoreEpoch::open());
+        let store = CountedStore::open(dependencies.store, Arc::clone(&metrics), epoch);
         let dependencies = Dependencies {
             store: Arc::new(store),
             ..dependencies
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,5 +12,5 @@
     COMMAND_LIFETIME, CommitError, CommitOutcome, ConfigStore, SNAPSHOT_INTERVAL,
 };
 pub use memory::{MemoryObjects, MemoryTable};
-pub use store::{Revision, RowChanges, Store, StoreError, StoreResponse, StoreRow, StoreWrite};
+pub use store::{RowChanges, Store, StoreError, StoreResponse, StoreRow, StoreWrite};
 pub use table::{ObjectStore, Platform, PlatformError, Table, TableRow, TableWrite};
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -6,10 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use filbertwheel_core::{Text, copy_value, value};
-
-/// Position in the store's history of writes.
-pub type Revision = u64;
+use filbertwheel_core::{Epoch, Revision, Text, copy_value, value};
 
 /// A stored row.
 #[value]
@@ -42,6 +39,8 @@
     pub value: T,
     /// Latest revision of the store at the time of the response.
     pub revision: Revision,
+    /// Epoch of the store at the time of the response; 0 if the store doesn't state one.
+    pub epoch: Epoch,
     /// Reading of the store's monotonic clock.
     pub store_time: Duration,
 }
@@ -71,6 +70,9 @@
     /// The store's response can't be decoded.
     #[display("the store's response is malformed")]
     Malformed,
+    /// The response comes from before a restore of the store, so what it says may be undone.
+    #[display("the store was restored meanwhile")]
+    Superseded,
 }
 
 /// A transactional store of rows in tables.
