Compare revisions of the store only within an epoch

Cause: a watch goes on from a revision. The restored store gives out revisions again; once it has given out as many as were lost, a watch from there is not answered with 410, and what was written in between is never reported. A watch that stays open over the restore waits for a revision that may come much later. The holder's watch of the table of nodes had the same fault, so that rows that were lost were not written again.

Change: a feed keeps its position as epoch and revision, and lists its table anew when a response comes from another epoch, when the revision has fallen, or when the node hears of a higher epoch, from its own calls or with the sums over the fleet, while a watch is open. A response that arrives after one of a later epoch is ignored. A 410 is answered by a list at once, without a pause.

--- a/crates/engine/src/control/feed.rs
+++ b/crates/engine/src/control/feed.rs
@@ -3,8 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbertwheel_core::{Clock, Revision};
+use filbertwheel_core::{Clock, Epoch, StorePosition};
 use filbertwheel_platform::{RowChanges, Store, StoreError, StoreRow};
+use futures_lite::FutureExt as _;
+
+use super::ControlParts;
+use crate::epochs::StoreEpoch;
 
 /// Timeout of one watch request. A watcher that is cut off from the store without an error finds out
 /// when it ends.
@@ -15,14 +19,20 @@
 /// Jitter of the backoff as a fraction of it, so that the nodes don't retry together.
 const BACKOFF_JITTER: f64 = 0.5;
 
+/// Interval at which an open watch checks whether the store was restored meanwhile.
+const EPOCH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Follows one table.
 #[derive(Debug)]
 pub(super) struct Feed {
     store: Arc<dyn Store>,
+    epoch: Arc<StoreEpoch>,
     clock: Arc<dyn Clock>,
     table: &'static str,
-    /// Revision up to which the table was read; `None` before it is listed.
-    revision: Option<Revision>,
+    /// Up to where the table was read; `None` before it is listed.
+    position: Option<StorePosition>,
+    /// Highest known epoch when the table was last listed.
+    listed_epoch: Epoch,
     backoff: Duration,
 }
 
@@ -37,47 +47,76 @@
 
 impl Feed {
     /// Creates a feed that starts by listing the table.
-    pub fn open(store: Arc<dyn Store>, clock: Arc<dyn Clock>, table: &'static str) -> Self {
+    pub fn open(parts: &ControlParts, table: &'static str) -> Self {
         Self {
-            store,
-            clock,
+            store: Arc::clone(&parts.dependencies.store),
+            epoch: Arc::clone(&parts.epoch),
+            clock: Arc::clone(&parts.clock),
             table,
-            revision: None,
+            position: None,
+            listed_epoch: 0,
             backoff: MIN_BACKOFF,
         }
     }
 
-    /// Lists the table if it was not read yet, else waits for changes.
+    /// Lists the table if it was not read yet in the store's present epoch, else waits for changes.
     pub async fn next(&mut self) -> Result<Update, StoreError> {
-        let update = match self.revision {
-            None => self.store.list(self.table).await.map(|listed| {
-                let revision = listed.revision;
-                (Update::Listed(listed.value), revision)
-            }),
-            Some(after) => {
-                let changed = self.store.watch(self.table, after, WATCH_TIMEOUT).await;
-                changed.map(|changed| (Update::Changed(changed.value), changed.revision))
-            }
-        };
-        match update {
-            Ok((update, revision)) => {
-                self.revision = Some(revision);
-                self.backoff = MIN_BACKOFF;
-                Ok(update)
-            }
-            Err(error) => {
-                // After the store has compacted the revision, only a new list shows all changes.
-                if error == StoreError::Compacted {
+        if let Some(position) = self.position {
+            match self.watch(position).await {
+                Ok(changes) => return Ok(Update::Changed(changes)),
+                // Only a new list shows all changes.
+                Err(StoreError::Compacted | StoreError::Superseded) => {
+                    tracing::info!(
+                        table = self.table,
+                        epoch = position.epoch,
+                        revision = position.revision,
+                        "control: A table is listed anew."
+                    );
                     self.restart();
                 }
-                Err(error)
+                Err(error) => return Err(error),
+            }
+        }
+        self.list().await
+    }
+
+    async fn list(&mut self) -> Result<Update, StoreError> {
+        let known = self.epoch.highest();
+        let listed = self.store.list(self.table).await?;
+        self.listed_epoch = known;
+        self.proceed(listed.position());
+        Ok(Update::Listed(listed.value))
+    }
+
+    /// Waits for changes after a position. Fails if the store was restored since.
+    async fn watch(&mut self, position: StorePosition) -> Result<RowChanges, StoreError> {
+        let watch = self
+            .store
+            .watch(self.table, position.revision, WATCH_TIMEOUT);
+        let restored = async {
+            let known = self.listed_epoch.max(position.epoch);
+            while self.epoch.highest() <= known {
+                self.clock.sleep(EPOCH_INTERVAL).await;
             }
+            Err(StoreError::Superseded)
+        };
+        let changed = watch.or(restored).await?;
+        // Within an epoch the revision never falls.
+        if changed.epoch != position.epoch || changed.revision < position.revision {
+            return Err(StoreError::Superseded);
         }
+        self.proceed(changed.position());
+        Ok(changed.value)
+    }
+
+    fn proceed(&mut self, position: StorePosition) {
+        self.position = Some(position);
+        self.backoff = MIN_BACKOFF;
     }
 
     /// Makes the next request list the table again.
     pub fn restart(&mut self) {
-        self.revision = None;
+        self.position = None;
     }
 
     /// Waits after a failed request, with exponential backoff.
--- a/crates/engine/src/control/members.rs
+++ b/crates/engine/src/control/members.rs
@@ -79,9 +79,7 @@
 pub(crate) async fn join_members(control: Shared) {
     let (mut feed, local_member) = {
         let control = control.borrow();
-        let parts = &control.parts;
-        let store = Arc::clone(&parts.dependencies.store);
-        let feed = Feed::open(store, Arc::clone(&parts.clock), NODES_TABLE);
+        let feed = Feed::open(&control.parts, NODES_TABLE);
         (feed, control.local_member.clone())
     };
     loop {
@@ -132,11 +130,7 @@
         let parts = &control.parts;
         let store = Arc::clone(&parts.dependencies.store);
         let clock = Arc::clone(&parts.clock);
-        (
-            Feed::open(Arc::clone(&store), Arc::clone(&clock), NODES_TABLE),
-            clock,
-            store,
-        )
+        (Feed::open(parts, NODES_TABLE), clock, store)
     };
     let mut addresses: BTreeMap<VmId, SocketAddr> = BTreeMap::new();
     loop {
--- a/crates/engine/src/control/rules.rs
+++ b/crates/engine/src/control/rules.rs
@@ -22,13 +22,9 @@
     let (mut feed, location, clock) = {
         let control = control.borrow();
         let parts = &control.parts;
-        let (store, clock) = (
-            Arc::clone(&parts.dependencies.store),
-            Arc::clone(&parts.clock),
-        );
         let location = parts.dependencies.rules;
-        let feed = Feed::open(store, Arc::clone(&clock), location.table);
-        (feed, location, clock)
+        let feed = Feed::open(parts, location.table);
+        (feed, location, Arc::clone(&parts.clock))
     };
     loop {
         if !control.borrow_mut().is_watch_due() {
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -17,6 +17,7 @@
 use super::Shared;
 use super::plan::Plan;
 use crate::engine::Engine;
+use crate::epochs::StoreEpoch;
 use crate::runner::BackendState;
 use crate::settings::Dependencies;
 use crate::snapshots::{Holder, SharedSnapshot, Snapshot, Target};
@@ -29,6 +30,7 @@
 pub(crate) struct ControlParts {
     pub clock: Arc<dyn Clock>,
     pub dependencies: Dependencies,
+    pub epoch: Arc<StoreEpoch>,
     pub engine: Arc<Engine>,
     pub snapshots: SharedSnapshot,
     pub secret: FleetSecret,
--- a/crates/engine/src/control/sums.rs
+++ b/crates/engine/src/control/sums.rs
@@ -45,12 +45,13 @@
         self.send_sums(outgoing);
     }
 
-    /// Applies what the sums over the fleet say of the lease holder and the rules.
+    /// Applies what the sums over the fleet say of the lease holder, the rules and the store.
     pub(super) fn apply_notices(&mut self, now: Instant) {
         let Some((sums, _)) = self.sums.fleet(now) else {
             return;
         };
         let (holder, version) = (sums.holder.clone(), sums.version);
+        self.parts.epoch.hear(sums.epoch);
         if let Some(HolderNotice { vm, fence, age }) = holder {
             let heard = now.checked_sub(age).unwrap_or(now);
             if vm != self.local_member.vm && self.peers.contains_key(&vm) {
@@ -95,6 +96,7 @@
             demand: self.plan.demand.demand(),
             capacities: capacity.into_iter().collect(),
             version: self.parts.snapshots.load().version(),
+            epoch: self.parts.epoch.latest().unwrap_or_default(),
             holder: lease.map(|lease| HolderNotice {
                 vm: member.vm.clone(),
                 fence: lease.fence,
--- a/crates/engine/src/counted_store.rs
+++ b/crates/engine/src/counted_store.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use filbertwheel_core::Revision;
+use filbertwheel_core::{Epoch, Revision};
 use filbertwheel_platform::{RowChanges, Store, StoreError, StoreResponse, StoreRow, StoreWrite};
 
 use crate::epochs::StoreEpoch;
 use crate::metrics::Metrics;
 
-/// A store whose calls are counted and whose epoch is followed.
+/// A store whose calls are counted, and whose responses from before a restore are ignored.
 #[derive(Debug)]
 pub(crate) struct CountedStore {
     store: Arc<dyn Store>,
@@ -27,14 +27,16 @@
         }
     }
 
-    fn record<T>(
+    /// Records the epoch of a response to a request that was sent when `known` was the latest one.
+    fn check<T>(
         &self,
+        known: Option<Epoch>,
         response: Result<StoreResponse<T>, StoreError>,
     ) -> Result<StoreResponse<T>, StoreError> {
-        let response = response?;
-        self.epoch.record(&response);
-        self.metrics.store_epoch.set(response.epoch as i64);
-        Ok(response)
+        let checked = self.epoch.check(known, response?);
+        let epoch = self.epoch.latest().unwrap_or_default();
+        self.metrics.store_epoch.set(epoch as i64);
+        checked
     }
 }
 
@@ -42,7 +44,8 @@
 impl Store for CountedStore {
     async fn list(&self, table: &'static str) -> Result<StoreResponse<Vec<StoreRow>>, StoreError> {
         self.metrics.record_store_call("list", table);
-        self.record(self.store.list(table).await)
+        let known = self.epoch.latest();
+        self.check(known, self.store.list(table).await)
     }
 
     async fn watch(
@@ -52,12 +55,14 @@
         wait: Duration,
     ) -> Result<StoreResponse<RowChanges>, StoreError> {
         self.metrics.record_store_call("watch", table);
-        self.record(self.store.watch(table, after, wait).await)
+        let known = self.epoch.latest();
+        self.check(known, self.store.watch(table, after, wait).await)
     }
 
     async fn commit(&self, writes: &[StoreWrite]) -> Result<StoreResponse<()>, StoreError> {
         let table = writes.first().map_or("none", |write| write.table);
         self.metrics.record_store_call("commit", table);
-        self.record(self.store.commit(writes).await)
+        let known = self.epoch.latest();
+        self.check(known, self.store.commit(writes).await)
     }
 }
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -103,7 +103,8 @@
             Arc::new(ArcSwap::from_pointee(Snapshot::open(local_member.clone())));
         let (journal, metrics) = (Arc::new(Journal::default()), Arc::new(Metrics::open()));
         let epoch = Arc::new(StoreEpoch::open());
-        let store = CountedStore::open(dependencies.store, Arc::clone(&metrics), epoch);
+        let store =
+            CountedStore::open(dependencies.store, Arc::clone(&metrics), Arc::clone(&epoch));
         let dependencies = Dependencies {
             store: Arc::new(store),
             ..dependencies
@@ -164,6 +165,7 @@
         let control_parts = ControlParts {
             clock: Arc::clone(&clock),
             dependencies,
+            epoch,
             engine: Arc::clone(&engine),
             snapshots,
             secret: settings.secret.clone(),
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use filbertwheel_core::{Epoch, Revision, Text, copy_value, value};
+use filbertwheel_core::{Epoch, Revision, StorePosition, Text, copy_value, value};
 
 /// A stored row.
 #[value]
@@ -45,6 +45,16 @@
     pub store_time: Duration,
 }
 
+impl<T> StoreResponse<T> {
+    /// Returns the newest position in the store's history at the time of the response.
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            epoch: self.epoch,
+            revision: self.revision,
+        }
+    }
+}
+
 /// Changes of a table in order, by key. `None` means that the row was removed.
 pub type RowChanges = Vec<(Text, Option<StoreRow>)>;
 
--- a/crates/policy/src/sums/sum.rs
+++ b/crates/policy/src/sums/sum.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use filbertwheel_core::{Fence, Rank, RouteId, ServiceId, Version, VmId, message};
+use filbertwheel_core::{Epoch, Fence, Rank, RouteId, ServiceId, Version, VmId, message};
 
 use crate::RouteDemand;
 
@@ -22,6 +22,8 @@
     pub capacities: Vec<ServiceCapacity>,
     /// Newest version of the rules that is in force at any of the nodes.
     pub version: Version,
+    /// Highest epoch in which the store has responded to any of the nodes.
+    pub epoch: Epoch,
     /// The lease holder, if it is one of the nodes.
     pub holder: Option<HolderNotice>,
     /// Nodes of one failure domain that watch the store.
@@ -59,6 +61,7 @@
         for (sum, elapsed) in sums {
             total.nodes += sum.nodes;
             total.version = total.version.max(sum.version);
+            total.epoch = total.epoch.max(sum.epoch);
             total.merge_holder(sum.holder.as_ref(), elapsed);
             let room = MAX_WATCHERS.saturating_sub(total.watchers.len());
             let watchers = sum.watchers.iter().take(room);
