Order rules by lineage and version, over restores of the store

What callers saw: after a restore, rules that operators wrote under a version that was in use before stayed out of force for ever, and a key that they withdrew was accepted. A node that started after the restore accepted a key whose withdrawal had been confirmed.

Cause: rules were compared by their version alone. The version is the operators' number, and a restore takes the number back with the document. A node without memory took the copy's rules for the newest.

Change: policy/src/lineage.rs decides at one place. A higher version is newer, so a copy that comes back, and documents that are written again on the way to the latest one, replace nothing. A document that can't be one of those from before, since the node knows another one under its version, or knows all versions around it, begins a new lineage, numbered by the epoch. Lineage and version travel together in reports, announcements and sums, with the position where the document was read.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,7 +40,7 @@
 pub use logging::{LogFormat, init_json_logging, init_logging};
 pub use member::{Member, Status};
 pub use notice::{InstanceNotice, RequestRate};
-pub use position::StorePosition;
+pub use position::{RulesStamp, StorePosition};
 pub use rules::{OrganisationPolicy, Rank, RequestLimits, RouteRule, Rules, Target};
 pub use settings::{InvalidValue, SettingsError, SettingsFault, load_settings};
 pub use signature::{FleetSecret, Signature, SignatureError, sha256_hex};
--- a/crates/engine/src/control/feed.rs
+++ b/crates/engine/src/control/feed.rs
@@ -38,7 +38,14 @@
 
 /// Rows returned by one request to the store.
 #[derive(Debug)]
-pub(super) enum Update {
+pub(super) struct Update {
+    /// Epoch in which the store has responded.
+    pub epoch: Epoch,
+    pub rows: Rows,
+}
+
+#[derive(Debug)]
+pub(super) enum Rows {
     /// All rows of the table.
     Listed(Vec<StoreRow>),
     /// Rows that have changed since the last request.
@@ -63,7 +70,7 @@
     pub async fn next(&mut self) -> Result<Update, StoreError> {
         if let Some(position) = self.position {
             match self.watch(position).await {
-                Ok(changes) => return Ok(Update::Changed(changes)),
+                Ok(update) => return Ok(update),
                 // Only a new list shows all changes.
                 Err(StoreError::Compacted | StoreError::Superseded) => {
                     tracing::info!(
@@ -84,12 +91,11 @@
         let known = self.epoch.highest();
         let listed = self.store.list(self.table).await?;
         self.listed_epoch = known;
-        self.proceed(listed.position());
-        Ok(Update::Listed(listed.value))
+        Ok(self.proceed(listed.position(), Rows::Listed(listed.value)))
     }
 
     /// Waits for changes after a position. Fails if the store was restored since.
-    async fn watch(&mut self, position: StorePosition) -> Result<RowChanges, StoreError> {
+    async fn watch(&mut self, position: StorePosition) -> Result<Update, StoreError> {
         let watch = self
             .store
             .watch(self.table, position.revision, WATCH_TIMEOUT);
@@ -105,13 +111,14 @@
         if changed.epoch != position.epoch || changed.revision < position.revision {
             return Err(StoreError::Superseded);
         }
-        self.proceed(changed.position());
-        Ok(changed.value)
+        Ok(self.proceed(changed.position(), Rows::Changed(changed.value)))
     }
 
-    fn proceed(&mut self, position: StorePosition) {
+    fn proceed(&mut self, position: StorePosition, rows: Rows) -> Update {
         self.position = Some(position);
         self.backoff = MIN_BACKOFF;
+        let epoch = position.epoch;
+        Update { epoch, rows }
     }
 
     /// Makes the next request list the table again.
--- a/crates/engine/src/control/members.rs
+++ b/crates/engine/src/control/members.rs
@@ -8,7 +8,7 @@
 use filbertwheel_core::{Member, Status, VmId, message};
 use filbertwheel_platform::{Store, StoreError, StoreRow, StoreWrite};
 
-use super::feed::{Feed, Update};
+use super::feed::{Feed, Rows};
 use super::{Control, Shared};
 
 /// Table of the nodes.
@@ -112,9 +112,9 @@
 
 async fn list(feed: &mut Feed) -> Result<Vec<Member>, StoreError> {
     feed.restart();
-    let rows = match feed.next().await? {
-        Update::Listed(rows) => rows,
-        Update::Changed(_) => Vec::new(),
+    let rows = match feed.next().await?.rows {
+        Rows::Listed(rows) => rows,
+        Rows::Changed(_) => Vec::new(),
     };
     let members = rows
         .iter()
@@ -139,15 +139,15 @@
             feed.restart();
             continue;
         }
-        match feed.next().await {
-            Ok(Update::Listed(rows)) => {
+        match feed.next().await.map(|update| update.rows) {
+            Ok(Rows::Listed(rows)) => {
                 addresses.clear();
                 apply_rows(
                     &mut addresses,
                     rows.into_iter().map(|row| (row.key.clone(), Some(row))),
                 );
             }
-            Ok(Update::Changed(changes)) => apply_rows(&mut addresses, changes),
+            Ok(Rows::Changed(changes)) => apply_rows(&mut addresses, changes),
             Err(error) => {
                 tracing::warn!("control: The table of nodes can't be read: {error}.");
                 feed.back_off().await;
--- a/crates/engine/src/control/messages.rs
+++ b/crates/engine/src/control/messages.rs
@@ -5,7 +5,6 @@
 use filbertwheel_core::{Status, VmId};
 use filbertwheel_peer::LinkEvent;
 
-use super::state::Peer;
 use super::{Control, Message, Shared};
 
 /// Handles messages from the traffic threads as urgent ones arrive.
@@ -40,14 +39,11 @@
                 self.upsert_peer(member);
                 self.publish();
                 self.send_known_crash_reports(&vm);
-                self.announce_known_rules(&vm);
             }
             LinkEvent::Disconnected(vm) => {
                 tracing::info!(vm = %vm, "control: The link to a node was lost.")
             }
-            LinkEvent::Rules(_, document) => {
-                self.apply_rules(document);
-            }
+            LinkEvent::Rules(document) => self.receive_rules(document),
             LinkEvent::PortionRequest(request, reply) => {
                 let (now, limits) = (self.parts.clock.now(), Arc::clone(&self.limits));
                 if let Some(lease) = self.lease.as_mut().filter(|lease| now < lease.expires) {
@@ -62,15 +58,6 @@
         }
     }
 
-    /// Announces the rules in force to a peer of the failure domain that has just connected.
-    fn announce_known_rules(&self, vm: &VmId) {
-        let version = self.parts.snapshots.load().version();
-        let near = |peer: &&Peer| peer.member.domain == self.local_member.domain;
-        if let Some(peer) = self.peers.get(vm).filter(near).filter(|_| version > 0) {
-            peer.link.announce_rules(version);
-        }
-    }
-
     /// Sends all known crash reports to a peer that has just connected.
     fn send_known_crash_reports(&self, vm: &VmId) {
         let known = self.parts.engine.runner.crash_reports();
--- a/crates/engine/src/control/rules.rs
+++ b/crates/engine/src/control/rules.rs
@@ -1,15 +1,19 @@
 //! Follows the rules that operators write to the store.
 
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
-use filbertwheel_core::VmId;
+use filbertwheel_core::{Rules, RulesStamp, StorePosition, VmId};
+use filbertwheel_peer::RulesDocument;
+use filbertwheel_policy::{RateLimits, ReadMode, RulesReading, RulesVerdict};
 
 use super::Shared;
-use super::feed::{Feed, Update};
+use super::feed::{Feed, Rows, Update};
 use super::state::Control;
+use crate::snapshots::Snapshot;
 
 /// Interval at which a node that doesn't watch the store checks whether it is to.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -32,17 +36,14 @@
             clock.sleep(CHECK_INTERVAL).await;
             continue;
         }
-        let documents: Vec<Bytes> = match feed.next().await {
-            Ok(Update::Listed(rows)) => {
-                let rows = rows.into_iter();
-                let own = rows.filter(|row| row.key.as_bytes() == location.key.as_bytes());
-                own.map(|row| row.value).collect()
-            }
-            Ok(Update::Changed(changes)) => {
-                let changes = changes.into_iter();
-                let own = changes.filter(|(key, _)| key.as_bytes() == location.key.as_bytes());
-                own.filter_map(|(_, row)| Some(row?.value)).collect()
-            }
+        let (mode, rows, epoch) = match feed.next().await {
+            Ok(Update { epoch, rows }) => match rows {
+                Rows::Listed(rows) => (ReadMode::Listed, rows, epoch),
+                Rows::Changed(changes) => {
+                    let rows = changes.into_iter().filter_map(|(_, row)| row);
+                    (ReadMode::Followed, rows.collect(), epoch)
+                }
+            },
             Err(error) => {
                 tracing::warn!("control: The rules can't be read: {error}.");
                 control.borrow_mut().set_watching(false);
@@ -52,9 +53,12 @@
         };
         let mut control = control.borrow_mut();
         control.set_watching(true);
-        for document in documents {
-            if let Some(version) = control.apply_rules(document) {
-                control.announce_rules(version);
+        let own = rows.into_iter();
+        for row in own.filter(|row| row.key.as_bytes() == location.key.as_bytes()) {
+            let revision = row.revision;
+            let position = StorePosition { epoch, revision };
+            if let Some(stamp) = control.observe_rules(row.value, position, mode) {
+                control.announce_rules(stamp);
             }
         }
     }
@@ -96,12 +100,114 @@
     }
 
     /// Announces rules that were read from the store to the other nodes of the failure domain.
-    fn announce_rules(&self, version: filbertwheel_core::Version) {
+    fn announce_rules(&self, stamp: RulesStamp) {
         let own_domain = &self.local_member.domain;
         let peers = self.peers.values();
         let near = peers.filter(|peer| peer.member.domain == *own_domain);
         for peer in near.filter(|peer| peer.link.is_up()).take(MAX_ANNOUNCED) {
-            peer.link.announce_rules(version);
+            peer.link.announce_rules(stamp);
+        }
+    }
+
+    /// Judges a document that was read from the store, and puts it in force if it is newer. Returns its
+    /// stamp if it is in force now.
+    fn observe_rules(
+        &mut self,
+        text: Bytes,
+        position: StorePosition,
+        mode: ReadMode,
+    ) -> Option<RulesStamp> {
+        let rules = self.decode_rules(&text)?;
+        let reading = reading_of(&rules, &text, position);
+        let verdict = self.lineage.observe(reading, mode);
+        if verdict == RulesVerdict::Ignore && reading.version < self.rules_stamp().version {
+            tracing::info!(
+                version = reading.version,
+                in_force = self.rules_stamp().version,
+                epoch = position.epoch,
+                revision = position.revision,
+                "control: Rules in the store are older than those in force."
+            );
+        }
+        self.apply_verdict(verdict, rules, text)
+    }
+
+    /// Judges the rules in force at another node, and puts them in force if they are newer.
+    pub(super) fn receive_rules(&mut self, document: RulesDocument) {
+        let Some(rules) = self.decode_rules(&document.text) else {
+            return;
+        };
+        let reading = reading_of(&rules, &document.text, document.position);
+        let verdict = self.lineage.receive(document.stamp, reading);
+        self.apply_verdict(verdict, rules, document.text);
+    }
+
+    fn decode_rules(&self, text: &[u8]) -> Option<Rules> {
+        let decoded = self.parts.dependencies.decoder.decode(text);
+        decoded
+            .inspect_err(|error| tracing::warn!("control: New rules were rejected: {error}."))
+            .ok()
+    }
+
+    fn rules_stamp(&self) -> RulesStamp {
+        self.parts.snapshots.load().document.stamp
+    }
+
+    /// Publishes rules that are in force now, or where those that stay in force stand now. Returns the
+    /// stamp of the rules in force if it is new.
+    fn apply_verdict(
+        &mut self,
+        verdict: RulesVerdict,
+        rules: Rules,
+        text: Bytes,
+    ) -> Option<RulesStamp> {
+        let mut snapshot = Snapshot::clone(&self.parts.snapshots.load());
+        let position = self.lineage.current()?.1.position;
+        let stamp = match verdict {
+            RulesVerdict::Ignore if position == snapshot.document.position => return None,
+            RulesVerdict::Ignore => None,
+            RulesVerdict::Keep(stamp) => Some(stamp),
+            RulesVerdict::Replace(stamp) => {
+                tracing::info!(
+                    version = stamp.version,
+                    lineage = stamp.lineage,
+                    before = snapshot.version(),
+                    epoch = position.epoch,
+                    revision = position.revision,
+                    "control: New rules are in force."
+                );
+                self.limits = Arc::new(rate_limits(&rules));
+                snapshot.rules = Some(Arc::new(rules));
+                snapshot.document.text = text;
+                Some(stamp)
+            }
+        };
+        snapshot.document.position = position;
+        if let Some(stamp) = stamp {
+            snapshot.document.stamp = stamp;
+            let metrics = &self.parts.engine.metrics;
+            metrics.rules.set(stamp.version as i64);
+            metrics.rules_lineage.set(stamp.lineage as i64);
         }
+        self.parts.snapshots.store(Arc::new(snapshot));
+        stamp
+    }
+}
+
+fn reading_of(rules: &Rules, text: &[u8], position: StorePosition) -> RulesReading {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    RulesReading {
+        version: rules.version,
+        digest: hasher.finish(),
+        position,
     }
 }
+
+/// Returns the rate limits of the organisations that have one.
+fn rate_limits(rules: &Rules) -> RateLimits {
+    let organisations = rules.organisations.iter();
+    organisations
+        .filter_map(|(name, policy)| Some((name.clone(), policy.limit?)))
+        .collect()
+}
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -7,12 +7,11 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
-use bytes::Bytes;
-use filbertwheel_core::{
-    Clock, Fence, FleetSecret, Member, Rules, ServiceId, Status, Version, VmId,
-};
+use filbertwheel_core::{Clock, Fence, FleetSecret, Member, ServiceId, Status, VmId};
 use filbertwheel_peer::{Link, LinkDriver, LinkHandler, NodeReport};
-use filbertwheel_policy::{Aggregation, Distance, PortionLedger, RateLimits, WatchDuty};
+use filbertwheel_policy::{
+    Aggregation, Distance, PortionLedger, RateLimits, RulesLineage, WatchDuty,
+};
 
 use super::Shared;
 use super::plan::Plan;
@@ -60,6 +59,8 @@
     pub(super) offered_fence: Option<Fence>,
     /// Fencing token of the lease holder that this node last requested portions from.
     pub(super) asked_fence: Option<Fence>,
+    /// Which rules are in force, and which were before.
+    pub(super) lineage: RulesLineage,
     /// Rate limits of the organisations that have one, by the rules in force.
     pub(super) limits: Arc<RateLimits>,
     pub(super) stopping: bool,
@@ -114,6 +115,7 @@
         released_fence: None,
         offered_fence: None,
         asked_fence: None,
+        lineage: RulesLineage::default(),
         limits: Arc::default(),
         stopping: false,
         suspended: super::ticks::suspended_time(),
@@ -254,31 +256,6 @@
         now.saturating_duration_since(self.started) < LINK_START_TIME
     }
 
-    /// Puts rules in force if they are newer than the current ones. Returns their version.
-    pub(super) fn apply_rules(&mut self, document: Bytes) -> Option<Version> {
-        let rules = match self.parts.dependencies.decoder.decode(&document) {
-            Ok(rules) => rules,
-            Err(error) => {
-                tracing::warn!("control: New rules were rejected: {error}.");
-                return None;
-            }
-        };
-        let (version, known) = (rules.version, self.parts.snapshots.load().version());
-        if version <= known {
-            return None;
-        }
-        self.limits = Arc::new(rate_limits(&rules));
-        let snapshot = Snapshot {
-            rules: Some(Arc::new(rules)),
-            document,
-            ..Snapshot::clone(&self.parts.snapshots.load())
-        };
-        self.parts.snapshots.store(Arc::new(snapshot));
-        self.parts.engine.metrics.rules.set(version as i64);
-        tracing::info!(version, before = known, "control: New rules are in force.");
-        Some(version)
-    }
-
     /// Publishes a new snapshot to the traffic threads.
     pub(super) fn publish(&self) {
         let mut services: BTreeMap<ServiceId, Vec<Target>> = BTreeMap::new();
@@ -335,7 +312,7 @@
         let report = NodeReport {
             member: self.local_member.clone(),
             load: self.parts.engine.runner.load(),
-            version: self.parts.snapshots.load().version(),
+            rules: self.parts.snapshots.load().document.stamp,
             holder_fence: self.lease.as_ref().map(|lease| lease.fence),
         };
         for peer in self.peers.values() {
@@ -343,11 +320,3 @@
         }
     }
 }
-
-/// Returns the rate limits of the organisations that have one.
-fn rate_limits(rules: &Rules) -> RateLimits {
-    let organisations = rules.organisations.iter();
-    organisations
-        .filter_map(|(name, policy)| Some((name.clone(), policy.limit?)))
-        .collect()
-}
--- a/crates/engine/src/control/sums.rs
+++ b/crates/engine/src/control/sums.rs
@@ -50,7 +50,7 @@
         let Some((sums, _)) = self.sums.fleet(now) else {
             return;
         };
-        let (holder, version) = (sums.holder.clone(), sums.version);
+        let (holder, rules) = (sums.holder.clone(), sums.rules);
         self.parts.epoch.hear(sums.epoch);
         if let Some(HolderNotice { vm, fence, age }) = holder {
             let heard = now.checked_sub(age).unwrap_or(now);
@@ -58,7 +58,7 @@
                 self.note_holder(&vm, fence, heard);
             }
         }
-        if self.parts.engine.wants_newer_rules(version) {
+        if self.parts.engine.wants_newer_rules(rules) {
             self.request_rules();
         }
     }
@@ -95,7 +95,7 @@
             nodes: 1,
             demand: self.plan.demand.demand(),
             capacities: capacity.into_iter().collect(),
-            version: self.parts.snapshots.load().version(),
+            rules: self.parts.snapshots.load().document.stamp,
             epoch: self.parts.epoch.latest().unwrap_or_default(),
             holder: lease.map(|lease| HolderNotice {
                 vm: member.vm.clone(),
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -5,14 +5,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use filbertwheel_backend::StatusReport;
 use filbertwheel_core::{
     Attempt, Clock, InstanceId, InstanceNotice, Member, OrganisationId, Rank, Refusal, RefusalKind,
-    RouteId, RouteRule, Rules, ServiceId, Verdict, Version,
+    RouteId, RouteRule, Rules, RulesStamp, ServiceId, Verdict,
 };
 use filbertwheel_http::LocalFuture;
-use filbertwheel_peer::{Link, LinkEvent, LinkHandler, NodeReport};
+use filbertwheel_peer::{Link, LinkEvent, LinkHandler, NodeReport, RulesDocument};
 use filbertwheel_policy::{
     BackendLoad, FairShedder, PortionBuckets, RetryBudget, RetryLimits, RulesCatchup, TokenReceipt,
     WeightedRoundRobin,
@@ -146,9 +145,9 @@
         }
     }
 
-    /// Returns whether to request rules of a version that another node has.
-    pub(crate) fn wants_newer_rules(&self, version: Version) -> bool {
-        LinkHandler::wants_rules(self, version)
+    /// Returns whether to request rules with a stamp from another node that has them.
+    pub(crate) fn wants_newer_rules(&self, stamp: RulesStamp) -> bool {
+        LinkHandler::wants_rules(self, stamp)
     }
 
     /// Returns the number of calls that run or wait at this node.
@@ -311,14 +310,14 @@
         self.runner.learn_notice(notice);
     }
 
-    fn rules_version(&self) -> Version {
-        self.snapshots.load().version()
+    fn rules_stamp(&self) -> RulesStamp {
+        self.snapshots.load().document.stamp
     }
 
-    fn wants_rules(&self, version: Version) -> bool {
-        let (local_version, now) = (self.rules_version(), self.clock.now());
+    fn wants_rules(&self, stamp: RulesStamp) -> bool {
+        let (own, now) = (self.rules_stamp(), self.clock.now());
         let watching = self.watching.load(Ordering::Relaxed);
-        lock(&self.rules_catchup).should_pull(local_version, version, watching, now)
+        lock(&self.rules_catchup).should_pull(own, stamp, watching, now)
     }
 
     fn run(&self, attempt: Attempt) -> LocalFuture<'_, Verdict> {
@@ -346,10 +345,10 @@
         }
     }
 
-    fn rules(&self) -> Option<(Version, Bytes)> {
+    fn rules(&self) -> Option<RulesDocument> {
         let snapshot = self.snapshots.load();
-        let version = snapshot.rules.as_ref()?.version;
-        Some((version, snapshot.document.clone()))
+        snapshot.rules.as_ref()?;
+        Some(snapshot.document.clone())
     }
 
     fn handle_event(&self, event: LinkEvent) {
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -87,6 +87,8 @@
     pub(crate) backend_limit: Gauge<f64, AtomicU64>,
     /// Version of the rules in force.
     pub(crate) rules: Gauge,
+    /// Epoch of the store in which the lineage of the rules in force began; 0 for the first one.
+    pub(crate) rules_lineage: Gauge,
     /// Links to other nodes that are connected.
     pub(crate) links: Gauge,
     /// Epoch of the store.
@@ -144,6 +146,10 @@
                 "Requests per second that the backend server accepts; 0 if it states no limit",
             ),
             rules: add.metric("rules_version", "Version of the rules in force"),
+            rules_lineage: add.metric(
+                "rules_lineage",
+                "Epoch of the store in which the lineage of the rules in force began",
+            ),
             links: add.metric("links_up", "Links to other nodes that are connected"),
             store_epoch: add.metric("store_epoch", "Epoch of the store; each restore raises it"),
             broken: add.metric("broken_invariants", "Invariant violations"),
--- a/crates/engine/src/snapshots.rs
+++ b/crates/engine/src/snapshots.rs
@@ -5,9 +5,8 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
 use filbertwheel_core::{Member, RouteId, Rules, ServiceId, Version, VmId};
-use filbertwheel_peer::Link;
+use filbertwheel_peer::{Link, RulesDocument};
 use filbertwheel_policy::{AdmissionPlan, Distance, RequestCost};
 
 /// The latest snapshot, shared by all threads.
@@ -20,8 +19,8 @@
     pub local_member: Member,
     /// The rules in force, if any are known yet.
     pub rules: Option<Arc<Rules>>,
-    /// The document that the rules were decoded from.
-    pub document: Bytes,
+    /// The document that the rules were decoded from; empty if none are known yet.
+    pub document: RulesDocument,
     /// Nodes whose backend server is serving, by service.
     pub services: Arc<BTreeMap<ServiceId, Vec<Target>>>,
     /// Number of nodes in the fleet, this one included.
@@ -65,7 +64,7 @@
         Self {
             local_member,
             rules: None,
-            document: Bytes::new(),
+            document: RulesDocument::default(),
             services: Arc::default(),
             nodes: 1,
             holder: None,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -15,7 +15,7 @@
 pub use client::{CallForwarder, ControlClient, ForwardError, PeerClient};
 pub use link::{
     FrameError, Link, LinkDriver, LinkEndpoint, LinkEvent, LinkHandler, Links, NodeReport,
-    ReplyHandle,
+    ReplyHandle, RulesDocument,
 };
 pub use server::{CallHandler, ControlError, ControlHandler, PeerEndpoint};
 pub use wire::LoadReport;
--- a/crates/peer/src/link/accept.rs
+++ b/crates/peer/src/link/accept.rs
@@ -10,7 +10,7 @@
 
 use bytes::BytesMut;
 use filbertwheel_core::{
-    Attempt, Clock, FleetSecret, InstanceNotice, Refusal, RefusalKind, Version, VmId,
+    Attempt, Clock, FleetSecret, InstanceNotice, Refusal, RefusalKind, RulesStamp, VmId,
 };
 use filbertwheel_http::{ShutdownSignal, configure_socket};
 use filbertwheel_runtime::{TcpListener, TcpStream};
@@ -193,6 +193,7 @@
             handler.handle_event(LinkEvent::Connected(member));
             return self.push_with_notice(&Frame::Welcome {
                 member: handler.local_member(),
+                rules: handler.rules_stamp(),
             });
         }
         let Some(vm) = sender else {
@@ -213,26 +214,26 @@
                 true
             }
             Frame::Report(report) => {
-                let version = report.version;
+                let rules = report.rules;
                 handler.handle_event(LinkEvent::Report(report));
-                self.request_rules(version);
+                self.request_rules(rules);
                 self.push_with_notice(&Frame::ReportAck {
                     load: handler.load(),
-                    version: handler.rules_version(),
+                    rules: handler.rules_stamp(),
                 })
             }
-            Frame::RulesAnnounced(version) => {
-                self.request_rules(version);
+            Frame::RulesAnnounced(rules) => {
+                self.request_rules(rules);
                 true
             }
             Frame::RulesRequest => {
-                if let Some((version, text)) = handler.rules() {
-                    self.push(&Frame::Rules(version, text));
+                if let Some(rules) = handler.rules() {
+                    self.push(&Frame::Rules(rules));
                 }
                 true
             }
-            Frame::Rules(version, text) => {
-                handler.handle_event(LinkEvent::Rules(version, text));
+            Frame::Rules(rules) => {
+                handler.handle_event(LinkEvent::Rules(rules));
                 true
             }
             Frame::CrashReports(reports) => {
@@ -265,8 +266,8 @@
         }
     }
 
-    fn request_rules(&self, version: Version) {
-        if self.endpoint.handler.wants_rules(version) {
+    fn request_rules(&self, stamp: RulesStamp) {
+        if self.endpoint.handler.wants_rules(stamp) {
             self.push(&Frame::RulesRequest);
         }
     }
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -10,7 +10,7 @@
 use async_channel::Sender;
 use bytes::BytesMut;
 use filbertwheel_core::{
-    Attempt, Clock, Fence, FleetSecret, InstanceNotice, OrganisationId, Verdict, Version, VmId,
+    Attempt, Clock, Fence, FleetSecret, InstanceNotice, OrganisationId, RulesStamp, Verdict, VmId,
 };
 use filbertwheel_http::{configure_socket, reset_on_close};
 use filbertwheel_policy::{BackendLoad, CrashReport, PortionRequest, SumMessage};
@@ -195,9 +195,9 @@
         }
     }
 
-    /// Announces the version of new rules in force at this node.
-    pub fn announce_rules(&self, version: Version) {
-        self.push(&Frame::RulesAnnounced(version));
+    /// Announces new rules in force at this node.
+    pub fn announce_rules(&self, stamp: RulesStamp) {
+        self.push(&Frame::RulesAnnounced(stamp));
     }
 
     /// Requests portions from the other node as the lease holder.
@@ -413,7 +413,7 @@
             inner.state().notice = Some((notice, inner.clock.now()));
         }
         match frame {
-            Frame::Welcome { member } => {
+            Frame::Welcome { member, rules } => {
                 if member.vm != inner.vm {
                     tracing::warn!(
                         "peer: {} answered at the address of {}.",
@@ -423,6 +423,7 @@
                 }
                 inner.up.store(true, Ordering::Relaxed);
                 self.handler.handle_event(LinkEvent::Connected(member));
+                self.request_rules(rules);
             }
             Frame::Verdict(id, head, load, body) => {
                 inner.state().load = load;
@@ -431,20 +432,16 @@
                     let _closed = sender.try_send(Ok(head.into_verdict(body)));
                 }
             }
-            Frame::ReportAck { load, version } => {
+            Frame::ReportAck { load, rules } => {
                 inner.state().load = load;
-                if self.handler.wants_rules(version) {
-                    inner.outbox.push(&Frame::RulesRequest);
-                }
+                self.request_rules(rules);
             }
             Frame::RulesRequest => {
-                if let Some((version, text)) = self.handler.rules() {
-                    inner.outbox.push(&Frame::Rules(version, text));
+                if let Some(rules) = self.handler.rules() {
+                    inner.outbox.push(&Frame::Rules(rules));
                 }
             }
-            Frame::Rules(version, text) => {
-                self.handler.handle_event(LinkEvent::Rules(version, text))
-            }
+            Frame::Rules(rules) => self.handler.handle_event(LinkEvent::Rules(rules)),
             Frame::PortionGrant(fence, grant) => self.grant(fence, grant),
             Frame::Tokens(id, count, after) => {
                 if let Some(PendingReply::Claim(sender)) = inner.pending().remove(&id) {
@@ -458,6 +455,12 @@
         }
     }
 
+    fn request_rules(&self, stamp: RulesStamp) {
+        if self.handler.wants_rules(stamp) {
+            self.link.0.outbox.push(&Frame::RulesRequest);
+        }
+    }
+
     fn grant(&self, fence: Fence, grant: filbertwheel_policy::PortionGrant) {
         self.handler
             .handle_event(LinkEvent::PortionGrant(fence, grant));
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -10,8 +10,8 @@
 use derive_more::{Display, Error};
 use filbertwheel_core::{
     Answer, Attempt, Failure, Fence, Header, InstanceNotice, Member, Method, OrganisationId,
-    Priority, Refusal, RefusalKind, RequestId, RouteId, ServiceId, Text, UnknownReason, Verdict,
-    Version, message, value,
+    Priority, Refusal, RefusalKind, RequestId, RouteId, RulesStamp, ServiceId, StorePosition, Text,
+    UnknownReason, Verdict, message, value,
 };
 use filbertwheel_policy::{BackendLoad, CrashReport, PortionGrant, PortionRequest, SumMessage};
 
@@ -31,8 +31,8 @@
 pub(crate) enum Frame {
     /// First frame of the node that opened the link, signed with the fleet's secret.
     Hello { member: Member, signature: Text },
-    /// Reply to `Hello`.
-    Welcome { member: Member },
+    /// Reply to `Hello`, with the stamp of the rules in force.
+    Welcome { member: Member, rules: RulesStamp },
     /// A forwarded call.
     Call(CorrelationId, CallHead, Bytes),
     /// Cancels a call whose verdict is no longer needed.
@@ -42,13 +42,16 @@
     /// Periodic report of a node.
     Report(Box<NodeReport>),
     /// Reply to `Report`; also confirms that the link works.
-    ReportAck { load: BackendLoad, version: Version },
-    /// Announces the version of new rules in force.
-    RulesAnnounced(Version),
+    ReportAck {
+        load: BackendLoad,
+        rules: RulesStamp,
+    },
+    /// Announces new rules in force.
+    RulesAnnounced(RulesStamp),
     /// Requests the rules in force.
     RulesRequest,
-    /// Version and text of the rules in force, as written by operators.
-    Rules(Version, Bytes),
+    /// The rules in force.
+    Rules(RulesDocument),
     /// Requests portions from the lease holder.
     PortionRequest(PortionRequest),
     /// The lease holder's reply to `PortionRequest`.
@@ -66,6 +69,18 @@
     LeaseOffer(Fence),
 }
 
+/// The rules in force at a node.
+#[message]
+#[derive(Default)]
+pub struct RulesDocument {
+    /// Orders them among all rules.
+    pub stamp: RulesStamp,
+    /// Where the rules were read from the store.
+    pub position: StorePosition,
+    /// The text as written by operators.
+    pub text: Bytes,
+}
+
 /// Report that a node sends to all other nodes periodically.
 #[message]
 pub struct NodeReport {
@@ -73,8 +88,8 @@
     pub member: Member,
     /// Load of the backend server.
     pub load: BackendLoad,
-    /// Version of the rules in force at the node.
-    pub version: Version,
+    /// Stamp of the rules in force at the node.
+    pub rules: RulesStamp,
     /// Fencing token of the lease on the rate limits, if the node holds that lease.
     pub holder_fence: Option<Fence>,
 }
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -11,11 +11,11 @@
 
 pub use accept::LinkEndpoint;
 pub use dial::{Link, LinkDriver, Links};
-pub use frame::{FrameError, NodeReport};
+pub use frame::{FrameError, NodeReport, RulesDocument};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use filbertwheel_core::{
-    Attempt, Fence, FleetSecret, InstanceNotice, Member, OrganisationId, Text, Verdict, Version,
+    Attempt, Fence, FleetSecret, InstanceNotice, Member, OrganisationId, RulesStamp, Text, Verdict,
     VmId,
 };
 use filbertwheel_http::LocalFuture;
@@ -37,11 +37,11 @@
     /// Applies what another node knew of this node's backend server before the link was opened.
     fn learn_notice(&self, notice: InstanceNotice);
 
-    /// Returns the version of the rules in force at this node.
-    fn rules_version(&self) -> Version;
+    /// Returns the stamp of the rules in force at this node.
+    fn rules_stamp(&self) -> RulesStamp;
 
-    /// Whether to request the rules from a node that has this version of them.
-    fn wants_rules(&self, version: Version) -> bool;
+    /// Whether to request the rules from a node whose rules have this stamp.
+    fn wants_rules(&self, stamp: RulesStamp) -> bool;
 
     /// Runs a call at this node's backend server.
     fn run(&self, attempt: Attempt) -> LocalFuture<'_, Verdict>;
@@ -50,8 +50,8 @@
     /// granted and the time in milliseconds after which more may be available.
     fn claim_tokens(&self, organisation: &OrganisationId, count: u32) -> (u32, u32);
 
-    /// Returns the rules in force: their version and the text as written by operators.
-    fn rules(&self) -> Option<(Version, Bytes)>;
+    /// Returns the rules in force.
+    fn rules(&self) -> Option<RulesDocument>;
 
     /// Handles an event of a link.
     fn handle_event(&self, event: LinkEvent);
@@ -66,8 +66,8 @@
     Connected(Member),
     /// The link to another node was lost.
     Disconnected(VmId),
-    /// Version and text of rules, as written by operators.
-    Rules(Version, Bytes),
+    /// The rules in force at another node.
+    Rules(RulesDocument),
     /// A request for portions to this node as the lease holder.
     PortionRequest(PortionRequest, ReplyHandle),
     /// The lease holder's reply to a request for portions.
--- a/crates/peer/tests/accept.rs
+++ b/crates/peer/tests/accept.rs
@@ -6,13 +6,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use filbertwheel_core::{
-    Attempt, Clock, FleetSecret, InstanceNotice, Member, OrganisationId, Status, SystemClock, Text,
-    Verdict, Version,
+    Attempt, Clock, FleetSecret, InstanceNotice, Member, OrganisationId, RulesStamp, Status,
+    SystemClock, Text, Verdict,
 };
 use filbertwheel_http::{LocalFuture, ShutdownTrigger};
-use filbertwheel_peer::{LinkEndpoint, LinkEvent, LinkHandler};
+use filbertwheel_peer::{LinkEndpoint, LinkEvent, LinkHandler, RulesDocument};
 use filbertwheel_policy::BackendLoad;
 use smol::LocalExecutor;
 
@@ -57,11 +56,11 @@
 
     fn learn_notice(&self, _notice: InstanceNotice) {}
 
-    fn rules_version(&self) -> Version {
-        0
+    fn rules_stamp(&self) -> RulesStamp {
+        RulesStamp::default()
     }
 
-    fn wants_rules(&self, _version: Version) -> bool {
+    fn wants_rules(&self, _stamp: RulesStamp) -> bool {
         false
     }
 
@@ -73,7 +72,7 @@
         (0, 0)
     }
 
-    fn rules(&self) -> Option<(Version, Bytes)> {
+    fn rules(&self) -> Option<RulesDocument> {
         None
     }
 
--- a/crates/policy/src/catchup.rs
+++ b/crates/policy/src/catchup.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use filbertwheel_core::Version;
+use filbertwheel_core::RulesStamp;
 
 /// How long a node that watches the store waits for it to deliver rules that a peer already has.
 const STORE_GRACE_PERIOD: Duration = Duration::from_millis(150);
@@ -20,19 +20,19 @@
 
 #[derive(Debug)]
 struct Behind {
-    /// Version that the node had when it learnt of a newer one.
-    own: Version,
+    /// Stamp of the node's rules when it learnt of newer ones.
+    own: RulesStamp,
     since: Instant,
     last_pull: Option<Instant>,
 }
 
 impl RulesCatchup {
-    /// Returns whether to pull from a peer that announced version `announced`, where this node has
-    /// version `own` and may be watching the store.
+    /// Returns whether to pull from a peer whose rules have the stamp `announced`, where those of this
+    /// node have the stamp `own`, and it may be watching the store.
     pub fn should_pull(
         &mut self,
-        own: Version,
-        announced: Version,
+        own: RulesStamp,
+        announced: RulesStamp,
         watching: bool,
         now: Instant,
     ) -> bool {
@@ -51,7 +51,7 @@
         let due = match behind.last_pull {
             Some(last_pull) => waited(last_pull) >= MIN_PULL_INTERVAL,
             // A node without rules can't serve requests, so it pulls at once.
-            None => own == 0 || !watching || waited(behind.since) >= STORE_GRACE_PERIOD,
+            None => own.version == 0 || !watching || waited(behind.since) >= STORE_GRACE_PERIOD,
         };
         if due {
             behind.last_pull = Some(now);
--- a/crates/policy/src/sums/sum.rs
+++ b/crates/policy/src/sums/sum.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use filbertwheel_core::{Epoch, Fence, Rank, RouteId, ServiceId, Version, VmId, message};
+use filbertwheel_core::{Epoch, Fence, Rank, RouteId, RulesStamp, ServiceId, VmId, message};
 
 use crate::RouteDemand;
 
@@ -20,8 +20,8 @@
     pub demand: Vec<RouteDemand>,
     /// Capacity of each service.
     pub capacities: Vec<ServiceCapacity>,
-    /// Newest version of the rules that is in force at any of the nodes.
-    pub version: Version,
+    /// Stamp of the newest rules that are in force at any of the nodes.
+    pub rules: RulesStamp,
     /// Highest epoch in which the store has responded to any of the nodes.
     pub epoch: Epoch,
     /// The lease holder, if it is one of the nodes.
@@ -60,7 +60,7 @@
         let mut capacities: BTreeMap<&ServiceId, (f32, f32)> = BTreeMap::new();
         for (sum, elapsed) in sums {
             total.nodes += sum.nodes;
-            total.version = total.version.max(sum.version);
+            total.rules = total.rules.max(sum.rules);
             total.epoch = total.epoch.max(sum.epoch);
             total.merge_holder(sum.holder.as_ref(), elapsed);
             let room = MAX_WATCHERS.saturating_sub(total.watchers.len());
--- a/crates/policy/tests/sums/network.rs
+++ b/crates/policy/tests/sums/network.rs
@@ -212,7 +212,7 @@
         let now = self.now();
         let node = &mut self.nodes[index];
         let (mut sums, profiles) = sample(node.rate);
-        sums.version = node.version;
+        sums.rules.version = node.version;
         sums.watchers = Vec::from_iter(node.watching.then(|| node.vm.clone()));
         node.aggregation.set_sample(sums, profiles);
         let outgoing = node.aggregation.tick(now);
@@ -232,7 +232,7 @@
         let node = &mut self.nodes[index];
         let fleet = node.aggregation.fleet(now).map(|(sums, _)| sums);
         let reported = fleet.map_or(Vec::new(), |sums| sums.watchers.clone());
-        let newest = fleet.map_or(0, |sums| sums.version);
+        let newest = fleet.map_or(0, |sums| sums.rules.version);
         node.version = node.version.max(newest);
         let due = node.duty.is_due(&connected, &reported, now);
         // A watch without an answer lasts longer than the simulation.
