--- a/crates/engine/src/control/rules.rs
+++ b/crates/engine/src/control/rules.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use filbertwheel_core::{Rules, RulesStamp, StorePosition, VmId};
+use filbertwheel_core::{Epoch, Rules, RulesStamp, StorePosition, VmId};
 use filbertwheel_peer::RulesDocument;
 use filbertwheel_policy::{RateLimits, ReadMode, RulesReading, RulesVerdict};
 
@@ -17,6 +17,8 @@
 
 /// Interval at which a node that doesn't watch the store checks whether it is to.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Epoch of a store that was never restored. A store that states no epoch has a lower one.
+const FIRST_EPOCH: Epoch = 1;
 /// Maximum number of nodes that a watcher announces new rules to. The others learn of them with the
 /// sums over the fleet.
 const MAX_ANNOUNCED: usize = 64;
@@ -31,7 +33,7 @@
         (feed, location, Arc::clone(&parts.clock))
     };
     loop {
-        if !control.borrow_mut().is_watch_due() {
+        if control.borrow().awaits_rules() || !control.borrow_mut().is_watch_due() {
             control.borrow_mut().set_watching(false);
             clock.sleep(CHECK_INTERVAL).await;
             continue;
@@ -65,6 +67,14 @@
 }
 
 impl Control {
+    /// Returns whether this node leaves it to the other nodes for now to tell it the rules. Those in a
+    /// restored store may be older than the ones that the others have in force.
+    fn awaits_rules(&self) -> bool {
+        let restored = self.parts.epoch.highest() > FIRST_EPOCH;
+        let starting = self.is_starting(self.parts.clock.now());
+        self.lineage.current().is_none() && restored && starting && !self.peers.is_empty()
+    }
+
     /// Returns whether this node is to watch the store. Before it knows the other nodes, none does.
     fn is_watch_due(&mut self) -> bool {
         let now = self.parts.clock.now();
