Don't trust the row of the lease from before a restore of the store

What callers could see: after a restore, two nodes that both paid the organisations' tokens, and portions granted again that were lent, so that more requests passed than the rates allow; or, at the holder, refusals while it began anew without its ledger.

Cause: the restored row holds an older fencing token, expiry and portions. The holder's renewal met a conflict, found another token in the row and gave up its lease; the next one took the token after that in the row, which had been in force, and believed that the row named all portions.

Change: the row states the epoch in which it was written. policy/src/succession.rs decides at one place: a holder whose lease has not expired by its own clock writes its row anew over one of before the restore; any other node waits until each lease of before the restore has expired, and then takes any portion at all other nodes as lent. Fencing tokens begin anew in each epoch, above all those of earlier ones. An acquisition over which the store is restored is given up.

--- a/crates/engine/src/control/lease.rs
+++ b/crates/engine/src/control/lease.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertwheel_core::{Fence, Revision, Status, Text, VmId, message};
+use filbertwheel_core::{Epoch, Fence, Revision, Status, Text, VmId, message};
 use filbertwheel_platform::{Store, StoreError, StoreResponse, StoreRow, StoreWrite};
-use filbertwheel_policy::{PortionLedger, StoredGrants};
+use filbertwheel_policy::{
+    LeaseClaim, LeaseView, PortionLedger, StatedLease, StoredGrants, Succession,
+};
 
 use super::Shared;
 use super::state::HeldLease;
@@ -44,6 +46,9 @@
 struct LeaseRow {
     holder: VmId,
     fence: Fence,
+    /// Epoch of the store that the holder knew when it wrote the row.
+    #[serde(default)]
+    epoch: Epoch,
     /// Time of expiry, in milliseconds of the store's clock.
     until_ms: u64,
     /// Portions that nodes may hold.
@@ -143,33 +148,49 @@
 ) -> Result<Attempt, StoreError> {
     let read = store.list(LEASES_TABLE).await?;
     let row = read.value.iter().find(|row| row.key == RATES_KEY);
-    let (fence, grants) = match row.map(|row| (row, decode(row))) {
-        None => (1, StoredGrants::default()),
-        Some((row, None)) => control.borrow().successor_of_unknown(row.revision),
-        Some((row, Some((known, _)))) if !known.is_plausible(read.store_time) => {
+    let known = row.and_then(decode).filter(|known| {
+        let plausible = known.is_plausible(read.store_time);
+        if !plausible {
             tracing::warn!(
                 holder = %known.holder,
                 fence = known.fence,
                 until_ms = known.until_ms,
                 "control: The row of the lease is not plausible, so it is replaced."
             );
-            control.borrow().successor_of_unknown(row.revision)
         }
-        Some((_, Some((known, _)))) => {
-            let end = Duration::from_millis(known.until_ms) + LEASE_MARGIN;
-            // An earlier process on this VM must have ended, since this one is running.
-            let own = known.holder == control.borrow().local_member.vm;
-            let given_up = offered == Some(known.fence);
-            if read.store_time < end && !own && !given_up {
-                return Ok(Attempt::Held(end.saturating_sub(read.store_time)));
-            }
-            (known.fence + 1, known.grants)
+        plausible
+    });
+    let view = control.borrow().lease_view(read.epoch, offered);
+    let claim = control
+        .borrow()
+        .claim_of(row, known.as_ref(), read.store_time);
+    let (fence, grants) = match claim.succeed(&view) {
+        Succession::Wait(left) => return Ok(Attempt::Held(left)),
+        Succession::Acquire {
+            fence,
+            grants_known: true,
+        } => (fence, known.map(|known| known.grants).unwrap_or_default()),
+        Succession::Acquire { fence, .. } => {
+            tracing::info!(
+                fence,
+                epoch = read.epoch,
+                "control: The portions that nodes hold are not known from the store."
+            );
+            let earlier = known.map(|known| known.grants).unwrap_or_default();
+            (fence, control.borrow().unknown_grants(earlier))
         }
     };
     let expected_revision = row.map_or(0, |row| row.revision);
     let began = control.borrow().parts.clock.now();
     let until_ms = (read.store_time + LEASE_DURATION).as_millis() as u64;
     let written = write(control, store, fence, expected_revision, until_ms, &grants).await?;
+    if written.epoch != read.epoch {
+        tracing::warn!(
+            fence,
+            "control: The store was restored while the lease was acquired."
+        );
+        return Err(StoreError::Superseded);
+    }
     let acquired = AcquiredLease {
         fence,
         revision: written.revision,
@@ -179,9 +200,9 @@
     Ok(Attempt::Acquired(acquired, grants))
 }
 
-fn decode(row: &StoreRow) -> Option<(LeaseRow, Revision)> {
+fn decode(row: &StoreRow) -> Option<LeaseRow> {
     match serde_json::from_slice(&row.value) {
-        Ok(decoded) => Some((decoded, row.revision)),
+        Ok(decoded) => Some(decoded),
         Err(error) => {
             tracing::warn!("control: The row of the lease can't be decoded: {error}.");
             None
@@ -197,11 +218,15 @@
     until_ms: u64,
     grants: &StoredGrants,
 ) -> Result<StoreResponse<()>, StoreError> {
-    let row = LeaseRow {
-        holder: control.borrow().local_member.vm.clone(),
-        fence,
-        until_ms,
-        grants: grants.clone(),
+    let row = {
+        let control = control.borrow();
+        LeaseRow {
+            holder: control.local_member.vm.clone(),
+            fence,
+            epoch: control.parts.epoch.latest().unwrap_or_default(),
+            until_ms,
+            grants: grants.clone(),
+        }
     };
     let value = serde_json::to_vec(&row).map_err(|_| StoreError::Malformed)?;
     let write = StoreWrite {
@@ -287,7 +312,7 @@
 }
 
 /// Writes the row of the lease anew. A conflict may also come from an earlier renewal whose response
-/// was lost, so then the row is read, and its fencing token decides.
+/// was lost, or from a restore of the store, so then the row is read and decides.
 async fn renew_once(
     control: &Shared,
     store: &dyn Store,
@@ -301,9 +326,21 @@
         return renewed;
     }
     let read = store.list(LEASES_TABLE).await?;
-    let own = read.value.iter().find(|row| row.key == RATES_KEY);
-    let known = own.and_then(decode).filter(|(row, _)| row.fence == fence);
-    let (_, revision) = known.ok_or(StoreError::Conflict)?;
+    let row = read.value.iter().find(|row| row.key == RATES_KEY);
+    let known = row.and_then(decode);
+    let claim = control
+        .borrow()
+        .claim_of(row, known.as_ref(), read.store_time);
+    let expired = control.borrow().parts.clock.now() >= acquired.expires;
+    if expired || !claim.gives_way_to(fence, read.epoch) {
+        return Err(StoreError::Conflict);
+    }
+    let revision = row.map_or(0, |row| row.revision);
+    tracing::info!(
+        fence,
+        epoch = read.epoch,
+        "control: Writing the row of the lease anew after a conflict."
+    );
     let until_ms = (read.store_time + LEASE_DURATION).as_millis() as u64;
     write(control, store, fence, revision, until_ms, grants).await
 }
@@ -351,17 +388,51 @@
         self.stopping || matches!(self.local_member.status, Status::Draining | Status::Gone)
     }
 
-    /// Returns the fencing token and the earlier grants of a lease that succeeds one whose row can't be
-    /// decoded. Each token was written with a revision of the store of its own, so none exceeds the
-    /// row's revision. Any other node may hold portions.
-    fn successor_of_unknown(&self, revision: Revision) -> (Fence, StoredGrants) {
-        let heard = self.holder.as_ref().map_or(0, |(_, fence, _)| *fence);
-        let nodes = self.peers.keys().map(|vm| (vm.clone(), 1.0));
-        let grants = StoredGrants {
-            nodes: nodes.collect(),
+    /// Returns what this node knows of the lease besides its row.
+    fn lease_view(&self, epoch: Epoch, offered: Option<Fence>) -> LeaseView {
+        let holder = self.holder.as_ref().map(|(_, fence, _)| *fence);
+        let settled = self.parts.epoch.restored();
+        let settled = settled.map(|restored| restored + LEASE_DURATION + LEASE_MARGIN);
+        let now = self.parts.clock.now();
+        LeaseView {
+            epoch,
+            unsettled: settled.map_or(Duration::ZERO, |at| at.saturating_duration_since(now)),
+            heard: holder.max(self.released_fence).unwrap_or_default(),
+            offered,
+        }
+    }
+
+    /// Returns what the row of the lease says, where `known` is its content if that is readable.
+    fn claim_of(
+        &self,
+        row: Option<&StoreRow>,
+        known: Option<&LeaseRow>,
+        store_time: Duration,
+    ) -> LeaseClaim {
+        match (row, known) {
+            (None, _) => LeaseClaim::Absent,
+            (Some(row), None) => LeaseClaim::Unreadable(row.revision),
+            (Some(_), Some(known)) => {
+                let end = Duration::from_millis(known.until_ms) + LEASE_MARGIN;
+                LeaseClaim::Stated(StatedLease {
+                    epoch: known.epoch,
+                    fence: known.fence,
+                    left: end.saturating_sub(store_time),
+                    // An earlier process on this VM must have ended, since this one is running.
+                    own: known.holder == self.local_member.vm,
+                })
+            }
+        }
+    }
+
+    /// Returns the earlier grants where the row of the lease doesn't name them: those in the row, and
+    /// any portion at all other nodes.
+    fn unknown_grants(&self, earlier: StoredGrants) -> StoredGrants {
+        let nodes = earlier.nodes.into_keys().chain(self.peers.keys().cloned());
+        StoredGrants {
+            nodes: nodes.map(|vm| (vm, 1.0)).collect(),
             lent: None,
-        };
-        (heard.max(revision) + 1, grants)
+        }
     }
 
     /// Returns how long this node leaves the lease to the connected nodes that precede it by name.
--- a/crates/engine/src/control/rules.rs
+++ b/crates/engine/src/control/rules.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use filbertwheel_core::{Epoch, Rules, RulesStamp, StorePosition, VmId};
+use filbertwheel_core::{Rules, RulesStamp, StorePosition, VmId};
 use filbertwheel_peer::RulesDocument;
 use filbertwheel_policy::{RateLimits, ReadMode, RulesReading, RulesVerdict};
 
@@ -17,8 +17,6 @@
 
 /// Interval at which a node that doesn't watch the store checks whether it is to.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Epoch of a store that was never restored. A store that states no epoch has a lower one.
-const FIRST_EPOCH: Epoch = 1;
 /// Maximum number of nodes that a watcher announces new rules to. The others learn of them with the
 /// sums over the fleet.
 const MAX_ANNOUNCED: usize = 64;
@@ -70,7 +68,7 @@
     /// Returns whether this node leaves it to the other nodes for now to tell it the rules. Those in a
     /// restored store may be older than the ones that the others have in force.
     fn awaits_rules(&self) -> bool {
-        let restored = self.parts.epoch.highest() > FIRST_EPOCH;
+        let restored = self.parts.epoch.was_restored();
         let starting = self.is_starting(self.parts.clock.now());
         self.lineage.current().is_none() && restored && starting && !self.peers.is_empty()
     }
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -102,7 +102,7 @@
         let snapshots: SharedSnapshot =
             Arc::new(ArcSwap::from_pointee(Snapshot::open(local_member.clone())));
         let (journal, metrics) = (Arc::new(Journal::default()), Arc::new(Metrics::open()));
-        let epoch = Arc::new(StoreEpoch::open());
+        let epoch = Arc::new(StoreEpoch::open(Arc::clone(&clock)));
         let store =
             CountedStore::open(dependencies.store, Arc::clone(&metrics), Arc::clone(&epoch));
         let dependencies = Dependencies {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 mod round_robin;
 mod routing;
 mod subtree;
+mod succession;
 mod sums;
 mod term;
 mod tree;
@@ -77,6 +78,7 @@
 pub use round_robin::WeightedRoundRobin;
 pub use routing::{Candidate, LoadTracker, choose_backend};
 pub use subtree::{REJOIN_TIMEOUT, Subtree};
+pub use succession::{LeaseClaim, LeaseView, StatedLease, Succession};
 pub use sums::{
     Aggregation, FleetReport, FleetSums, HolderNotice, Outgoing, PartReport, ServiceCapacity,
     SumMessage,
