Take no request late in the grace period that may be cut off at its end

Cause: the end of the grace period is known when it begins, but while a call was still running beside the node, the entry took requests up to the last moment, whatever they would take.

Change: policy/src/stop.rs. Once callers have had the time to notice the stop (2.6 s), the entry takes a request only if its deadline lies before the connections close, or four times the mean time of its route does. Others are refused as not run, with the time after which the node's connections are closed. The node beside a backend server does the same with calls of other nodes, also with those that have waited for a slot, so they can run elsewhere. A listener takes no new connections after the stop signal of its connections; it did for half a second more, so a client that was refused and came again at once could meet its close.

--- a/crates/engine/src/control/lease.rs
+++ b/crates/engine/src/control/lease.rs
@@ -127,7 +127,8 @@
     let control = control.borrow();
     let ready = control.parts.snapshots.load().is_ready();
     // The VM of a backend server that is leaving is likely to be removed soon.
-    let backend_stays = !control.stopping && control.local_member.status == Status::Serving;
+    let backend_stays =
+        control.stopping.is_none() && control.local_member.status == Status::Serving;
     ready && backend_stays && !control.has_holder(now)
 }
 
@@ -385,7 +386,8 @@
 impl super::Control {
     /// Returns whether this node or its backend server is shutting down.
     fn is_leaving(&self) -> bool {
-        self.stopping || matches!(self.local_member.status, Status::Draining | Status::Gone)
+        self.stopping.is_some()
+            || matches!(self.local_member.status, Status::Draining | Status::Gone)
     }
 
     /// Returns what this node knows of the lease besides its row.
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -10,7 +10,7 @@
 use filbertwheel_core::{Clock, Fence, FleetSecret, Member, ServiceId, Status, VmId};
 use filbertwheel_peer::{Link, LinkDriver, LinkHandler, NodeReport};
 use filbertwheel_policy::{
-    Aggregation, Distance, PortionLedger, RateLimits, RulesLineage, WatchDuty,
+    Aggregation, Distance, PortionLedger, RateLimits, RulesLineage, StopWindow, WatchDuty,
 };
 
 use super::Shared;
@@ -63,7 +63,8 @@
     pub(super) lineage: RulesLineage,
     /// Rate limits of the organisations that have one, by the rules in force.
     pub(super) limits: Arc<RateLimits>,
-    pub(super) stopping: bool,
+    /// Times of this node's stop, if it is shutting down.
+    pub(super) stopping: Option<StopWindow>,
     /// Total suspension of the VM that has been handled so far.
     pub(super) suspended: Duration,
     pub(super) members_known: bool,
@@ -117,7 +118,7 @@
         asked_fence: None,
         lineage: RulesLineage::default(),
         limits: Arc::default(),
-        stopping: false,
+        stopping: None,
         suspended: super::ticks::suspended_time(),
         members_known: false,
         joined: false,
@@ -130,7 +131,7 @@
 impl Control {
     /// Applies a reported state of the backend server.
     pub(super) fn set_backend_state(&mut self, state: BackendState) {
-        let status = if self.stopping {
+        let status = if self.stopping.is_some() {
             Status::Draining
         } else {
             state.status
@@ -166,8 +167,8 @@
     }
 
     /// Begins the shutdown: publishes and reports that the node is draining.
-    pub fn begin_shutdown(&mut self) {
-        self.stopping = true;
+    pub fn begin_shutdown(&mut self, window: StopWindow) {
+        self.stopping = Some(window);
         self.local_member.status = Status::Draining;
         self.publish();
         self.send_reports();
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -147,6 +147,7 @@
         let refused = |refusal: Refusal| EntryRefusal::new(Some(rule.id.clone()), refusal);
         let organisation =
             organisation(rules, &rule, incoming).map_err(|kind| refused(kind.into()))?;
+        check_stop(snapshot, &rule, incoming, now).map_err(&refused)?;
         let rank = rules.rank(&rule, organisation.as_ref());
         let receipt =
             match &organisation {
@@ -208,10 +209,7 @@
             receipt,
             nested_call,
         } = admitted;
-        let request_timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT);
-        let request_timeout = rule
-            .timeout
-            .map_or(request_timeout, |timeout| timeout.min(request_timeout));
+        let deadline = began + request_timeout(&rule, &incoming);
         let service = self.round_robin().next(&rule, rand::random());
         let Some(service) = service else {
             self.refund(&organisation, receipt);
@@ -231,7 +229,7 @@
             priority: rule.priority,
             idempotent: rule.idempotent,
             nested: nested_call.is_some(),
-            deadline: began + request_timeout,
+            deadline,
             objective: rule.objective,
             method: incoming.method,
             path: incoming.path,
@@ -320,6 +318,33 @@
     path.split(|byte| *byte == b'?').next().unwrap_or_default()
 }
 
+/// Refuses a request that may not be answered before this node ends. Another node, or the next run of
+/// this one, can take it once this node's connections are closed.
+fn check_stop(
+    snapshot: &Snapshot,
+    rule: &RouteRule,
+    incoming: &IncomingRequest,
+    now: Instant,
+) -> Result<(), Refusal> {
+    let Some(window) = snapshot.stopping else {
+        return Ok(());
+    };
+    let seconds = snapshot.elapsed.get(&rule.id);
+    let typical = seconds.and_then(|seconds| Duration::try_from_secs_f64(*seconds).ok());
+    let deadline = now + request_timeout(rule, incoming);
+    if window.takes(typical, deadline, now) {
+        return Ok(());
+    }
+    let after = with_jitter(window.left(now));
+    Err(Refusal::retry_after(RefusalKind::Draining, after))
+}
+
+/// Returns how long a request may take.
+fn request_timeout(rule: &RouteRule, incoming: &IncomingRequest) -> Duration {
+    let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    rule.timeout.map_or(timeout, |longest| longest.min(timeout))
+}
+
 /// Returns `time` with random jitter.
 fn with_jitter(time: Duration) -> Duration {
     let random: f64 = rand::random();
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -13,6 +13,7 @@
     Handler, Limits, Listener, LocalFuture, Request, Response, ShutdownSignal, ShutdownTrigger,
 };
 use filbertwheel_peer::{LinkEndpoint, LinkHandler};
+use filbertwheel_policy::StopWindow;
 use smol::LocalExecutor;
 
 use crate::control::{
@@ -32,8 +33,8 @@
 
 /// Maximum number of new links that wait for a traffic thread.
 const LINK_QUEUE: usize = 4_096;
-/// How long a stopping node keeps accepting requests, so that callers notice in time that it is not
-/// ready. It is shortened to half the grace period if that is less.
+/// How long a stopping node keeps accepting all requests, so that callers notice in time that it is
+/// not ready. It is shortened to half the grace period if that is less.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
 /// Interval at which the shutdown checks for calls in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -216,9 +217,13 @@
     async fn shut_down(self) {
         let began = self.clock.now();
         tracing::info!("node: Stopping.");
-        self.control.borrow_mut().begin_shutdown();
-        self.clock.sleep(DRAIN_NOTICE.min(self.grace / 2)).await;
+        let notice = DRAIN_NOTICE.min(self.grace / 2);
         let until = began + self.grace * GRACE_PERCENT / 100;
+        self.control.borrow_mut().begin_shutdown(StopWindow {
+            noticed: began + notice,
+            closes: until,
+        });
+        self.clock.sleep(notice).await;
         while self.engine.in_flight() > 0 && self.clock.now() < until {
             self.clock.sleep(DRAIN_POLL_INTERVAL).await;
         }
--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -255,8 +255,9 @@
         self.instance_for(attempt)?;
         let mut slot = self.admit(attempt, began).await?;
         self.pace(attempt).await?;
-        // The instance may have left while the call waited.
+        // The instance may have left while the call waited, or this node may be about to end.
         let instance = self.instance_for(attempt)?;
+        self.check_stop(attempt)?;
         let permit = RunPermit::obtain(&self.crashes, attempt, self.clock.as_ref())?;
         let started = self.clock.now();
         slot.start();
@@ -295,6 +296,18 @@
         }
     }
 
+    /// Refuses a call that may not end before this node does, so that it can run elsewhere.
+    fn check_stop(&self, attempt: &Attempt) -> Result<(), Failure> {
+        let Some(window) = self.snapshots.load().stopping else {
+            return Ok(());
+        };
+        let typical = self.lock().profiler.mean_run_time(&attempt.route);
+        if window.takes(typical, attempt.deadline, self.clock.now()) {
+            return Ok(());
+        }
+        Err(RefusalKind::Draining.into())
+    }
+
     async fn admit(&self, attempt: &Attempt, now: Instant) -> Result<Slot<'_>, Failure> {
         let queue_request = {
             let state = self.lock();
--- a/crates/engine/src/snapshots.rs
+++ b/crates/engine/src/snapshots.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use filbertwheel_core::{Member, RouteId, Rules, ServiceId, Version, VmId};
 use filbertwheel_peer::{Link, RulesDocument};
-use filbertwheel_policy::{AdmissionPlan, Distance, RequestCost};
+use filbertwheel_policy::{AdmissionPlan, Distance, RequestCost, StopWindow};
 
 /// The latest snapshot, shared by all threads.
 pub(crate) type SharedSnapshot = Arc<ArcSwap<Snapshot>>;
@@ -35,8 +35,8 @@
     pub elapsed: Arc<HashMap<RouteId, f64>>,
     /// Whether other nodes are known: their table was read, or one of them has connected.
     pub members_known: bool,
-    /// Whether the node is shutting down.
-    pub stopping: bool,
+    /// Times of the node's stop, if it is shutting down.
+    pub stopping: Option<StopWindow>,
 }
 
 /// A node whose backend server is serving: a peer or the local node.
@@ -72,7 +72,7 @@
             costs: Arc::default(),
             elapsed: Arc::default(),
             members_known: false,
-            stopping: false,
+            stopping: None,
         }
     }
 
@@ -83,6 +83,6 @@
 
     /// Returns whether the node is ready for callers' requests.
     pub fn is_ready(&self) -> bool {
-        self.rules.is_some() && self.members_known && !self.stopping
+        self.rules.is_some() && self.members_known && self.stopping.is_none()
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -101,8 +101,8 @@
         handler: &Arc<dyn Handler>,
     ) -> Vec<smol::Task<()>> {
         let mut tasks = Vec::new();
-        let mut drain_elapsed = pin!(self.drain_elapsed());
-        while let Some(stream) = self.accept(drain_elapsed.as_mut()).await {
+        let mut stopped = pin!(self.shutdown.wait());
+        while let Some(stream) = self.accept(stopped.as_mut()).await {
             tasks.retain(|task: &smol::Task<()>| !task.is_finished());
             tasks.extend(self.serve(stream, executor, handler));
         }
@@ -135,19 +135,16 @@
         Some(executor.spawn(connection.serve()))
     }
 
-    /// Accepts a connection, unless `drain_elapsed` completes first. All calls share that future;
-    /// otherwise a listener to which clients keep connecting would never stop.
-    async fn accept(
-        &self,
-        mut drain_elapsed: Pin<&mut impl Future<Output = ()>>,
-    ) -> Option<TcpStream> {
+    /// Accepts a connection, unless `stopped` completes first. New clients are refused from then on;
+    /// those with a connection learn of the stop by the next response.
+    async fn accept(&self, mut stopped: Pin<&mut impl Future<Output = ()>>) -> Option<TcpStream> {
         loop {
             let accepted = async { Some(self.socket.accept().await) };
-            let drained = async {
-                drain_elapsed.as_mut().await;
+            let stopped = async {
+                stopped.as_mut().await;
                 None
             };
-            match drained.or(accepted).await? {
+            match stopped.or(accepted).await? {
                 Ok((stream, _)) => return Some(stream),
                 Err(error) => {
                     tracing::warn!("http: Cannot accept a connection: {error}.");
@@ -156,12 +153,6 @@
             }
         }
     }
-
-    /// Completes once the drain time after the shutdown signal has elapsed.
-    async fn drain_elapsed(&self) {
-        self.shutdown.wait().await;
-        self.clock.sleep(self.limits.drain_time).await;
-    }
 }
 
 /// Maximum number of backlog connections that are accepted when a listener shuts down.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,7 @@
 mod roster;
 mod round_robin;
 mod routing;
+mod stop;
 mod subtree;
 mod succession;
 mod sums;
@@ -77,6 +78,7 @@
 pub use roster::Roster;
 pub use round_robin::WeightedRoundRobin;
 pub use routing::{Candidate, LoadTracker, choose_backend};
+pub use stop::StopWindow;
 pub use subtree::{REJOIN_TIMEOUT, Subtree};
 pub use succession::{LeaseClaim, LeaseView, StatedLease, Succession};
 pub use sums::{
