Own interface: write again the changes that a restore of the platform has lost

What operators would see: after a restore, every command conflicts, since the head row is behind the version that the nodes have in force, and a node that starts without memory doesn't find confirmed changes.

Change: the root compares the head row with its own log when it polls or commits. Only the root does, and two at once conflict at the head row.

Before -> after: changes_that_a_restore_has_lost_are_written_again and a_configuration_that_a_restore_has_lost_is_written_again_as_a_whole fail when they call load, as nodes did, and pass. Not done: the root's lease of this interface (its fence is the row's plus one).

--- a/crates/node/src/control/config.rs
+++ b/crates/node/src/control/config.rs
@@ -100,8 +100,12 @@
 }
 
 async fn load(control: &Rc<RefCell<Control>>, store: &ConfigStore) -> Result<(), PlatformError> {
-    let version = control.borrow().config().version;
-    let delta = store.load(version).await?;
+    let log = control.borrow().config_log().clone();
+    let delta = if control.borrow().is_root() {
+        store.synchronise(&log).await?
+    } else {
+        store.load(log.current().version).await?
+    };
     control.borrow_mut().apply(delta);
     Ok(())
 }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -99,6 +99,11 @@
         &self.roster
     }
 
+    /// Returns the configuration in force and its most recent changes.
+    pub fn config_log(&self) -> &ConfigLog {
+        &self.config
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> &Configuration {
         self.config.current()
--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -9,8 +9,8 @@
 
 use derive_more::{Display, Error, From};
 use filbertwheel_core::{
-    Change, Clock, CommandId, ConfigError, Configuration, Delta, Edit, Text, Version, message,
-    value,
+    Change, Clock, CommandId, ConfigError, ConfigLog, Configuration, Delta, Edit, Text, Version,
+    message, value,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -27,6 +27,8 @@
 pub const SNAPSHOT_INTERVAL: Version = 256;
 /// How long a resent command is recognised as a duplicate.
 pub const COMMAND_LIFETIME: Duration = Duration::from_secs(60 * 60);
+/// Maximum number of changes that one transaction writes again.
+const MAX_REWRITTEN_CHANGES: usize = 32;
 /// Maximum number of changes that one transaction removes.
 const MAX_PRUNED_CHANGES: usize = 64;
 
@@ -107,6 +109,29 @@
     /// Reads what a node at `version` needs to reach the latest version.
     pub async fn load(&self, version: Version) -> Result<Delta, PlatformError> {
         let head = self.head().await?.map_or(0, |(_, head)| head.version);
+        self.load_from(head, version).await
+    }
+
+    /// Reads what is needed to bring `log` up to date. If the table is behind it, which happens when the
+    /// platform was restored from an older copy, the lost changes are written again.
+    pub async fn synchronise(&self, log: &ConfigLog) -> Result<Delta, PlatformError> {
+        let known = log.current().version;
+        let head = self.head().await?;
+        let version = head.as_ref().map_or(0, |(_, head)| head.version);
+        if version >= known {
+            return self.load_from(version, known).await;
+        }
+        tracing::warn!(
+            version,
+            known,
+            "config: The table is behind, so the lost changes are written again."
+        );
+        self.write_again(log, head.map(|(row, _)| row), version)
+            .await?;
+        Ok(Delta::Changes(Vec::new()))
+    }
+
+    async fn load_from(&self, head: Version, version: Version) -> Result<Delta, PlatformError> {
         if head <= version {
             return Ok(Delta::Changes(Vec::new()));
         }
@@ -142,6 +167,70 @@
         }
     }
 
+    /// Writes what `log` has beyond `version`, that of the head row, of which `expect` is the version of
+    /// the row.
+    async fn write_again(
+        &self,
+        log: &ConfigLog,
+        mut expect: Option<u64>,
+        version: Version,
+    ) -> Result<(), PlatformError> {
+        let changes = match log.delta_since(version) {
+            Delta::Changes(changes) => changes,
+            Delta::Whole(config) => return self.write_whole(&config, expect).await,
+        };
+        for part in changes.chunks(MAX_REWRITTEN_CHANGES) {
+            let last = part.last().map_or(version, |change| change.version);
+            let mut writes = vec![put_row(HEAD_KEY, expect, &Head { version: last })?];
+            for change in part {
+                writes.extend(self.change_rows(change)?);
+            }
+            self.table.commit(writes).await?;
+            expect = Some(self.head().await?.map_or(0, |(row, _)| row));
+        }
+        Ok(())
+    }
+
+    /// Writes a snapshot as the latest version.
+    async fn write_whole(
+        &self,
+        config: &Configuration,
+        expect: Option<u64>,
+    ) -> Result<(), PlatformError> {
+        let row = self.table.read(&SNAPSHOT_KEY).await?;
+        self.put_snapshot(config).await?;
+        let next = SnapshotRow {
+            version: config.version,
+            previous: 0,
+        };
+        let head = Head {
+            version: config.version,
+        };
+        let writes = vec![
+            put_row(HEAD_KEY, expect, &head)?,
+            put_row(SNAPSHOT_KEY, row.map(|row| row.version), &next)?,
+        ];
+        self.table.commit(writes).await
+    }
+
+    async fn put_snapshot(&self, config: &Configuration) -> Result<(), PlatformError> {
+        let document = serde_json::to_vec(config).map_err(|_| PlatformError::Malformed)?;
+        let key = snapshot_key(config.version);
+        self.objects.put(&key, document.into()).await
+    }
+
+    /// Returns the rows of a change and of its command.
+    fn change_rows(&self, change: &Change) -> Result<[TableWrite; 2], PlatformError> {
+        let row = CommandRow {
+            version: change.version,
+            at_ms: self.wall_ms(),
+        };
+        Ok([
+            put_row(change_key(change.version), None, change)?,
+            put_row(command_key(&change.command), None, &row)?,
+        ])
+    }
+
     /// Writes a snapshot if one is due, then removes rows that are no longer needed.
     pub async fn compact(&self, config: &Configuration) -> Result<(), PlatformError> {
         let row = self.table.read(&SNAPSHOT_KEY).await?;
@@ -149,9 +238,7 @@
         if config.version < latest.version + SNAPSHOT_INTERVAL {
             return Ok(());
         }
-        let document = serde_json::to_vec(config).map_err(|_| PlatformError::Malformed)?;
-        let key = snapshot_key(config.version);
-        self.objects.put(&key, document.into()).await?;
+        self.put_snapshot(config).await?;
         let next = SnapshotRow {
             version: config.version,
             previous: latest.version,
@@ -184,15 +271,8 @@
         let head = Head {
             version: change.version,
         };
-        let row = CommandRow {
-            version: change.version,
-            at_ms: self.wall_ms(),
-        };
-        let writes = vec![
-            put_row(HEAD_KEY, expect, &head)?,
-            put_row(change_key(change.version), None, change)?,
-            put_row(command_key(&change.command), None, &row)?,
-        ];
+        let mut writes = vec![put_row(HEAD_KEY, expect, &head)?];
+        writes.extend(self.change_rows(change)?);
         self.table.commit(writes).await
     }
 
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -24,6 +24,21 @@
     objects: Mutex<BTreeMap<Text, Bytes>>,
 }
 
+impl MemoryTable {
+    /// Returns a copy of all rows at this moment.
+    pub fn copy(&self) -> Self {
+        Self {
+            rows: Mutex::new(lock(&self.rows).clone()),
+        }
+    }
+
+    /// Goes back to an earlier copy. What was written since is gone.
+    pub fn restore(&self, copy: &Self) {
+        let rows = lock(&copy.rows).clone();
+        *lock(&self.rows) = rows;
+    }
+}
+
 #[async_trait]
 impl Table for MemoryTable {
     async fn read(&self, key: &Text) -> Result<Option<TableRow>, PlatformError> {
--- a/crates/platform/tests/config/faulty.rs
+++ b/crates/platform/tests/config/faulty.rs
@@ -83,6 +83,16 @@
         ConfigStore::open(table, objects, Arc::new(clock.clone()))
     }
 
+    /// Returns a copy of the table at this moment.
+    pub fn copy(&self) -> MemoryTable {
+        self.table.copy()
+    }
+
+    /// Takes the table back to an earlier copy.
+    pub fn restore(&self, copy: &MemoryTable) {
+        self.table.restore(copy);
+    }
+
     /// Returns the keys of the rows with a prefix, without faults.
     pub async fn keys(&self, prefix: &str) -> Vec<String> {
         let rows = self.table.scan(&prefix.into(), &Text::default()).await;
--- a/crates/platform/tests/config/store.rs
+++ b/crates/platform/tests/config/store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::faulty::{FaultyPlatform, RequestOutcome, fill, loaded, set_rate};
-use filbertwheel_core::{Configuration, Delta, PausedClock};
+use filbertwheel_core::{ConfigLog, Configuration, Delta, PausedClock};
 use filbertwheel_platform::{
     COMMAND_LIFETIME, CommitError, CommitOutcome, ObjectStore as _, SNAPSHOT_INTERVAL,
 };
@@ -191,3 +191,46 @@
         assert_eq!(platform.keys("change/").await.len(), 0);
     });
 }
+
+// Guards against operators' commands that conflict for ever after the platform was restored from an
+// older copy, and against confirmed changes that nodes without memory then don't find.
+#[test]
+fn changes_that_a_restore_has_lost_are_written_again() {
+    for lost in [1, 100] {
+        block_on(async {
+            let platform = FaultyPlatform::open();
+            let store = platform.store(&PausedClock::new());
+            fill(&store, 3).await;
+            let copy = platform.copy();
+            fill(&store, lost).await;
+            let mut log = ConfigLog::default();
+            log.apply(store.load(0).await.unwrap()).unwrap();
+            platform.restore(&copy);
+            let delta = store.synchronise(&log).await.unwrap();
+            assert_eq!(delta, Delta::Changes(Vec::new()));
+            assert_eq!(&loaded(&store).await, log.current());
+            let edit = set_rate("wardoffice", 50.0);
+            let next = store.commit(log.current(), "order".into(), edit).await;
+            assert!(matches!(next, Ok(CommitOutcome::Committed(_))), "{next:?}");
+        });
+    }
+}
+
+// As above, where the node has no longer all changes that were lost.
+#[test]
+fn a_configuration_that_a_restore_has_lost_is_written_again_as_a_whole() {
+    block_on(async {
+        let platform = FaultyPlatform::open();
+        let store = platform.store(&PausedClock::new());
+        let copy = platform.copy();
+        let config = fill(&store, 3).await;
+        let mut log = ConfigLog::default();
+        log.apply(Delta::Whole(config)).unwrap();
+        platform.restore(&copy);
+        store.synchronise(&log).await.unwrap();
+        assert_eq!(&loaded(&store).await, log.current());
+        let edit = set_rate("wardoffice", 50.0);
+        let next = store.commit(log.current(), "order".into(), edit).await;
+        assert!(matches!(next, Ok(CommitOutcome::Committed(_))), "{next:?}");
+    });
+}
