Wait for the other nodes' rules also where a restored store lists no node

What callers saw: a key whose withdrawal had been confirmed was accepted for up to a second at a node that had just started.

Change: the node waits in any case where the store was restored at some time.

--- a/crates/engine/src/control/rules.rs
+++ b/crates/engine/src/control/rules.rs
@@ -66,11 +66,12 @@
 
 impl Control {
     /// Returns whether this node leaves it to the other nodes for now to tell it the rules. Those in a
-    /// restored store may be older than the ones that the others have in force.
+    /// restored store may be older than the ones that the others have in force, and its table of nodes
+    /// may lack them.
     fn awaits_rules(&self) -> bool {
         let restored = self.parts.epoch.was_restored();
         let starting = self.is_starting(self.parts.clock.now());
-        self.lineage.current().is_none() && restored && starting && !self.peers.is_empty()
+        self.lineage.current().is_none() && restored && starting
     }
 
     /// Returns whether this node is to watch the store. Before it knows the other nodes, none does.
