Shorten the time without a lease holder and without rules after a restore of the store

Cause: the wait took no notice of what a node knows. An offer of the lease was no longer trusted after a restore, since it could be old; and nodes that are all connected and hold no lease waited for a holder that didn't exist.

Change: an offer states how long the lease would have stayed in force, and is trusted for that time if the store was not restored since. A node that is connected to all nodes that it knows, the one that the row names included, takes the lease once each of them has stated, later than responses of before the restore can arrive (1.75 s), that it holds none. A node that starts stops waiting for rules once all nodes of a table that named it already have said that they have none. What was lost with the table, a node that joined in the lost time, took the lease and is cut off from all others, isn't seen by this.

--- a/crates/engine/src/control/holder.rs
+++ b/crates/engine/src/control/holder.rs
@@ -7,23 +7,32 @@
 use filbertwheel_policy::PortionGrant;
 
 use super::Control;
+use super::state::{OfferedLease, Peer};
 
 /// Time without a report after which a peer counts as unreachable even if its link seems to be up,
 /// so that it may be spending its emergency portion.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(1_500);
 /// Minimum number of reports that an unreachable peer has missed.
 const MISSED_REPORTS: u32 = 3;
+/// Longest time that a message travels on a link.
+const MAX_TRANSIT: Duration = Duration::from_millis(1_200);
+/// Time after a restore of the store in which responses from before it may still arrive.
+const LATE_RESPONSES: Duration = Duration::from_millis(1_750);
 /// Time without a report of the lease holder after which it counts as lost.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 impl Control {
     /// Records that the lease holder has given up its lease and offers it to this node.
-    pub(super) fn note_offer(&mut self, vm: &VmId, fence: Fence) {
+    pub(super) fn note_offer(&mut self, vm: &VmId, fence: Fence, left: Duration) {
         let known = self.holder.as_ref();
         if known.is_some_and(|(holder, known, _)| (holder, *known) == (vm, fence)) {
             self.holder = None;
             self.released_fence = Some(fence);
-            self.offered_fence = Some(fence);
+            self.offered = Some(OfferedLease {
+                fence,
+                until: self.parts.clock.now() + left.saturating_sub(MAX_TRANSIT),
+                epoch: self.parts.epoch.latest(),
+            });
             self.publish();
         }
     }
@@ -81,6 +90,24 @@
         }
     }
 
+    /// Returns whether all nodes that this one knows are connected, the one on `holder` included, and
+    /// have stated since the last restore of the store that they don't hold the lease.
+    pub(super) fn all_idle(&self, holder: Option<&VmId>) -> bool {
+        let Some(restored) = self.parts.epoch.restored() else {
+            return false;
+        };
+        let known = |vm: &VmId| *vm == self.local_member.vm || self.peers.contains_key(vm);
+        let settled = restored + LATE_RESPONSES;
+        let idle = |peer: &Peer| {
+            let reported = peer.last_report.is_some_and(|(at, _)| at >= settled);
+            peer.link.is_up() && reported
+        };
+        !self.peers.is_empty()
+            && holder.is_none_or(known)
+            && self.peers.values().all(idle)
+            && !self.has_holder(self.parts.clock.now())
+    }
+
     /// Returns whether this node holds the lease or the lease holder has reported recently.
     pub(super) fn has_holder(&self, now: Instant) -> bool {
         self.lease.is_some()
--- a/crates/engine/src/control/lease.rs
+++ b/crates/engine/src/control/lease.rs
@@ -7,11 +7,11 @@
 use filbertwheel_core::{Epoch, Fence, Revision, Status, Text, VmId, message};
 use filbertwheel_platform::{Store, StoreError, StoreResponse, StoreRow, StoreWrite};
 use filbertwheel_policy::{
-    LeaseClaim, LeaseView, PortionLedger, StatedLease, StoredGrants, Succession,
+    LeaseClaim, LeaseOffer, LeaseView, PortionLedger, StatedLease, StoredGrants, Succession,
 };
 
 use super::Shared;
-use super::state::HeldLease;
+use super::state::{HeldLease, OfferedLease};
 
 /// Table of leases.
 const LEASES_TABLE: &str = "filbertwheel-leases";
@@ -23,6 +23,8 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Pause after another node was found to hold the lease, or after an error.
 const ACQUIRE_PAUSE: Duration = Duration::from_millis(900);
+/// Longest pause while leases of before a restore of the store may be in force.
+const UNSETTLED_PAUSE: Duration = Duration::from_secs(1);
 /// Time after the expiry of a lease before another node may acquire it.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 /// Time before the end of a lease that can't be renewed at which it is offered to another node.
@@ -96,7 +98,7 @@
     loop {
         clock.sleep(CANDIDATE_INTERVAL).await;
         let now = clock.now();
-        let offered = control.borrow_mut().offered_fence.take();
+        let offered = control.borrow_mut().offered.take();
         if offered.is_none() {
             if now < not_before || !is_candidate(&control, now) {
                 candidate_since = None;
@@ -116,7 +118,7 @@
             Ok(Attempt::Held(left)) => not_before = clock.now() + left.max(ACQUIRE_PAUSE),
             Err(error) => {
                 tracing::warn!("control: The lease can't be acquired: {error}.");
-                control.borrow_mut().offered_fence = offered;
+                control.borrow_mut().offered = offered;
                 clock.sleep(ACQUIRE_PAUSE).await;
             }
         }
@@ -145,7 +147,7 @@
 async fn try_acquire(
     control: &Shared,
     store: &dyn Store,
-    offered: Option<Fence>,
+    offered: Option<OfferedLease>,
 ) -> Result<Attempt, StoreError> {
     let read = store.list(LEASES_TABLE).await?;
     let row = read.value.iter().find(|row| row.key == RATES_KEY);
@@ -161,12 +163,14 @@
         }
         plausible
     });
-    let view = control.borrow().lease_view(read.epoch, offered);
+    let holder = known.as_ref().map(|known| &known.holder);
+    let view = control.borrow().lease_view(read.epoch, holder, offered);
     let claim = control
         .borrow()
         .claim_of(row, known.as_ref(), read.store_time);
     let (fence, grants) = match claim.succeed(&view) {
-        Succession::Wait(left) => return Ok(Attempt::Held(left)),
+        Succession::Wait(left) if view.unsettled.is_zero() => return Ok(Attempt::Held(left)),
+        Succession::Wait(left) => return Ok(Attempt::Held(left.min(UNSETTLED_PAUSE))),
         Succession::Acquire {
             fence,
             grants_known: true,
@@ -299,7 +303,7 @@
             Err(error) => {
                 tracing::warn!("control: The lease can't be renewed: {error}.");
                 let left = acquired.expires.saturating_duration_since(clock.now());
-                if left < OFFER_TIME && offer(control, acquired.fence) {
+                if left < OFFER_TIME && offer(control, acquired.fence, left) {
                     break;
                 }
             }
@@ -348,7 +352,7 @@
 
 /// Gives up the lease and offers it to a node that the store answers, if there is one. Returns
 /// whether there was.
-fn offer(control: &Shared, fence: Fence) -> bool {
+fn offer(control: &Shared, fence: Fence, left: Duration) -> bool {
     let mut control = control.borrow_mut();
     let now = control.parts.clock.now();
     let watchers = control
@@ -365,7 +369,7 @@
     };
     // Nothing may be granted any more once the offer is on its way.
     control.drop_lease();
-    link.offer_lease(fence);
+    link.offer_lease(fence, left);
     true
 }
 
@@ -391,16 +395,25 @@
     }
 
     /// Returns what this node knows of the lease besides its row.
-    fn lease_view(&self, epoch: Epoch, offered: Option<Fence>) -> LeaseView {
-        let holder = self.holder.as_ref().map(|(_, fence, _)| *fence);
+    fn lease_view(
+        &self,
+        epoch: Epoch,
+        holder: Option<&VmId>,
+        offered: Option<OfferedLease>,
+    ) -> LeaseView {
+        let heard = self.holder.as_ref().map(|(_, fence, _)| *fence);
         let settled = self.parts.epoch.restored();
         let settled = settled.map(|restored| restored + LEASE_DURATION + LEASE_MARGIN);
         let now = self.parts.clock.now();
         LeaseView {
             epoch,
             unsettled: settled.map_or(Duration::ZERO, |at| at.saturating_duration_since(now)),
-            heard: holder.max(self.released_fence).unwrap_or_default(),
-            offered,
+            all_idle: self.all_idle(holder),
+            heard: heard.max(self.released_fence).unwrap_or_default(),
+            offered: offered.map(|offered| LeaseOffer {
+                fence: offered.fence,
+                in_force: now < offered.until && offered.epoch == Some(epoch),
+            }),
         }
     }
 
--- a/crates/engine/src/control/members.rs
+++ b/crates/engine/src/control/members.rs
@@ -87,7 +87,9 @@
             Ok(members) => {
                 let own = members.iter().find(|member| member.vm == local_member.vm);
                 let entered = own.is_some_and(|member| member.address == local_member.address);
+                let listed = own.is_some();
                 let mut control = control.borrow_mut();
+                control.was_listed.get_or_insert(listed);
                 control.apply_list(members);
                 if entered {
                     control.joined = true;
--- a/crates/engine/src/control/rules.rs
+++ b/crates/engine/src/control/rules.rs
@@ -12,7 +12,7 @@
 
 use super::Shared;
 use super::feed::{Feed, Rows, Update};
-use super::state::Control;
+use super::state::{Control, Peer};
 use crate::snapshots::Snapshot;
 
 /// Interval at which a node that doesn't watch the store checks whether it is to.
@@ -71,7 +71,18 @@
     fn awaits_rules(&self) -> bool {
         let restored = self.parts.epoch.was_restored();
         let starting = self.is_starting(self.parts.clock.now());
-        self.lineage.current().is_none() && restored && starting
+        self.lineage.current().is_none() && restored && starting && !self.others_lack_rules()
+    }
+
+    /// Returns whether all nodes have just started, as far as this one knows: the table of nodes is
+    /// from after its entry, and all nodes in it have stated that they have no rules.
+    fn others_lack_rules(&self) -> bool {
+        let lacks = |peer: &Peer| {
+            let reported = peer.last_report;
+            peer.link.is_up() && reported.is_some_and(|(_, rules)| rules.version == 0)
+        };
+        let listed = self.was_listed == Some(true);
+        listed && !self.peers.is_empty() && self.peers.values().all(lacks)
     }
 
     /// Returns whether this node is to watch the store. Before it knows the other nodes, none does.
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
-use filbertwheel_core::{Clock, Fence, FleetSecret, Member, ServiceId, Status, VmId};
+use filbertwheel_core::{
+    Clock, Epoch, Fence, FleetSecret, Member, RulesStamp, ServiceId, Status, VmId,
+};
 use filbertwheel_peer::{Link, LinkDriver, LinkHandler, NodeReport};
 use filbertwheel_policy::{
     Aggregation, Distance, PortionLedger, RateLimits, RulesLineage, StopWindow, WatchDuty,
@@ -55,8 +57,8 @@
     /// Fencing token of the last lease that its holder has given up. Older notices of it may still
     /// arrive with the sums over the fleet.
     pub(super) released_fence: Option<Fence>,
-    /// Fencing token of a lease that its holder has given up and offered to this node.
-    pub(super) offered_fence: Option<Fence>,
+    /// A lease that its holder has given up and offered to this node.
+    pub(super) offered: Option<OfferedLease>,
     /// Fencing token of the lease holder that this node last requested portions from.
     pub(super) asked_fence: Option<Fence>,
     /// Which rules are in force, and which were before.
@@ -68,6 +70,8 @@
     /// Total suspension of the VM that has been handled so far.
     pub(super) suspended: Duration,
     pub(super) members_known: bool,
+    /// Whether the table of nodes named this one when it was first read.
+    pub(super) was_listed: Option<bool>,
     /// Whether this node is entered in the table of nodes and has read it since.
     pub(super) joined: bool,
     /// When this node started.
@@ -86,6 +90,16 @@
     pub expires: Instant,
 }
 
+/// A lease that its holder has given up and offered to this node.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OfferedLease {
+    pub fence: Fence,
+    /// Until when the lease would have stayed in force.
+    pub until: Instant,
+    /// Epoch of the store that this node knew when it received the offer.
+    pub epoch: Option<Epoch>,
+}
+
 /// Another node of the fleet.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -93,6 +107,8 @@
     pub link: Link,
     /// Time of the last report, or of the discovery of the node if it has not reported yet.
     pub last_heard: Instant,
+    /// Time of the last report, and the stamp of the rules in it.
+    pub last_report: Option<(Instant, RulesStamp)>,
 }
 
 /// Creates the control state that the tasks of the control thread share.
@@ -114,13 +130,14 @@
         lease: None,
         holder: None,
         released_fence: None,
-        offered_fence: None,
+        offered: None,
         asked_fence: None,
         lineage: RulesLineage::default(),
         limits: Arc::default(),
         stopping: None,
         suspended: super::ticks::suspended_time(),
         members_known: false,
+        was_listed: None,
         joined: false,
         started,
         watch_duty,
@@ -214,6 +231,7 @@
         let peer = Peer {
             link,
             last_heard: self.parts.clock.now(),
+            last_report: None,
             member: member.clone(),
         };
         self.peers.insert(member.vm, peer);
@@ -230,7 +248,7 @@
     /// Applies the report of another node.
     pub(super) fn apply_report(&mut self, report: NodeReport) {
         let now = self.parts.clock.now();
-        let vm = report.member.vm.clone();
+        let (vm, rules) = (report.member.vm.clone(), report.rules);
         self.upsert_peer(report.member);
         if let Some(fence) = report.holder_fence {
             self.note_holder(&vm, fence, now);
@@ -248,6 +266,7 @@
             return;
         };
         peer.last_heard = now;
+        peer.last_report = Some((now, rules));
         peer.link.set_load(report.load);
     }
 
--- a/crates/peer/src/link/accept.rs
+++ b/crates/peer/src/link/accept.rs
@@ -244,8 +244,8 @@
                 handler.handle_event(LinkEvent::Sums(message));
                 true
             }
-            Frame::LeaseOffer(fence) => {
-                handler.handle_event(LinkEvent::LeaseOffer(vm.clone(), fence));
+            Frame::LeaseOffer(fence, left) => {
+                handler.handle_event(LinkEvent::LeaseOffer(vm.clone(), fence, left));
                 true
             }
             Frame::PortionRequest(request) => {
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -215,9 +215,10 @@
         self.push(&Frame::RulesRequest);
     }
 
-    /// Offers the other node a lease that this node no longer acts on.
-    pub fn offer_lease(&self, fence: Fence) {
-        self.push(&Frame::LeaseOffer(fence));
+    /// Offers the other node a lease that this node no longer acts on, and that would have stayed in
+    /// force for the given time.
+    pub fn offer_lease(&self, fence: Fence, left: Duration) {
+        self.push(&Frame::LeaseOffer(fence, left));
     }
 
     /// Sends sums over a part of the fleet or all of it.
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -65,8 +65,9 @@
     CrashReports(Vec<CrashReport>),
     /// Sums over a part of the fleet or all of it.
     Sums(Box<SumMessage>),
-    /// Offers the lease on the rate limits, which the sender no longer acts on, to be taken over.
-    LeaseOffer(Fence),
+    /// Offers the lease on the rate limits, which the sender no longer acts on, to be taken over. It
+    /// would have stayed in force for the given time.
+    LeaseOffer(Fence, Duration),
 }
 
 /// The rules in force at a node.
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -13,6 +13,8 @@
 pub use dial::{Link, LinkDriver, Links};
 pub use frame::{FrameError, NodeReport, RulesDocument};
 
+use std::time::Duration;
+
 use bytes::BytesMut;
 use filbertwheel_core::{
     Attempt, Fence, FleetSecret, InstanceNotice, Member, OrganisationId, RulesStamp, Text, Verdict,
@@ -76,8 +78,9 @@
     CrashReports(Vec<CrashReport>),
     /// Sums over a part of the fleet or all of it.
     Sums(Box<SumMessage>),
-    /// A node has given up the lease with this fencing token and offers it to this node.
-    LeaseOffer(VmId, Fence),
+    /// A node has given up the lease with this fencing token and offers it to this node. It would
+    /// have stayed in force for the given time.
+    LeaseOffer(VmId, Fence, Duration),
 }
 
 /// Sends the reply to a request on the link that received it.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -80,7 +80,7 @@
 pub use routing::{Candidate, LoadTracker, choose_backend};
 pub use stop::StopWindow;
 pub use subtree::{REJOIN_TIMEOUT, Subtree};
-pub use succession::{LeaseClaim, LeaseView, StatedLease, Succession};
+pub use succession::{LeaseClaim, LeaseOffer, LeaseView, StatedLease, Succession};
 pub use sums::{
     Aggregation, FleetReport, FleetSums, HolderNotice, Outgoing, PartReport, ServiceCapacity,
     SumMessage,
--- a/crates/policy/src/succession.rs
+++ b/crates/policy/src/succession.rs
@@ -4,7 +4,8 @@
 //! A row that was written before a restore may name a holder that has been succeeded since, an earlier
 //! expiry, a lower fencing token and fewer portions than were lent. Its holder goes on if its lease has
 //! not expired by its own clock, and writes its row anew. Any other node waits until each lease of
-//! before the restore has expired, and then takes it that any node may hold portions. Fencing tokens
+//! before the restore has expired, unless it knows that none is in force, and then takes it that any
+//! node may hold portions. Fencing tokens
 //! begin anew in each epoch, above all those of earlier epochs.
 
 use std::time::Duration;
@@ -45,10 +46,23 @@
     pub epoch: Epoch,
     /// Time in which leases of before the last restore may still be in force.
     pub unsettled: Duration,
+    /// Whether the node knows other nodes, is connected to all of them, the one that the row names
+    /// included, and each has stated since the last restore that it holds no lease.
+    pub all_idle: bool,
     /// Highest fencing token of a holder that the node has heard of; 0 if none.
     pub heard: Fence,
-    /// Fencing token of a lease that its holder no longer acts on and has offered to this node.
-    pub offered: Option<Fence>,
+    /// A lease that its holder no longer acts on and has offered to this node.
+    pub offered: Option<LeaseOffer>,
+}
+
+/// A lease that its holder has offered to another node.
+#[copy_value]
+pub struct LeaseOffer {
+    /// Fencing token of the lease.
+    pub fence: Fence,
+    /// Whether the lease would still be in force and the store was not restored since the offer, so
+    /// that another node that has acquired it is named in the row.
+    pub in_force: bool,
 }
 
 /// What a node that wants the lease does.
@@ -75,9 +89,10 @@
         };
         let wait = match *self {
             Self::Stated(lease) if grants_known => {
-                let given_up = view.offered == Some(lease.fence);
+                let given_up = view.offered.is_some_and(|offer| offer.fence == lease.fence);
                 (!lease.own && !given_up).then_some(lease.left)
             }
+            _ if view.all_idle || view.offered.is_some_and(|offer| offer.in_force) => None,
             Self::Stated(lease) => Some(view.unsettled.max(lease.left)),
             Self::Absent | Self::Unreadable(_) => Some(view.unsettled),
         };
@@ -111,7 +126,11 @@
             Self::Unreadable(revision) => first.saturating_add(revision),
             Self::Stated(lease) => lease.fence,
         };
-        let heard = view.heard.max(view.offered.unwrap_or_default());
-        first.max(known).max(heard).saturating_add(1)
+        let offered = view.offered.map_or(0, |offer| offer.fence);
+        first
+            .max(known)
+            .max(view.heard)
+            .max(offered)
+            .saturating_add(1)
     }
 }
--- a/crates/policy/tests/succession.rs
+++ b/crates/policy/tests/succession.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filbertwheel_policy::{LeaseClaim, LeaseView, StatedLease, Succession};
+use filbertwheel_policy::{LeaseClaim, LeaseOffer, LeaseView, StatedLease, Succession};
 use proptest::prelude::*;
 
 const NODES: usize = 4;
@@ -17,8 +17,8 @@
     Copy,
     /// The store goes back to the latest copy but so many.
     Restore(usize),
-    /// A node tries to acquire the lease.
-    Acquire(usize),
+    /// A node tries to acquire the lease; whether it is connected to all others.
+    Acquire(usize, bool),
     /// A holder renews the lease; whether the response is lost.
     Renew(usize, bool),
     /// A holder gives up the lease and offers it to another node.
@@ -38,7 +38,7 @@
         1 => (7_000..12_000_u64).prop_map(Step::Wait),
         2 => Just(Step::Copy),
         2 => (0..3_usize).prop_map(Step::Restore),
-        8 => node().prop_map(Step::Acquire),
+        8 => (node(), any::<bool>()).prop_map(|(node, all)| Step::Acquire(node, all)),
         8 => (node(), any::<bool>()).prop_map(|(node, lost)| Step::Renew(node, lost)),
         1 => (node(), node()).prop_map(|(from, to)| Step::Offer(from, to)),
         1 => node().prop_map(Step::Release),
@@ -75,7 +75,8 @@
 struct Node {
     held: Option<Held>,
     heard: u64,
-    offered: Option<u64>,
+    /// Fencing token and expiry of a lease that was offered, and the epoch that was known then.
+    offered: Option<(u64, u64, Option<u64>)>,
     /// Epoch of the store's latest response.
     epoch: Option<u64>,
     /// When the node found that the store was restored.
@@ -114,12 +115,13 @@
                 self.copies.truncate(index + 1);
                 self.epoch += 1;
             }
-            Step::Acquire(node) => self.acquire(node),
+            Step::Acquire(node, all) => self.acquire(node, all),
             Step::Renew(node, lost) => self.renew(node, lost),
             Step::Offer(from, to) => {
                 if let Some(held) = self.active(from).filter(|_| from != to) {
                     self.nodes[from].held = None;
-                    self.nodes[to].offered = Some(held.fence);
+                    let to = &mut self.nodes[to];
+                    to.offered = Some((held.fence, held.expires_ms, to.epoch));
                 }
             }
             Step::Release(node) => {
@@ -168,18 +170,23 @@
         })
     }
 
-    fn acquire(&mut self, index: usize) {
+    fn acquire(&mut self, index: usize, connected: bool) {
         if self.active(index).is_some() {
             return;
         }
         self.respond(index);
         let node = &self.nodes[index];
         let settled = node.restored_ms.map_or(0, |at| at + LEASE_MS + MARGIN_MS);
+        let idle = (0..NODES).all(|node| self.active(node).is_none());
         let view = LeaseView {
             epoch: self.epoch,
             unsettled: Duration::from_millis(settled.saturating_sub(self.now_ms)),
+            all_idle: connected && idle,
             heard: node.heard,
-            offered: node.offered,
+            offered: node.offered.map(|(fence, expires_ms, epoch)| LeaseOffer {
+                fence,
+                in_force: self.now_ms < expires_ms && epoch == Some(self.epoch),
+            }),
         };
         if let Succession::Acquire { fence, .. } = self.claim(index).succeed(&view) {
             assert!(fence > self.highest, "{fence} again after {}", self.highest);
@@ -253,6 +260,7 @@
     LeaseView {
         epoch,
         unsettled: Duration::from_millis(unsettled_ms),
+        all_idle: false,
         heard: 0,
         offered: None,
     }
