--- a/crates/engine/src/control/feed.rs
+++ b/crates/engine/src/control/feed.rs
@@ -18,7 +18,6 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
 /// Jitter of the backoff as a fraction of it, so that the nodes don't retry together.
 const BACKOFF_JITTER: f64 = 0.5;
-
 /// Interval at which an open watch checks whether the store was restored meanwhile.
 const EPOCH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -44,6 +43,7 @@
     pub rows: Rows,
 }
 
+/// Rows of a table.
 #[derive(Debug)]
 pub(super) enum Rows {
     /// All rows of the table.
--- a/crates/engine/src/control/lease.rs
+++ b/crates/engine/src/control/lease.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertwheel_core::{Epoch, Fence, Revision, Status, Text, VmId, message};
-use filbertwheel_platform::{Store, StoreError, StoreResponse, StoreRow, StoreWrite};
-use filbertwheel_policy::{
-    LeaseClaim, LeaseOffer, LeaseView, PortionLedger, StatedLease, StoredGrants, Succession,
-};
+use filbertwheel_core::{Epoch, Fence, Revision, Status, Text, VmId};
+use filbertwheel_platform::{Store, StoreError, StoreResponse, StoreWrite};
+use filbertwheel_policy::{LeaseOffer, LeaseView, PortionLedger, StoredGrants, Succession};
 
 use super::Shared;
+use super::lease_row::LeaseRow;
 use super::state::{HeldLease, OfferedLease};
 
 /// Table of leases.
@@ -18,7 +17,7 @@
 /// Key of the lease on the rate limits.
 const RATES_KEY: Text = Text::from_static("rates");
 /// How long the lease lasts without a renewal, by the store's clock.
-const LEASE_DURATION: Duration = Duration::from_secs(8);
+pub(super) const LEASE_DURATION: Duration = Duration::from_secs(8);
 /// Interval between renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Pause after another node was found to hold the lease, or after an error.
@@ -26,12 +25,9 @@
 /// Longest pause while leases of before a restore of the store may be in force.
 const UNSETTLED_PAUSE: Duration = Duration::from_secs(1);
 /// Time after the expiry of a lease before another node may acquire it.
-const LEASE_MARGIN: Duration = Duration::from_millis(300);
+pub(super) const LEASE_MARGIN: Duration = Duration::from_millis(300);
 /// Time before the end of a lease that can't be renewed at which it is offered to another node.
 const OFFER_TIME: Duration = Duration::from_secs(5);
-/// Time beyond the longest lease up to which an expiry is plausible. A renewal estimates the store's
-/// time from an earlier response, which may have taken long.
-const EXPIRY_MARGIN: Duration = Duration::from_secs(10);
 /// Interval at which a node checks whether to acquire the lease.
 const CANDIDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// Additional delay for each connected node that precedes this one by name, so that the nodes don't
@@ -43,29 +39,6 @@
 /// Delay of all further nodes.
 const LATE_DELAY: Duration = Duration::from_secs(8);
 
-/// Row of the lease in the store.
-#[message]
-struct LeaseRow {
-    holder: VmId,
-    fence: Fence,
-    /// Epoch of the store that the holder knew when it wrote the row.
-    #[serde(default)]
-    epoch: Epoch,
-    /// Time of expiry, in milliseconds of the store's clock.
-    until_ms: u64,
-    /// Portions that nodes may hold.
-    grants: StoredGrants,
-}
-
-impl LeaseRow {
-    /// Returns whether a node of the fleet may have written the row. No other row may keep the
-    /// lease from being acquired for ever.
-    fn is_plausible(&self, store_time: Duration) -> bool {
-        let latest = store_time + LEASE_DURATION + EXPIRY_MARGIN;
-        self.fence < Fence::MAX && Duration::from_millis(self.until_ms) <= latest
-    }
-}
-
 /// A lease that this node has acquired.
 struct AcquiredLease {
     fence: Fence,
@@ -151,7 +124,7 @@
 ) -> Result<Attempt, StoreError> {
     let read = store.list(LEASES_TABLE).await?;
     let row = read.value.iter().find(|row| row.key == RATES_KEY);
-    let known = row.and_then(decode).filter(|known| {
+    let known = row.and_then(LeaseRow::decode).filter(|known| {
         let plausible = known.is_plausible(read.store_time);
         if !plausible {
             tracing::warn!(
@@ -205,16 +178,6 @@
     Ok(Attempt::Acquired(acquired, grants))
 }
 
-fn decode(row: &StoreRow) -> Option<LeaseRow> {
-    match serde_json::from_slice(&row.value) {
-        Ok(decoded) => Some(decoded),
-        Err(error) => {
-            tracing::warn!("control: The row of the lease can't be decoded: {error}.");
-            None
-        }
-    }
-}
-
 async fn write(
     control: &Shared,
     store: &dyn Store,
@@ -332,7 +295,7 @@
     }
     let read = store.list(LEASES_TABLE).await?;
     let row = read.value.iter().find(|row| row.key == RATES_KEY);
-    let known = row.and_then(decode);
+    let known = row.and_then(LeaseRow::decode);
     let claim = control
         .borrow()
         .claim_of(row, known.as_ref(), read.store_time);
@@ -417,29 +380,6 @@
         }
     }
 
-    /// Returns what the row of the lease says, where `known` is its content if that is readable.
-    fn claim_of(
-        &self,
-        row: Option<&StoreRow>,
-        known: Option<&LeaseRow>,
-        store_time: Duration,
-    ) -> LeaseClaim {
-        match (row, known) {
-            (None, _) => LeaseClaim::Absent,
-            (Some(row), None) => LeaseClaim::Unreadable(row.revision),
-            (Some(_), Some(known)) => {
-                let end = Duration::from_millis(known.until_ms) + LEASE_MARGIN;
-                LeaseClaim::Stated(StatedLease {
-                    epoch: known.epoch,
-                    fence: known.fence,
-                    left: end.saturating_sub(store_time),
-                    // An earlier process on this VM must have ended, since this one is running.
-                    own: known.holder == self.local_member.vm,
-                })
-            }
-        }
-    }
-
     /// Returns the earlier grants where the row of the lease doesn't name them: those in the row, and
     /// any portion at all other nodes.
     fn unknown_grants(&self, earlier: StoredGrants) -> StoredGrants {
--- a/crates/engine/src/control/mod.rs
+++ b/crates/engine/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod feed;
 mod holder;
 mod lease;
+mod lease_row;
 mod members;
 mod messages;
 mod plan;
--- a/crates/policy/src/succession.rs
+++ b/crates/policy/src/succession.rs
@@ -5,8 +5,7 @@
 //! expiry, a lower fencing token and fewer portions than were lent. Its holder goes on if its lease has
 //! not expired by its own clock, and writes its row anew. Any other node waits until each lease of
 //! before the restore has expired, unless it knows that none is in force, and then takes it that any
-//! node may hold portions. Fencing tokens
-//! begin anew in each epoch, above all those of earlier epochs.
+//! node may hold portions. Fencing tokens begin anew in each epoch, above all those of earlier epochs.
 
 use std::time::Duration;
 
