--- a/crates/engine/src/control/holder.rs
+++ b/crates/engine/src/control/holder.rs
@@ -99,8 +99,9 @@
         let known = |vm: &VmId| *vm == self.local_member.vm || self.peers.contains_key(vm);
         let settled = restored + LATE_RESPONSES;
         let idle = |peer: &Peer| {
-            let reported = peer.last_report.is_some_and(|(at, _)| at >= settled);
-            peer.link.is_up() && reported
+            let report = peer.last_report;
+            let stated = report.is_some_and(|report| report.at >= settled && !report.holds_lease);
+            peer.link.is_up() && stated
         };
         !self.peers.is_empty()
             && holder.is_none_or(known)
--- a/crates/engine/src/control/rules.rs
+++ b/crates/engine/src/control/rules.rs
@@ -78,8 +78,8 @@
     /// from after its entry, and all nodes in it have stated that they have no rules.
     fn others_lack_rules(&self) -> bool {
         let lacks = |peer: &Peer| {
-            let reported = peer.last_report;
-            peer.link.is_up() && reported.is_some_and(|(_, rules)| rules.version == 0)
+            let report = peer.last_report;
+            peer.link.is_up() && report.is_some_and(|report| report.rules.version == 0)
         };
         let listed = self.was_listed == Some(true);
         listed && !self.peers.is_empty() && self.peers.values().all(lacks)
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -107,8 +107,19 @@
     pub link: Link,
     /// Time of the last report, or of the discovery of the node if it has not reported yet.
     pub last_heard: Instant,
-    /// Time of the last report, and the stamp of the rules in it.
-    pub last_report: Option<(Instant, RulesStamp)>,
+    /// What the node has stated in its last report.
+    pub last_report: Option<LastReport>,
+}
+
+/// What a node has stated in a report.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LastReport {
+    /// When the report arrived.
+    pub at: Instant,
+    /// Stamp of the rules in force there.
+    pub rules: RulesStamp,
+    /// Whether the node held the lease.
+    pub holds_lease: bool,
 }
 
 /// Creates the control state that the tasks of the control thread share.
@@ -248,7 +259,12 @@
     /// Applies the report of another node.
     pub(super) fn apply_report(&mut self, report: NodeReport) {
         let now = self.parts.clock.now();
-        let (vm, rules) = (report.member.vm.clone(), report.rules);
+        let vm = report.member.vm.clone();
+        let last_report = LastReport {
+            at: now,
+            rules: report.rules,
+            holds_lease: report.holder_fence.is_some(),
+        };
         self.upsert_peer(report.member);
         if let Some(fence) = report.holder_fence {
             self.note_holder(&vm, fence, now);
@@ -266,7 +282,7 @@
             return;
         };
         peer.last_heard = now;
-        peer.last_report = Some((now, rules));
+        peer.last_report = Some(last_report);
         peer.link.set_load(report.load);
     }
 
