--- a/review/standins/src/bin/departure.rs
+++ b/review/standins/src/bin/departure.rs
@@ -112,7 +112,12 @@
         })
         .collect();
     for caller in &callers {
-        caller.start(4, "POST /charge/1 HTTP/1.1", Duration::from_millis(250));
+        caller.start(
+            4,
+            "POST /charge/1 HTTP/1.1",
+            Duration::from_millis(250),
+            Duration::from_millis(250),
+        );
     }
     // All machines are in touch for longer than `contact_ms` before anything happens.
     std::thread::sleep(Duration::from_secs(8));
