--- a/review/standins/src/backend.rs
+++ b/review/standins/src/backend.rs
@@ -22,6 +22,8 @@
     /// Address at which the node on its machine takes reports.
     pub control: SocketAddr,
     pub beat: Duration,
+    /// Size of the answers to requests whose path ends in `bundle`.
+    pub bundle_bytes: usize,
 }
 
 /// A request that began to run.
@@ -168,7 +170,11 @@
         if self.ended.load(Ordering::SeqCst) {
             return None;
         }
-        let body = format!("answer to {id}");
+        let body = if path.ends_with("bundle") {
+            vec![b'b'; self.options.bundle_bytes]
+        } else {
+            format!("answer to {id}").into_bytes()
+        };
         let response = Message::new("HTTP/1.1 200 OK", body);
         Some(
             response
--- a/review/standins/src/bin/departure.rs
+++ b/review/standins/src/bin/departure.rs
@@ -87,6 +87,7 @@
             address: free_address(),
             control: machine.reports,
             beat: BEAT,
+            bundle_bytes: 0,
         };
         let work = |_: &str| Duration::from_millis(30);
         backends.push(Backend::start(options, Arc::clone(&record), work));
--- a/review/standins/src/bin/stop.rs
+++ b/review/standins/src/bin/stop.rs
@@ -105,6 +105,7 @@
             address: free_address(),
             control: machine.reports,
             beat: BEAT,
+            bundle_bytes: 0,
         };
         backends.push(Backend::start(options, Arc::clone(&record), work_of));
     }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -54,8 +54,9 @@
     }
 }
 
-/// Reads a message. Returns `None` if the connection ended before its first byte.
-pub fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+/// Reads the start line and the headers of a message. Returns `None` if the connection ended before its
+/// first byte.
+pub fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
     let mut line = String::new();
     if reader.read_line(&mut line)? == 0 {
         return Ok(None);
@@ -75,6 +76,14 @@
             .headers
             .push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
+    Ok(Some(message))
+}
+
+/// Reads a message. Returns `None` if the connection ended before its first byte.
+pub fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+    let Some(mut message) = read_head(reader)? else {
+        return Ok(None);
+    };
     if message.header("transfer-encoding").is_some() {
         // Neither the project's programs nor these stand-ins send chunks.
         return Err(io::ErrorKind::Unsupported.into());
