--- a/review/standins/src/backend.rs
+++ b/review/standins/src/backend.rs
@@ -24,6 +24,8 @@
     pub beat: Duration,
     /// Size of the answers to requests whose path ends in `bundle`.
     pub bundle_bytes: usize,
+    /// Bytes per second at which it reads a body.
+    pub read_rate: f64,
 }
 
 /// A request that began to run.
@@ -68,7 +70,10 @@
             runs: Mutex::default(),
         });
         let serving = Arc::clone(&backend);
-        serve(listener, move |request| serving.answer(&request, &work));
+        let rate = backend.options.read_rate;
+        serve(listener, rate, move |request| {
+            serving.answer(&request, &work)
+        });
         let reporting = Arc::clone(&backend);
         std::thread::spawn(move || {
             loop {
--- a/review/standins/src/bin/departure.rs
+++ b/review/standins/src/bin/departure.rs
@@ -88,6 +88,7 @@
             control: machine.reports,
             beat: BEAT,
             bundle_bytes: 0,
+            read_rate: f64::INFINITY,
         };
         let work = |_: &str| Duration::from_millis(30);
         backends.push(Backend::start(options, Arc::clone(&record), work));
--- a/review/standins/src/bin/stop.rs
+++ b/review/standins/src/bin/stop.rs
@@ -106,6 +106,7 @@
             control: machine.reports,
             beat: BEAT,
             bundle_bytes: 0,
+            read_rate: f64::INFINITY,
         };
         backends.push(Backend::start(options, Arc::clone(&record), work_of));
     }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -79,8 +79,16 @@
     Ok(Some(message))
 }
 
+/// Bytes that are read at once at a limited rate.
+const STEP: usize = 100_000;
+
 /// Reads a message. Returns `None` if the connection ended before its first byte.
 pub fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+    read_at(reader, f64::INFINITY)
+}
+
+/// Reads a message whose body is read at `rate` bytes per second at the most.
+fn read_at(reader: &mut BufReader<TcpStream>, rate: f64) -> io::Result<Option<Message>> {
     let Some(mut message) = read_head(reader)? else {
         return Ok(None);
     };
@@ -91,7 +99,10 @@
     let length = message.header("content-length").unwrap_or("0");
     let length: usize = length.parse().map_err(|_| io::ErrorKind::InvalidData)?;
     message.body = vec![0; length];
-    reader.read_exact(&mut message.body)?;
+    for part in message.body.chunks_mut(STEP) {
+        reader.read_exact(part)?;
+        std::thread::sleep(Duration::from_secs_f64(part.len() as f64 / rate));
+    }
     Ok(Some(message))
 }
 
@@ -116,9 +127,10 @@
 }
 
 /// Serves connections until the process ends, each on a thread of its own. `None` as an answer closes
-/// the connection.
+/// the connection. Bodies are read at `rate` bytes per second at the most.
 pub fn serve(
     listener: TcpListener,
+    rate: f64,
     answer: impl Fn(Message) -> Option<Message> + Send + Sync + 'static,
 ) {
     let answer = Arc::new(answer);
@@ -127,7 +139,7 @@
             let answer = Arc::clone(&answer);
             std::thread::spawn(move || {
                 // An error means that the peer has closed the connection.
-                let _closed = serve_connection(stream, answer.as_ref());
+                let _closed = serve_connection(stream, rate, answer.as_ref());
             });
         }
     });
@@ -135,11 +147,12 @@
 
 fn serve_connection(
     mut stream: TcpStream,
+    rate: f64,
     answer: &dyn Fn(Message) -> Option<Message>,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
-    while let Some(request) = read(&mut reader)? {
+    while let Some(request) = read_at(&mut reader, rate)? {
         match answer(request) {
             Some(response) => write(&mut stream, &response)?,
             None => break,
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -106,6 +106,18 @@
         }
     }
 
+    /// Returns the id of the node's process.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Kills a process that this program has started, as the platform does.
+    pub fn kill_process(pid: u32) {
+        let command = format!("kill -KILL {pid}");
+        // Fails if the process has ended.
+        let _ended = Command::new("bash").args(["-c", &command]).status();
+    }
+
     /// Returns whether the node still runs.
     pub fn runs(&mut self) -> bool {
         let child = self.child.as_mut();
@@ -133,6 +145,16 @@
     }
 }
 
+/// Returns the most memory that a process has used, in bytes; `None` once it has ended.
+pub fn peak_bytes(pid: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let kilobytes: u64 = line.split_whitespace().next()?.parse().ok()?;
+    Some(kilobytes * 1024)
+}
+
 impl Drop for Machine {
     fn drop(&mut self) {
         self.kill();
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -39,7 +39,9 @@
             start: Instant::now(),
         });
         let serving = Arc::clone(&store);
-        serve(listener, move |request| Some(serving.answer(&request)));
+        serve(listener, f64::INFINITY, move |request| {
+            Some(serving.answer(&request))
+        });
         store
     }
 
