--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. With TROUBLE=0 the
-# clients read at full speed.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves
+# out the SIGTERM.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 node=target/release/filbertwheel
-case=target/review/release/slow_reader
+case=target/review/release/stop
 [ -x "$node" ] && [ -x "$case" ] || { echo "build the node and run review/build.sh first" >&2; exit 2; }
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
--- a/review/standins/src/bin/departure.rs
+++ b/review/standins/src/bin/departure.rs
@@ -28,7 +28,9 @@
 /// How late the report from before the departure arrives.
 const LATE_S: f64 = 3.0;
 /// How long the backend server serves after its departure was acknowledged.
-const SERVES_S: f64 = 11.0;
+const SERVES_S: f64 = 8.0;
+/// Time that a request takes.
+const WORK: Duration = Duration::from_millis(200);
 
 const MANIFEST: &str = r#"{"version":"r3","routes":[
   {"name":"charge","host":"payments.example","prefix":"/charge/","kind":"unsafe","timeout_ms":6000,
@@ -90,7 +92,7 @@
             bundle_bytes: 0,
             read_rate: f64::INFINITY,
         };
-        let work = |_: &str| Duration::from_millis(30);
+        let work = |_: &str| WORK;
         backends.push(Backend::start(options, Arc::clone(&record), work));
     }
     for machine in &machines {
@@ -169,6 +171,7 @@
     ));
     sleep_until(&record, acknowledged + SERVES_S);
     leaving.end();
+    let end = record.now();
     record.line(&format!("{} ends", leaving.id));
     std::thread::sleep(Duration::from_millis(500));
     for caller in &callers {
@@ -207,6 +210,15 @@
          them sent by machines in touch",
         leaving.id
     ));
+    let lost = runs.iter().filter(|run| {
+        let request = sent.iter().find(|request| request.id == run.id);
+        let runs_at_end = run.at + WORK.as_secs_f64() > end;
+        runs_at_end && request.is_some_and(|request| request.status != Some(200))
+    });
+    record.line(&format!(
+        "{} requests ran there when it ended, and were lost with it",
+        lost.count()
+    ));
     record.line(if counted == 0 {
         "DRAIN held"
     } else {
--- /dev/null
+++ b/review/standins/src/bin/moved_store.rs
@@ -0,0 +1,161 @@
+//! The settings of all nodes change: the platform's store is at another address. The nodes get SIGHUP.
+//! A manifest that takes a key away, acknowledged by the store at its new address, must be in force
+//! within its time.
+//!
+//! Usage: moved_store NODE_PROGRAM FOLDER RECORD TROUBLE
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use review_standins::backend::{Backend, BackendOptions};
+use review_standins::caller::Caller;
+use review_standins::free_address;
+use review_standins::node::Machine;
+use review_standins::record::Record;
+use review_standins::store::Store;
+
+/// Bounds of the site: `config_apply_ms`, and `contact_ms` with a margin.
+const APPLY: Duration = Duration::from_millis(2_000);
+const CONTACT: Duration = Duration::from_millis(3_500);
+/// Interval between status reports (`heartbeat_ms`).
+const BEAT: Duration = Duration::from_millis(1_500);
+/// Pause between the signals to two nodes.
+const GAP: Duration = Duration::from_millis(500);
+/// Requests with the withdrawn key, at each node.
+const REQUESTS: usize = 20;
+
+fn manifest(version: u32, keys: &str) -> String {
+    format!(
+        r#"{{"version":"r{version}","routes":[
+  {{"name":"photos","host":"documents.example","prefix":"/photos/","kind":"safe",
+   "timeout_ms":6000,"target_latency_ms":1500,"priority":1,"service":"documents","max_attempts":2}}],
+ "services":[{{"name":"documents","health_path":"/health"}}],
+ "limits":{{"header_bytes":16384,"body_bytes":67108864,"header_ms":3000,"idle_ms":15000}},
+ "tenants":[{{"name":"hotel","api_keys":[{keys}]}}]}}"#
+    )
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [program, folder, record, trouble] = arguments.as_slice() else {
+        eprintln!("usage: moved_store NODE_PROGRAM FOLDER RECORD TROUBLE");
+        return ExitCode::from(2);
+    };
+    let played = play(
+        Path::new(program),
+        Path::new(folder),
+        Path::new(record),
+        trouble != "0",
+    );
+    match played {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(reason) => {
+            eprintln!("the case can't run: {reason}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Plays the case. Returns whether the rule held.
+fn play(program: &Path, folder: &Path, record: &Path, trouble: bool) -> Result<bool, String> {
+    let record = Record::create(record).map_err(|error| error.to_string())?;
+    let record = Arc::new(record);
+    let (first, second) = (free_address(), free_address());
+    let store = Store::start(first);
+    store.write_manifest(&manifest(3, r#""kept","withdrawn""#));
+    let places = [
+        ("side-1", "majori", "documents"),
+        ("side-2", "dzintari", "documents"),
+        ("side-3", "bulduri", "documents"),
+    ];
+    let mut machines = Vec::new();
+    let mut backends = Vec::new();
+    for place in places {
+        let machine = Machine::prepare(program, folder, first, place);
+        let mut machine = machine.map_err(|error| error.to_string())?;
+        machine.start().map_err(|error| error.to_string())?;
+        let options = BackendOptions {
+            name: format!("backend-{}", machine.name),
+            service: machine.service.clone(),
+            zone: machine.zone.clone(),
+            slots: 50,
+            address: free_address(),
+            control: machine.reports,
+            beat: BEAT,
+            bundle_bytes: 0,
+            read_rate: f64::INFINITY,
+        };
+        let work = |_: &str| Duration::from_millis(10);
+        backends.push(Backend::start(options, Arc::clone(&record), work));
+        machines.push(machine);
+    }
+    for machine in &machines {
+        if !machine.wait_ready(Duration::from_secs(10)) {
+            return Err(format!("{} isn't ready", machine.name));
+        }
+    }
+    std::thread::sleep(Duration::from_secs(4));
+    let callers: Vec<Arc<Caller>> = ["kept", "withdrawn"]
+        .iter()
+        .flat_map(|key| machines.iter().map(move |machine| (key, machine)))
+        .map(|(key, machine)| {
+            let name = format!("{key}-{}", machine.name);
+            let host = "documents.example";
+            let limit = Duration::from_secs(6);
+            Caller::new(&name, machine.callers, host, Some(key), limit, &record)
+        })
+        .collect();
+    for caller in &callers {
+        if caller.send("GET /photos/1 HTTP/1.1", "").status != Some(200) {
+            return Err("a request before the change isn't served".to_owned());
+        }
+    }
+
+    if trouble {
+        store.move_to(second);
+        record.line(&format!("the store is at {second} now"));
+    }
+    for machine in &machines {
+        if trouble {
+            let (before, after) = (first.to_string(), second.to_string());
+            let changed = machine.change_settings(&before, &after);
+            changed.map_err(|error| error.to_string())?;
+        }
+        machine.signal("HUP");
+        record.line(&format!("{} gets SIGHUP", machine.name));
+        std::thread::sleep(GAP);
+    }
+    // The store and all machines are without disturbance for longer than `contact_ms`.
+    std::thread::sleep(CONTACT);
+    store.write_manifest(&manifest(9, r#""kept""#));
+    record.line("the store acknowledges r9, without the withdrawn key");
+    std::thread::sleep(APPLY + CONTACT);
+    let mut served = [0; 2];
+    for caller in &callers {
+        for _ in 0..REQUESTS {
+            let sent = caller.send("GET /photos/1 HTTP/1.1", "");
+            let withdrawn = usize::from(sent.id.starts_with("withdrawn"));
+            served[withdrawn] += usize::from(sent.status == Some(200));
+        }
+    }
+    if !machines.iter_mut().all(Machine::runs) {
+        return Err("a node has ended by itself".to_owned());
+    }
+    let sent = machines.len() * REQUESTS;
+    record.line(&format!(
+        "of {sent} requests with the kept key {} were served, of {sent} with the withdrawn one {}",
+        served[0], served[1]
+    ));
+    if served[0] == 0 {
+        return Err("no request with the kept key is served".to_owned());
+    }
+    record.line(if served[1] == 0 {
+        "CONFIG held"
+    } else {
+        "CONFIG is broken"
+    });
+    Ok(served[1] == 0)
+}
--- a/review/standins/src/bin/slow_reader.rs
+++ b/review/standins/src/bin/slow_reader.rs
@@ -84,6 +84,7 @@
         ("side-1", "majori", "documents"),
         ("side-2", "dzintari", "documents"),
         ("side-3", "bulduri", "documents"),
+        ("side-4", "majori", "documents"),
     ];
     let mut machines = Vec::new();
     let mut backends = Vec::new();
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -75,6 +75,12 @@
         })
     }
 
+    /// Replaces a text in the settings file.
+    pub fn change_settings(&self, before: &str, after: &str) -> io::Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, text.replace(before, after))
+    }
+
     /// Starts the node with the command of the deploy file.
     pub fn start(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -24,6 +24,8 @@
 }
 
 pub struct Store {
+    /// Address at which the store answers. At any other it closes each connection.
+    address: Mutex<SocketAddr>,
     state: Mutex<State>,
     changed: Condvar,
     start: Instant,
@@ -32,17 +34,35 @@
 impl Store {
     /// Starts the store at an address.
     pub fn start(address: SocketAddr) -> Arc<Self> {
-        let listener = TcpListener::bind(address).expect("the store's address is free");
         let store = Arc::new(Self {
+            address: Mutex::new(address),
             state: Mutex::default(),
             changed: Condvar::new(),
             start: Instant::now(),
         });
-        let serving = Arc::clone(&store);
+        store.listen(address);
+        store
+    }
+
+    /// Moves the store, with all that it holds, to another address.
+    pub fn move_to(self: &Arc<Self>, address: SocketAddr) {
+        *self.address.lock().unwrap_or_else(PoisonError::into_inner) = address;
+        self.listen(address);
+        // Open calls at the earlier address end.
+        self.changed.notify_all();
+    }
+
+    fn listen(self: &Arc<Self>, address: SocketAddr) {
+        let listener = TcpListener::bind(address).expect("the store's address is free");
+        let store = Arc::clone(self);
         serve(listener, f64::INFINITY, move |request| {
-            Some(serving.answer(&request))
+            let response = store.answer(&request, address);
+            store.is_at(address).then_some(response)
         });
-        store
+    }
+
+    fn is_at(&self, address: SocketAddr) -> bool {
+        *self.address.lock().unwrap_or_else(PoisonError::into_inner) == address
     }
 
     /// Writes the manifest as the operator.
@@ -53,7 +73,10 @@
         self.changed.notify_all();
     }
 
-    fn answer(&self, request: &Message) -> Message {
+    fn answer(&self, request: &Message, address: SocketAddr) -> Message {
+        if !self.is_at(address) {
+            return Message::new("HTTP/1.1 503 Service Unavailable", "");
+        }
         std::thread::sleep(ANSWER_TIME);
         let (method, target) = request.target();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -61,7 +84,7 @@
         match (method, path) {
             ("POST", "/filbertwheel/rows-tx") => self.commit(&request.body),
             ("GET", "/filbertwheel/rows-get") => self.range(&query),
-            ("GET", "/filbertwheel/rows-feed") => self.feed(&query),
+            ("GET", "/filbertwheel/rows-feed") => self.feed(&query, address),
             _ => Message::new("HTTP/1.1 404 Not Found", ""),
         }
     }
@@ -124,7 +147,7 @@
         self.rows("200 OK", &state, &rows, more)
     }
 
-    fn feed(&self, query: &Query) -> Message {
+    fn feed(&self, query: &Query, address: SocketAddr) -> Message {
         let table = query.get("table_name");
         let after: u64 = query.get("after").parse().unwrap_or(0);
         let wait = query.get("wait_ms").parse().unwrap_or(0).min(30_000);
@@ -137,7 +160,7 @@
                 .map(|(version, key, value)| row_json(key, *version, value.as_ref()))
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
-            if !rows.is_empty() || left.is_zero() {
+            if !rows.is_empty() || left.is_zero() || !self.is_at(address) {
                 return self.rows("200 OK", &state, &rows, false);
             }
             let waited = self.changed.wait_timeout(state, left);
