--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -1,7 +1,7 @@
 //! Processes of nodes, with settings as the template of the deploy file renders them.
 
 use std::fs::{self, File};
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -21,6 +21,8 @@
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    /// File that names the processes of all nodes, for the script that started this program.
+    pids: PathBuf,
     child: Option<Child>,
 }
 
@@ -71,6 +73,7 @@
             program: program.to_owned(),
             settings,
             log: folder.join(format!("{name}.log")),
+            pids: folder.join("pids"),
             child: None,
         })
     }
@@ -90,6 +93,8 @@
             .stdin(Stdio::null())
             .stdout(log)
             .spawn()?;
+        let mut pids = File::options().create(true).append(true).open(&self.pids)?;
+        writeln!(pids, "{}", child.id())?;
         self.child = Some(child);
         Ok(())
     }
