--- a/review/standins/src/bin/departure.rs
+++ b/review/standins/src/bin/departure.rs
@@ -4,23 +4,17 @@
 //!
 //! Usage: departure NODE_PROGRAM FOLDER RECORD TROUBLE
 
-use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
-use review_standins::backend::{Backend, BackendOptions};
 use review_standins::caller::Caller;
-use review_standins::free_address;
-use review_standins::node::Machine;
+use review_standins::case::{Behaviour, Case, run};
 use review_standins::record::Record;
-use review_standins::store::Store;
 
 /// Bounds of the site: `drain_ms`, `contact_ms`.
 const DRAIN_S: f64 = 2.0;
 const CONTACT_S: f64 = 3.0;
-/// Interval between status reports (`heartbeat_ms`).
-const BEAT: Duration = Duration::from_millis(1_500);
 /// Time from the acknowledgement to the kill of all nodes.
 const KILL_AFTER: Duration = Duration::from_millis(500);
 /// Time from the kill to the start of the nodes.
@@ -40,67 +34,26 @@
  "tenants":[]}"#;
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [program, folder, record, trouble] = arguments.as_slice() else {
-        eprintln!("usage: departure NODE_PROGRAM FOLDER RECORD TROUBLE");
-        return ExitCode::from(2);
-    };
-    match play(
-        Path::new(program),
-        Path::new(folder),
-        Path::new(record),
-        trouble != "0",
-    ) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
-        Err(reason) => {
-            eprintln!("the case can't run: {reason}");
-            ExitCode::from(2)
-        }
-    }
+    run(play)
 }
 
 /// Plays the case. Returns whether the rule held.
-fn play(program: &Path, folder: &Path, record: &Path, trouble: bool) -> Result<bool, String> {
-    let record = Record::create(record).map_err(|error| error.to_string())?;
-    let record = Arc::new(record);
-    let store_address = free_address();
-    let store = Store::start(store_address);
-    store.write_manifest(MANIFEST);
+fn play(case: &Case) -> Result<bool, String> {
+    let (record, trouble) = (Arc::clone(&case.record), case.trouble);
     let places = [
-        ("side-1", "majori"),
-        ("side-2", "dzintari"),
-        ("side-3", "bulduri"),
+        ("side-1", "majori", "payments"),
+        ("side-2", "dzintari", "payments"),
+        ("side-3", "bulduri", "payments"),
     ];
-    let mut machines = Vec::new();
-    for (name, zone) in places {
-        let place = (name, zone, "payments");
-        let machine = Machine::prepare(program, folder, store_address, place);
-        machines.push(machine.map_err(|error| error.to_string())?);
-    }
-    let mut backends = Vec::new();
-    for machine in &mut machines {
-        machine.start().map_err(|error| error.to_string())?;
-        let options = BackendOptions {
-            name: format!("backend-{}", machine.name),
-            service: machine.service.clone(),
-            zone: machine.zone.clone(),
-            slots: 50,
-            address: free_address(),
-            control: machine.reports,
-            beat: BEAT,
-            bundle_bytes: 0,
-            read_rate: f64::INFINITY,
-        };
-        let work = |_: &str| WORK;
-        backends.push(Backend::start(options, Arc::clone(&record), work));
-    }
-    for machine in &machines {
-        if !machine.wait_ready(Duration::from_secs(10)) {
-            return Err(format!("{} isn't ready", machine.name));
-        }
-    }
-    let callers: Vec<Arc<Caller>> = machines
+    let behaviour = Behaviour {
+        slots: 50,
+        bundle_bytes: 0,
+        read_rate: f64::INFINITY,
+        work: |_| WORK,
+    };
+    let mut fleet = case.start(MANIFEST, &places, &behaviour)?;
+    let callers: Vec<Arc<Caller>> = fleet
+        .machines
         .iter()
         .map(|machine| {
             let name = format!("client-{}", machine.name);
@@ -125,7 +78,7 @@
     }
     // All machines are in touch for longer than `contact_ms` before anything happens.
     std::thread::sleep(Duration::from_secs(8));
-    let leaving = Arc::clone(&backends[0]);
+    let leaving = Arc::clone(&fleet.backends[0]);
     if leaving.runs().is_empty() {
         return Err("the leaving backend server got no request".to_owned());
     }
@@ -142,20 +95,16 @@
     let acknowledged = record.line(&format!("the departure of {} is acknowledged", leaving.id));
     std::thread::sleep(KILL_AFTER);
     if trouble {
-        for machine in &mut machines {
+        for machine in &mut fleet.machines {
             machine.kill();
         }
         record.line("all nodes are killed");
         std::thread::sleep(RESTART_AFTER);
-        for machine in &mut machines {
+        for machine in &mut fleet.machines {
             machine.start().map_err(|error| error.to_string())?;
         }
         record.line("all nodes are started again");
-        for machine in &machines {
-            if !machine.wait_ready(Duration::from_secs(10)) {
-                return Err(format!("{} isn't ready again", machine.name));
-            }
-        }
+        fleet.wait_ready()?;
         record.line("all nodes are ready");
     }
     let started = record.now();
@@ -177,11 +126,7 @@
     for caller in &callers {
         caller.stop();
     }
-    for machine in &mut machines {
-        if !machine.runs() {
-            return Err(format!("{} has ended by itself", machine.name));
-        }
-    }
+    fleet.check_runs()?;
     std::thread::sleep(Duration::from_millis(300));
 
     // Only requests count that clients have sent while all machines were in touch again.
--- a/review/standins/src/bin/moved_store.rs
+++ b/review/standins/src/bin/moved_store.rs
@@ -4,23 +4,17 @@
 //!
 //! Usage: moved_store NODE_PROGRAM FOLDER RECORD TROUBLE
 
-use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
-use review_standins::backend::{Backend, BackendOptions};
 use review_standins::caller::Caller;
+use review_standins::case::{Behaviour, Case, run};
 use review_standins::free_address;
-use review_standins::node::Machine;
-use review_standins::record::Record;
-use review_standins::store::Store;
 
 /// Bounds of the site: `config_apply_ms`, and `contact_ms` with a margin.
 const APPLY: Duration = Duration::from_millis(2_000);
 const CONTACT: Duration = Duration::from_millis(3_500);
-/// Interval between status reports (`heartbeat_ms`).
-const BEAT: Duration = Duration::from_millis(1_500);
 /// Pause between the signals to two nodes.
 const GAP: Duration = Duration::from_millis(500);
 /// Requests with the withdrawn key, at each node.
@@ -38,69 +32,28 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [program, folder, record, trouble] = arguments.as_slice() else {
-        eprintln!("usage: moved_store NODE_PROGRAM FOLDER RECORD TROUBLE");
-        return ExitCode::from(2);
-    };
-    let played = play(
-        Path::new(program),
-        Path::new(folder),
-        Path::new(record),
-        trouble != "0",
-    );
-    match played {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
-        Err(reason) => {
-            eprintln!("the case can't run: {reason}");
-            ExitCode::from(2)
-        }
-    }
+    run(play)
 }
 
 /// Plays the case. Returns whether the rule held.
-fn play(program: &Path, folder: &Path, record: &Path, trouble: bool) -> Result<bool, String> {
-    let record = Record::create(record).map_err(|error| error.to_string())?;
-    let record = Arc::new(record);
-    let (first, second) = (free_address(), free_address());
-    let store = Store::start(first);
-    store.write_manifest(&manifest(3, r#""kept","withdrawn""#));
+fn play(case: &Case) -> Result<bool, String> {
+    let (record, trouble) = (Arc::clone(&case.record), case.trouble);
     let places = [
         ("side-1", "majori", "documents"),
         ("side-2", "dzintari", "documents"),
         ("side-3", "bulduri", "documents"),
     ];
-    let mut machines = Vec::new();
-    let mut backends = Vec::new();
-    for place in places {
-        let machine = Machine::prepare(program, folder, first, place);
-        let mut machine = machine.map_err(|error| error.to_string())?;
-        machine.start().map_err(|error| error.to_string())?;
-        let options = BackendOptions {
-            name: format!("backend-{}", machine.name),
-            service: machine.service.clone(),
-            zone: machine.zone.clone(),
-            slots: 50,
-            address: free_address(),
-            control: machine.reports,
-            beat: BEAT,
-            bundle_bytes: 0,
-            read_rate: f64::INFINITY,
-        };
-        let work = |_: &str| Duration::from_millis(10);
-        backends.push(Backend::start(options, Arc::clone(&record), work));
-        machines.push(machine);
-    }
-    for machine in &machines {
-        if !machine.wait_ready(Duration::from_secs(10)) {
-            return Err(format!("{} isn't ready", machine.name));
-        }
-    }
+    let behaviour = Behaviour {
+        slots: 50,
+        bundle_bytes: 0,
+        read_rate: f64::INFINITY,
+        work: |_| Duration::from_millis(10),
+    };
+    let mut fleet = case.start(&manifest(3, r#""kept","withdrawn""#), &places, &behaviour)?;
     std::thread::sleep(Duration::from_secs(4));
     let callers: Vec<Arc<Caller>> = ["kept", "withdrawn"]
         .iter()
-        .flat_map(|key| machines.iter().map(move |machine| (key, machine)))
+        .flat_map(|key| fleet.machines.iter().map(move |machine| (key, machine)))
         .map(|(key, machine)| {
             let name = format!("{key}-{}", machine.name);
             let host = "documents.example";
@@ -114,14 +67,14 @@
         }
     }
 
+    let (first, second) = (fleet.store_address.to_string(), free_address());
     if trouble {
-        store.move_to(second);
+        fleet.store.move_to(second);
         record.line(&format!("the store is at {second} now"));
     }
-    for machine in &machines {
+    for machine in &fleet.machines {
         if trouble {
-            let (before, after) = (first.to_string(), second.to_string());
-            let changed = machine.change_settings(&before, &after);
+            let changed = machine.change_settings(&first, &second.to_string());
             changed.map_err(|error| error.to_string())?;
         }
         machine.signal("HUP");
@@ -130,7 +83,7 @@
     }
     // The store and all machines are without disturbance for longer than `contact_ms`.
     std::thread::sleep(CONTACT);
-    store.write_manifest(&manifest(9, r#""kept""#));
+    fleet.store.write_manifest(&manifest(9, r#""kept""#));
     record.line("the store acknowledges r9, without the withdrawn key");
     std::thread::sleep(APPLY + CONTACT);
     let mut served = [0; 2];
@@ -141,10 +94,8 @@
             served[withdrawn] += usize::from(sent.status == Some(200));
         }
     }
-    if !machines.iter_mut().all(Machine::runs) {
-        return Err("a node has ended by itself".to_owned());
-    }
-    let sent = machines.len() * REQUESTS;
+    fleet.check_runs()?;
+    let sent = fleet.machines.len() * REQUESTS;
     record.line(&format!(
         "of {sent} requests with the kept key {} were served, of {sent} with the withdrawn one {}",
         served[0], served[1]
--- a/review/standins/src/bin/slow_reader.rs
+++ b/review/standins/src/bin/slow_reader.rs
@@ -5,24 +5,18 @@
 
 use std::io::{BufReader, Read};
 use std::net::{SocketAddr, TcpStream};
-use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use review_standins::backend::{Backend, BackendOptions};
-use review_standins::free_address;
+use review_standins::case::{Behaviour, Case, run};
 use review_standins::http::{Message, read, read_head, write};
-use review_standins::node::Machine;
 use review_standins::record::Record;
-use review_standins::store::Store;
 
 /// Time budget of the requests.
 const BUDGET: Duration = Duration::from_secs(6);
 /// Bound of the site: `config_apply_ms`.
 const APPLY_S: f64 = 2.0;
-/// Interval between status reports (`heartbeat_ms`).
-const BEAT: Duration = Duration::from_millis(1_500);
 /// Size of an answer.
 const BUNDLE_BYTES: usize = 10_000_000;
 /// Bytes per second that a slow client reads: the whole answer takes five seconds.
@@ -40,25 +34,7 @@
  "tenants":[]}"#;
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [program, folder, record, trouble] = arguments.as_slice() else {
-        eprintln!("usage: slow_reader NODE_PROGRAM FOLDER RECORD TROUBLE");
-        return ExitCode::from(2);
-    };
-    let played = play(
-        Path::new(program),
-        Path::new(folder),
-        Path::new(record),
-        trouble != "0",
-    );
-    match played {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
-        Err(reason) => {
-            eprintln!("the case can't run: {reason}");
-            ExitCode::from(2)
-        }
-    }
+    run(play)
 }
 
 /// What became of a large answer.
@@ -74,57 +50,36 @@
 }
 
 /// Plays the case. Returns whether the rule held.
-fn play(program: &Path, folder: &Path, record: &Path, trouble: bool) -> Result<bool, String> {
-    let record = Record::create(record).map_err(|error| error.to_string())?;
-    let record = Arc::new(record);
-    let store_address = free_address();
-    let store = Store::start(store_address);
-    store.write_manifest(MANIFEST);
+fn play(case: &Case) -> Result<bool, String> {
+    let (record, trouble) = (Arc::clone(&case.record), case.trouble);
     let places = [
         ("side-1", "majori", "documents"),
         ("side-2", "dzintari", "documents"),
         ("side-3", "bulduri", "documents"),
         ("side-4", "majori", "documents"),
     ];
-    let mut machines = Vec::new();
-    let mut backends = Vec::new();
-    for place in places {
-        let machine = Machine::prepare(program, folder, store_address, place);
-        let mut machine = machine.map_err(|error| error.to_string())?;
-        machine.start().map_err(|error| error.to_string())?;
-        let options = BackendOptions {
-            name: format!("backend-{}", machine.name),
-            service: machine.service.clone(),
-            zone: machine.zone.clone(),
-            slots: 50,
-            address: free_address(),
-            control: machine.reports,
-            beat: BEAT,
-            bundle_bytes: BUNDLE_BYTES,
-            read_rate: f64::INFINITY,
-        };
-        let work = |_: &str| Duration::from_millis(30);
-        backends.push(Backend::start(options, Arc::clone(&record), work));
-        machines.push(machine);
-    }
-    for machine in &machines {
-        if !machine.wait_ready(Duration::from_secs(10)) {
-            return Err(format!("{} isn't ready", machine.name));
-        }
-    }
+    let behaviour = Behaviour {
+        slots: 50,
+        bundle_bytes: BUNDLE_BYTES,
+        read_rate: f64::INFINITY,
+        work: |_| Duration::from_millis(30),
+    };
+    let mut fleet = case.start(MANIFEST, &places, &behaviour)?;
     // All machines are in touch for longer than `contact_ms` before anything happens.
     std::thread::sleep(Duration::from_secs(5));
     let rate = trouble.then_some(SLOW_RATE);
-    let before = read_bundles(machines[0].callers, "before", rate, &record);
-    machines[0].signal("HUP");
+    let before = read_bundles(fleet.machines[0].callers, "before", rate, &record);
+    fleet.machines[0].signal("HUP");
     let hup = record.line("side-1 gets SIGHUP");
     std::thread::sleep(Duration::from_millis(500));
-    let after = read_bundles(machines[0].callers, "hup", rate, &record);
-    if !machines.iter_mut().all(Machine::runs) {
-        return Err("a node has ended by itself".to_owned());
-    }
+    let after = read_bundles(fleet.machines[0].callers, "hup", rate, &record);
+    fleet.check_runs()?;
 
-    let runs: usize = backends.iter().map(|backend| backend.runs().len()).sum();
+    let runs: usize = fleet
+        .backends
+        .iter()
+        .map(|backend| backend.runs().len())
+        .sum();
     let budget_s = BUDGET.as_secs_f64();
     let cut = |outcome: &&Outcome| {
         outcome.arrived < outcome.length.max(1) && outcome.ended - outcome.sent < budget_s
--- a/review/standins/src/bin/stop.rs
+++ b/review/standins/src/bin/stop.rs
@@ -4,17 +4,13 @@
 //! Usage: stop NODE_PROGRAM FOLDER RECORD TROUBLE
 
 use std::collections::BTreeMap;
-use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
-use review_standins::backend::{Backend, BackendOptions, Run};
+use review_standins::backend::Run;
 use review_standins::caller::{Caller, Sent};
-use review_standins::free_address;
-use review_standins::node::Machine;
-use review_standins::record::Record;
-use review_standins::store::Store;
+use review_standins::case::{Behaviour, Case, run};
 
 /// Bounds of the site: `grace_s`, `loss_slack_ms`, and the time budget of the requests.
 const GRACE_S: f64 = 6.0;
@@ -22,8 +18,6 @@
 const BUDGET: Duration = Duration::from_secs(6);
 /// Time until which after the SIGTERM a request has to be sent whose backend's late work is excused.
 const EXCUSED_S: f64 = 3.0;
-/// Interval between status reports (`heartbeat_ms`).
-const BEAT: Duration = Duration::from_millis(1_500);
 /// Interval at which the platform asks whether a node is ready.
 const QUESTION: Duration = Duration::from_secs(1);
 /// Requests that each backend server runs at once.
@@ -47,25 +41,7 @@
  "tenants":[]}"#;
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [program, folder, record, trouble] = arguments.as_slice() else {
-        eprintln!("usage: stop NODE_PROGRAM FOLDER RECORD TROUBLE");
-        return ExitCode::from(2);
-    };
-    let played = play(
-        Path::new(program),
-        Path::new(folder),
-        Path::new(record),
-        trouble != "0",
-    );
-    match played {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
-        Err(reason) => {
-            eprintln!("the case can't run: {reason}");
-            ExitCode::from(2)
-        }
-    }
+    run(play)
 }
 
 /// Returns the time that a request takes, by its path.
@@ -78,46 +54,23 @@
 }
 
 /// Plays the case. Returns whether the rule held.
-fn play(program: &Path, folder: &Path, record: &Path, trouble: bool) -> Result<bool, String> {
-    let record = Record::create(record).map_err(|error| error.to_string())?;
-    let record = Arc::new(record);
-    let store_address = free_address();
-    let store = Store::start(store_address);
-    store.write_manifest(MANIFEST);
+fn play(case: &Case) -> Result<bool, String> {
+    let (record, trouble) = (Arc::clone(&case.record), case.trouble);
     let places = [
         ("side-1", "majori", "staffing"),
         ("side-2", "dzintari", "staffing"),
         ("side-3", "bulduri", "staffing"),
     ];
-    let mut machines = Vec::new();
-    for place in places {
-        let machine = Machine::prepare(program, folder, store_address, place);
-        machines.push(machine.map_err(|error| error.to_string())?);
-    }
-    let mut backends = Vec::new();
-    for machine in &mut machines {
-        machine.start().map_err(|error| error.to_string())?;
-        let options = BackendOptions {
-            name: format!("backend-{}", machine.name),
-            service: machine.service.clone(),
-            zone: machine.zone.clone(),
-            slots: SLOTS,
-            address: free_address(),
-            control: machine.reports,
-            beat: BEAT,
-            bundle_bytes: 0,
-            read_rate: f64::INFINITY,
-        };
-        backends.push(Backend::start(options, Arc::clone(&record), work_of));
-    }
-    for machine in &machines {
-        if !machine.wait_ready(Duration::from_secs(10)) {
-            return Err(format!("{} isn't ready", machine.name));
-        }
-    }
+    let behaviour = Behaviour {
+        slots: SLOTS,
+        bundle_bytes: 0,
+        read_rate: f64::INFINITY,
+        work: work_of,
+    };
+    let mut fleet = case.start(MANIFEST, &places, &behaviour)?;
     std::thread::sleep(Duration::from_secs(3));
     let mut clients = Vec::new();
-    for (machine, exports) in machines.iter().zip(EXPORT_CLIENTS) {
+    for (machine, exports) in fleet.machines.iter().zip(EXPORT_CLIENTS) {
         let kinds = [
             ("export", exports, EXPORT_PAUSE, EXPORT + EXPORT_PAUSE),
             ("short", SHORT_CLIENTS, SHORT_PAUSE, SHORT + SHORT_PAUSE),
@@ -135,7 +88,7 @@
 
     // The node alone is its zone. When it isn't ready, fewer than half of the zone's nodes are in, so
     // its clients go on receiving new work.
-    let stopped = &machines[0];
+    let stopped = &fleet.machines[0];
     if !stopped.is_ready() {
         return Err("the node isn't ready before its stop".to_owned());
     }
@@ -161,20 +114,21 @@
     for client in &clients {
         client.stop();
     }
-    let ended = !machines[0].runs();
+    let ended = !fleet.machines[0].runs();
     record.line(if ended {
         "side-1 has ended"
     } else {
         "side-1 runs"
     });
     if trouble && !ended {
-        machines[0].kill();
+        fleet.machines[0].kill();
         record.line("side-1 gets SIGKILL");
     }
     // The other nodes' requests end.
     std::thread::sleep(Duration::from_secs(4));
 
-    let runs: BTreeMap<String, Run> = backends
+    let runs: BTreeMap<String, Run> = fleet
+        .backends
         .iter()
         .flat_map(|backend| backend.runs())
         .map(|run| (run.id.clone(), run))
--- a/review/standins/src/bin/uploads.rs
+++ b/review/standins/src/bin/uploads.rs
@@ -3,18 +3,14 @@
 //!
 //! Usage: uploads NODE_PROGRAM FOLDER RECORD TROUBLE
 
-use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use review_standins::backend::{Backend, BackendOptions};
 use review_standins::caller::{Caller, Sent};
-use review_standins::free_address;
+use review_standins::case::{Behaviour, Case, run};
 use review_standins::node::{Machine, peak_bytes};
-use review_standins::record::Record;
-use review_standins::store::Store;
 
 /// Memory of a machine (`memory_mb` of the settings), in bytes.
 const MEMORY_BYTES: u64 = 260 * 1024 * 1024;
@@ -27,12 +23,10 @@
 const SLOW_RATE: f64 = 2e7;
 /// Time budget of the requests.
 const BUDGET: Duration = Duration::from_secs(6);
-/// Interval between status reports (`heartbeat_ms`).
-const BEAT: Duration = Duration::from_millis(1_500);
 /// Interval at which the platform looks at the memory of a process.
 const LOOK: Duration = Duration::from_millis(5);
 /// Clients with short requests on kept connections.
-const CLIENTS: usize = 60;
+const CLIENTS: usize = 90;
 /// Requests that may be cut (the rule counts more than three).
 const ALLOWED: usize = 3;
 
@@ -44,67 +38,26 @@
  "tenants":[]}"#;
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [program, folder, record, trouble] = arguments.as_slice() else {
-        eprintln!("usage: uploads NODE_PROGRAM FOLDER RECORD TROUBLE");
-        return ExitCode::from(2);
-    };
-    let played = play(
-        Path::new(program),
-        Path::new(folder),
-        Path::new(record),
-        trouble != "0",
-    );
-    match played {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::from(1),
-        Err(reason) => {
-            eprintln!("the case can't run: {reason}");
-            ExitCode::from(2)
-        }
-    }
+    run(play)
 }
 
 /// Plays the case. Returns whether the rule held.
-fn play(program: &Path, folder: &Path, record: &Path, trouble: bool) -> Result<bool, String> {
-    let record = Record::create(record).map_err(|error| error.to_string())?;
-    let record = Arc::new(record);
-    let store_address = free_address();
-    let store = Store::start(store_address);
-    store.write_manifest(MANIFEST);
+fn play(case: &Case) -> Result<bool, String> {
+    let (record, trouble) = (Arc::clone(&case.record), case.trouble);
     let places = [
         ("side-1", "majori", "documents"),
         ("side-2", "dzintari", "availability"),
         ("side-3", "bulduri", "payments"),
     ];
-    let mut machines = Vec::new();
-    let mut backends = Vec::new();
-    for place in places {
-        let machine = Machine::prepare(program, folder, store_address, place);
-        let mut machine = machine.map_err(|error| error.to_string())?;
-        machine.start().map_err(|error| error.to_string())?;
-        let options = BackendOptions {
-            name: format!("backend-{}", machine.name),
-            service: machine.service.clone(),
-            zone: machine.zone.clone(),
-            slots: 100,
-            address: free_address(),
-            control: machine.reports,
-            beat: BEAT,
-            bundle_bytes: 0,
-            read_rate: if trouble { SLOW_RATE } else { f64::INFINITY },
-        };
-        let work = |_: &str| Duration::from_millis(100);
-        backends.push(Backend::start(options, Arc::clone(&record), work));
-        machines.push(machine);
-    }
-    for machine in &machines {
-        if !machine.wait_ready(Duration::from_secs(10)) {
-            return Err(format!("{} isn't ready", machine.name));
-        }
-    }
-    let node = machines[0].callers;
-    let pid = machines[0].pid().ok_or("the node has no process")?;
+    let behaviour = Behaviour {
+        slots: 100,
+        bundle_bytes: 0,
+        read_rate: if trouble { SLOW_RATE } else { f64::INFINITY },
+        work: |_| Duration::from_millis(150),
+    };
+    let fleet = case.start(MANIFEST, &places, &behaviour)?;
+    let node = fleet.machines[0].callers;
+    let pid = fleet.machines[0].pid().ok_or("the node has no process")?;
     let client = |name: &str| Caller::new(name, node, "documents.example", None, BUDGET, &record);
     let (short, upload) = (client("short"), client("upload"));
     let pause = Duration::from_millis(200);
@@ -154,7 +107,7 @@
     short.stop();
     std::thread::sleep(Duration::from_secs(1));
 
-    let runs = backends[0].runs();
+    let runs = fleet.backends[0].runs();
     let ran = |one: &Sent| runs.iter().any(|run| run.id == one.id);
     let cut: Vec<Sent> = short.sent().into_iter().chain(upload.sent()).collect();
     let cut = cut
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod case;
 pub mod http;
 pub mod json;
 pub mod node;
