Acknowledge a backend server's departure only once the store holds it

Cause: a 2xx to a deregistration or to the state `draining` is a promise, and only memory held it: that of the node, and that of the nodes it was connected to. Nothing that lasts was written before the acknowledgement.

Ruled out: the order of reports (a late report is ignored as long as any node remembers the life); the hello of other nodes (it carries the notice, but none was left that knew it).

Change: a departure is an instance and the latest start that is meant. The traffic threads leave it alone at once; the control thread writes the row of its VM (read, merge, conditional write; read again after an unknown outcome or a restore), and only then is it acknowledged, within 800 ms, else 503, so that the sender repeats it. A node that starts reads its row before it relies on a report; without the store it goes by the other nodes, if one was there before it. A later life under the same id is served. One write a departure, one read a start; 16 departures a VM; the row goes with that of its node.

--- a/crates/engine/src/control/members.rs
+++ b/crates/engine/src/control/members.rs
@@ -9,7 +9,7 @@
 use filbertwheel_platform::{Store, StoreError, StoreRow, StoreWrite};
 
 use super::feed::{Feed, Rows};
-use super::{Control, Shared};
+use super::{Control, Shared, departures};
 
 /// Table of the nodes.
 const NODES_TABLE: &str = "filbertwheel-nodes";
@@ -199,12 +199,14 @@
         );
         let write = StoreWrite {
             table: NODES_TABLE,
-            key: vm,
+            key: vm.clone(),
             expected_revision: None,
             value: None,
         };
-        if let Err(error) = store.commit(&[write]).await {
-            tracing::warn!("control: The row of a silent node can't be removed: {error}.");
+        for write in [write, departures::removal(vm)] {
+            if let Err(error) = store.commit(&[write]).await {
+                tracing::warn!("control: The row of a silent node can't be removed: {error}.");
+            }
         }
     }
 }
--- a/crates/engine/src/control/mod.rs
+++ b/crates/engine/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Tasks and state of the control thread, which exchanges control state with the other nodes and
 //! the store.
 
+mod departures;
 mod feed;
 mod holder;
 mod lease;
@@ -14,6 +15,7 @@
 mod sums;
 mod ticks;
 
+pub(crate) use departures::keep_departures;
 pub(crate) use lease::hold_lease;
 pub(crate) use members::{join_members, keep_members};
 pub(crate) use messages::handle_messages;
--- a/crates/engine/src/counted_store.rs
+++ b/crates/engine/src/counted_store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use filbertwheel_core::{Epoch, Revision};
+use filbertwheel_core::{Epoch, Revision, Text};
 use filbertwheel_platform::{RowChanges, Store, StoreError, StoreResponse, StoreRow, StoreWrite};
 
 use crate::epochs::StoreEpoch;
@@ -48,6 +48,16 @@
         self.check(known, self.store.list(table).await)
     }
 
+    async fn read(
+        &self,
+        table: &'static str,
+        key: &Text,
+    ) -> Result<StoreResponse<Option<StoreRow>>, StoreError> {
+        self.metrics.record_store_call("read", table);
+        let known = self.epoch.latest();
+        self.check(known, self.store.read(table, key).await)
+    }
+
     async fn watch(
         &self,
         table: &'static str,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,22 +3,24 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use filbertwheel_backend::StatusReport;
 use filbertwheel_core::{
     Attempt, Clock, InstanceId, InstanceNotice, Member, OrganisationId, Rank, Refusal, RefusalKind,
-    RouteId, RouteRule, Rules, RulesStamp, ServiceId, Verdict,
+    RouteId, RouteRule, Rules, RulesStamp, ServiceId, Status, Verdict,
 };
 use filbertwheel_http::LocalFuture;
 use filbertwheel_peer::{Link, LinkEvent, LinkHandler, NodeReport, RulesDocument};
 use filbertwheel_policy::{
-    BackendLoad, FairShedder, PortionBuckets, RetryBudget, RetryLimits, RulesCatchup, TokenReceipt,
-    WeightedRoundRobin,
+    BackendLoad, Departure, FairShedder, PortionBuckets, RetryBudget, RetryLimits, RulesCatchup,
+    TokenReceipt, WeightedRoundRobin,
 };
+use futures_lite::FutureExt as _;
 
 use crate::claims::{ClaimCounts, TokenShortage};
 use crate::control::Message;
+use crate::departures::Departures;
 use crate::inbox::Inbox;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
@@ -39,12 +41,16 @@
 /// Reply to a claim if this node can't grant tokens: none granted, and no time until the next one.
 const CANNOT_GRANT: (u32, u32) = (0, 0);
 
+/// Time within which a departure is acknowledged or not. A backend server waits for a second.
+const ACKNOWLEDGEMENT_TIME: Duration = Duration::from_millis(800);
+
 /// State that the traffic threads of a node share.
 #[derive(Debug)]
 pub struct Engine {
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) snapshots: SharedSnapshot,
     pub(crate) runner: Runner,
+    pub(crate) departures: Arc<Departures>,
     pub(crate) journal: Arc<Journal>,
     pub(crate) metrics: Arc<Metrics>,
     /// Service of the backend server on this VM.
@@ -80,6 +86,7 @@
     pub clock: Arc<dyn Clock>,
     pub snapshots: SharedSnapshot,
     pub runner: Runner,
+    pub departures: Arc<Departures>,
     pub inbox: Arc<Inbox>,
     pub journal: Arc<Journal>,
     pub metrics: Arc<Metrics>,
@@ -93,6 +100,7 @@
             clock: parts.clock,
             snapshots: parts.snapshots,
             runner: parts.runner,
+            departures: parts.departures,
             journal: parts.journal,
             metrics: parts.metrics,
             service: parts.service,
@@ -125,24 +133,53 @@
         self.metrics.text()
     }
 
-    /// Records a status report of the backend server on this VM.
-    pub fn record_status(&self, report: &StatusReport) {
+    /// Records a status report of the backend server on this VM. Returns whether it may be acknowledged:
+    /// a departure only once the store holds it.
+    pub async fn record_status(&self, report: &StatusReport) -> bool {
         if let Some(state) = self.runner.record_status(report) {
             self.inbox.push_urgent(Message::BackendState(state));
         }
+        if report.status < Status::Draining {
+            return true;
+        }
+        let departure = Departure {
+            instance: report.instance.clone(),
+            until_ms: report.started_ms,
+        };
+        self.leave(&departure).await
     }
 
     /// Records that an instance of the backend server is leaving and takes no new requests.
     /// `started_ms` is the start of the life that is meant, in milliseconds since the Unix epoch, if
-    /// stated.
-    pub fn mark_leaving(&self, instance: &InstanceId, started_ms: Option<u64>) {
-        if self.runner.mark_leaving(instance, started_ms) {
-            tracing::info!(
-                backend = %instance,
-                "runner: The backend server instance has deregistered."
+    /// stated. Returns whether it may be acknowledged.
+    pub async fn mark_leaving(&self, instance: &InstanceId, started_ms: Option<u64>) -> bool {
+        let wall = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        let now_ms = wall.unwrap_or_default().as_millis() as u64;
+        let departure = Departure {
+            instance: instance.clone(),
+            until_ms: started_ms.unwrap_or(now_ms),
+        };
+        self.leave(&departure).await
+    }
+
+    /// Leaves the lives that depart alone from now on, then waits until the store holds that, for as
+    /// long as the backend server waits for an acknowledgement.
+    async fn leave(&self, departure: &Departure) -> bool {
+        self.runner.mark_leaving(departure);
+        let stored = async {
+            self.departures.wait_stored(departure).await;
+            true
+        };
+        let late = async {
+            self.clock.sleep(ACKNOWLEDGEMENT_TIME).await;
+            tracing::warn!(
+                backend = %departure.instance,
+                "runner: A departure is not acknowledged, because it can't be stored in time."
             );
-            self.inbox.push_urgent(Message::Leaving);
-        }
+            self.metrics.unacknowledged.inc();
+            false
+        };
+        stored.or(late).await
     }
 
     /// Returns whether to request rules with a stamp from another node that has them.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,6 +9,7 @@
 mod control;
 mod counted_store;
 mod crashes;
+mod departures;
 mod dispatch;
 mod engine;
 mod entry;
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -42,7 +42,7 @@
 /// Labels of calls to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreLabels {
-    /// `list`, `watch` or `commit`.
+    /// `list`, `read`, `watch` or `commit`.
     operation: &'static str,
     table: &'static str,
 }
@@ -83,6 +83,8 @@
     pub(crate) sent: Counter,
     /// Calls turned away because of the limit that the backend server states.
     pub(crate) over_limit: Counter,
+    /// Departures of the backend server that were not acknowledged.
+    pub(crate) unacknowledged: Counter,
     /// Requests per second that the backend server accepts; 0 if it states no limit.
     pub(crate) backend_limit: Gauge<f64, AtomicU64>,
     /// Version of the rules in force.
@@ -141,6 +143,10 @@
                 "over_backend_limit",
                 "Calls turned away because of the limit that the backend server states",
             ),
+            unacknowledged: add.metric(
+                "unacknowledged_departures",
+                "Departures of the backend server that could not be stored in time",
+            ),
             backend_limit: add.metric(
                 "backend_request_limit",
                 "Requests per second that the backend server accepts; 0 if it states no limit",
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -17,16 +17,17 @@
 use smol::LocalExecutor;
 
 use crate::control::{
-    ControlParts, Shared, exchange_sums, handle_messages, hold_lease, join_members, keep_members,
-    open_control, run_ticks, store_profiles, watch_rules,
+    ControlParts, Shared, exchange_sums, handle_messages, hold_lease, join_members,
+    keep_departures, keep_members, open_control, run_ticks, store_profiles, watch_rules,
 };
 use crate::counted_store::CountedStore;
+use crate::departures::Departures;
 use crate::engine::{Engine, EngineParts};
 use crate::epochs::StoreEpoch;
 use crate::inbox::Inbox;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
-use crate::runner::Runner;
+use crate::runner::{Runner, RunnerParts};
 use crate::settings::{Dependencies, EngineSettings};
 use crate::snapshots::{SharedSnapshot, Snapshot};
 use crate::traffic::{BoundListener, ThreadTasks, TrafficThread};
@@ -111,19 +112,22 @@
             ..dependencies
         };
         let inbox = Arc::new(Inbox::open());
-        let runner = Runner::open(
-            local_member.vm.clone(),
-            Arc::clone(&dependencies.backends),
-            Arc::clone(&clock),
-            Arc::clone(&snapshots),
-            Arc::clone(&journal),
-            Arc::clone(&metrics),
-            Arc::clone(&inbox),
-        );
+        let departures = Arc::new(Departures::open());
+        let runner = Runner::open(RunnerParts {
+            vm: local_member.vm.clone(),
+            backends: Arc::clone(&dependencies.backends),
+            clock: Arc::clone(&clock),
+            snapshots: Arc::clone(&snapshots),
+            journal: Arc::clone(&journal),
+            metrics: Arc::clone(&metrics),
+            inbox: Arc::clone(&inbox),
+            departures: Arc::clone(&departures),
+        });
         let engine = Arc::new(Engine::open(EngineParts {
             clock: Arc::clone(&clock),
             snapshots: Arc::clone(&snapshots),
             runner,
+            departures,
             inbox,
             journal,
             metrics,
@@ -198,6 +202,7 @@
             executor.spawn(watch_rules(control())),
             executor.spawn(join_members(control())),
             executor.spawn(keep_members(control())),
+            executor.spawn(keep_departures(control())),
             executor.spawn(store_profiles(control())),
             executor.spawn(run_ticks(control())),
             executor.spawn(exchange_sums(control())),
--- a/crates/engine/src/notices.rs
+++ b/crates/engine/src/notices.rs
@@ -1,16 +1,12 @@
 //! What the local backend server states about itself: in its responses, in its status reports, or
 //! as other nodes knew it before this node started.
 
-use std::collections::VecDeque;
 use std::time::Instant;
 
 use filbertwheel_backend::{ResponseNotice, StatedLimit};
 use filbertwheel_core::{InstanceId, InstanceNotice, RequestRate};
 use filbertwheel_policy::{Pacer, SendReservation};
 
-/// Maximum number of departed instances that are kept. One backend server runs on a VM at a time.
-const MAX_DEPARTED: usize = 16;
-
 /// One life of a backend server: its instance id, and its start in milliseconds since the Unix
 /// epoch, because a backend server may start again under the id that it had.
 pub(crate) type Life = (InstanceId, u64);
@@ -21,9 +17,6 @@
     present: Option<Present>,
     /// What another node knew of a life that has not reported to this node yet.
     early: Option<(InstanceNotice, Instant)>,
-    /// Instances that have deregistered, each with the latest start of the lives that are meant, in
-    /// milliseconds since the Unix epoch. One may deregister before its first report to this node.
-    departed: VecDeque<Life>,
 }
 
 #[derive(Debug)]
@@ -57,21 +50,6 @@
                 .saturating_add(now.saturating_duration_since(received));
             self.learn(InstanceNotice { age, ..early }, now);
         }
-        if self
-            .departed
-            .iter()
-            .any(|(instance, until)| *instance == life.0 && life.1 <= *until)
-        {
-            self.mark_leaving(now);
-        }
-    }
-
-    /// Records that the lives of an instance that began until `until_ms` are gone or about to be.
-    pub fn record_departure(&mut self, instance: InstanceId, until_ms: u64) {
-        if self.departed.len() == MAX_DEPARTED {
-            self.departed.pop_front();
-        }
-        self.departed.push_back((instance, until_ms));
     }
 
     /// Applies what a response states. Its call was sent at `sent` to that life.
--- a/crates/engine/src/runner/instance.rs
+++ b/crates/engine/src/runner/instance.rs
@@ -16,6 +16,7 @@
     pub instance: InstanceId,
     pub service: ServiceId,
     pub address: SocketAddr,
+    pub slots: u32,
     pub status: Status,
     pub started_ms: u64,
     pub sequence: u64,
@@ -38,6 +39,15 @@
             && (self.started_ms == report.started_ms || self.started_ms == 0)
     }
 
+    /// Returns the state that the control thread publishes.
+    pub fn backend_state(&self) -> BackendState {
+        BackendState {
+            service: self.service.clone(),
+            slots: self.slots,
+            status: self.status,
+        }
+    }
+
     /// Returns the life that it is.
     pub fn life(&self) -> Life {
         (self.instance.clone(), self.started_ms)
--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -6,17 +6,16 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use filbertwheel_backend::{BackendError, BackendInstance, InstanceConnector, StatusReport};
 use filbertwheel_core::{
-    Attempt, Clock, Failure, InstanceId, Refusal, RefusalKind, RouteId, Status, UnknownReason,
-    Verdict, VmId,
+    Attempt, Clock, Failure, Refusal, RefusalKind, RouteId, Status, UnknownReason, Verdict, VmId,
 };
 use filbertwheel_policy::{
-    AdmissionQueue, CrashReport, Health, Profiler, QueueOutcome, QueueRequest, QueueTicket,
-    RouteProfile,
+    AdmissionQueue, CrashReport, Departure, Health, Profiler, QueueOutcome, QueueRequest,
+    QueueTicket, RouteProfile,
 };
 use futures_lite::FutureExt as _;
 pub(crate) use instance::BackendState;
@@ -24,7 +23,9 @@
 pub(crate) use slot::NestedCall;
 use slot::{Slot, Waiting};
 
+use crate::control::Message;
 use crate::crashes::{Crashes, RunPermit};
+use crate::departures::Departures;
 use crate::inbox::Inbox;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
@@ -47,6 +48,19 @@
     inbox: Arc<Inbox>,
     state: Mutex<State>,
     crashes: Mutex<Crashes>,
+    departures: Arc<Departures>,
+}
+
+/// Parts that a runner is built from.
+pub(crate) struct RunnerParts {
+    pub vm: VmId,
+    pub backends: Arc<dyn InstanceConnector>,
+    pub clock: Arc<dyn Clock>,
+    pub snapshots: SharedSnapshot,
+    pub journal: Arc<Journal>,
+    pub metrics: Arc<Metrics>,
+    pub inbox: Arc<Inbox>,
+    pub departures: Arc<Departures>,
 }
 
 #[derive(Debug)]
@@ -57,28 +71,24 @@
     health: Health,
     profiler: Profiler,
     notices: Notices,
+    /// Whether a status report of a life that is not known to have left is relied on. Until then this
+    /// node may have forgotten a departure.
+    trusts_reports: bool,
     /// Smoothed run time of the calls in seconds; `None` before the first one.
     run_seconds: Option<f64>,
 }
 
 impl Runner {
-    pub fn open(
-        vm: VmId,
-        backends: Arc<dyn InstanceConnector>,
-        clock: Arc<dyn Clock>,
-        snapshots: SharedSnapshot,
-        journal: Arc<Journal>,
-        metrics: Arc<Metrics>,
-        inbox: Arc<Inbox>,
-    ) -> Self {
-        let now = clock.now();
+    pub fn open(parts: RunnerParts) -> Self {
+        let now = parts.clock.now();
         Self {
-            backends,
-            clock,
-            snapshots,
-            journal,
-            metrics,
-            inbox,
+            backends: parts.backends,
+            clock: parts.clock,
+            snapshots: parts.snapshots,
+            journal: parts.journal,
+            metrics: parts.metrics,
+            inbox: parts.inbox,
+            departures: parts.departures,
             state: Mutex::new(State {
                 instance: None,
                 queue: AdmissionQueue::open(1),
@@ -86,9 +96,10 @@
                 health: Health::open(now),
                 profiler: Profiler::default(),
                 notices: Notices::default(),
+                trusts_reports: false,
                 run_seconds: None,
             }),
-            crashes: Mutex::new(Crashes::open(vm)),
+            crashes: Mutex::new(Crashes::open(parts.vm)),
         }
     }
 
@@ -127,7 +138,11 @@
         let life = (report.instance.clone(), report.started_ms);
         let known = state.instance.as_ref();
         if known.is_none_or(|known| known.life() != life) {
+            let has_left = self.departures.has_left(&life.0, life.1);
             state.notices.begin_life(life, now);
+            if has_left {
+                state.notices.mark_leaving(now);
+            }
         }
         let known = state.instance.as_ref();
         let server = match known.filter(|known| known.is_same_life(report)) {
@@ -137,11 +152,7 @@
         if report.status >= Status::Draining {
             state.notices.mark_leaving(now);
         }
-        let status = if state.notices.is_leaving() {
-            report.status.max(Status::Draining)
-        } else {
-            report.status
-        };
+        let status = state.status(report.status);
         let state = &mut *state;
         let released = state.queue.resize(report.slots as usize);
         state.release(released);
@@ -151,15 +162,12 @@
             service: report.service.clone(),
             address: report.address,
             status,
+            slots: report.slots,
             started_ms: report.started_ms,
             sequence: report.sequence,
             last_heard: now,
         });
-        Some(BackendState {
-            service: report.service.clone(),
-            slots: report.slots,
-            status,
-        })
+        state.instance.as_ref().map(Instance::backend_state)
     }
 
     /// Begins a new life of the backend server. Returns its client.
@@ -183,24 +191,47 @@
         self.backends.open(report.address)
     }
 
-    /// Records that an instance of the backend server has ended or is about to. `started_ms` is the
-    /// start of the life that is meant, if stated. Returns whether it is the current life.
-    pub fn mark_leaving(&self, instance: &InstanceId, started_ms: Option<u64>) -> bool {
+    /// Records that lives of the backend server have ended or are about to, and sends no more requests
+    /// there if the present one is among them.
+    pub fn mark_leaving(&self, departure: &Departure) {
+        self.departures.record(departure.clone());
+        self.end_departed_life();
+    }
+
+    /// Relies on the status reports from now on, since departures of before this process are known.
+    pub fn trust_reports(&self) {
+        self.end_departed_life();
+        let mut state = self.lock();
+        if std::mem::replace(&mut state.trusts_reports, true) {
+            return;
+        }
+        if let Some(instance) = &mut state.instance
+            && instance.status == Status::Joining
+        {
+            instance.status = Status::Serving;
+            let state = instance.backend_state();
+            self.inbox.push_urgent(Message::BackendState(state));
+        }
+    }
+
+    /// Takes the present life out of use if it has left.
+    fn end_departed_life(&self) {
         let now = self.clock.now();
-        let wall = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
-        let until_ms = started_ms.unwrap_or(wall.unwrap_or_default().as_millis() as u64);
         let mut state = self.lock();
-        state.notices.record_departure(instance.clone(), until_ms);
-        let is_meant = |current: &Instance| {
-            current.instance == *instance && started_ms.is_none_or(|at| current.started_ms <= at)
+        let Some(instance) = &mut state.instance else {
+            return;
         };
-        match &mut state.instance {
-            Some(current) if is_meant(current) => {
-                current.status = Status::Gone;
-                state.notices.mark_leaving(now);
-                true
-            }
-            _ => false,
+        let has_left = self
+            .departures
+            .has_left(&instance.instance, instance.started_ms);
+        if has_left && instance.status < Status::Draining {
+            tracing::info!(
+                backend = %instance.instance,
+                "runner: The backend server instance has left."
+            );
+            instance.status = Status::Gone;
+            state.notices.mark_leaving(now);
+            self.inbox.push_urgent(Message::Leaving);
         }
     }
 
@@ -388,6 +419,17 @@
 }
 
 impl State {
+    /// Returns the status of the present life after a report.
+    fn status(&self, reported: Status) -> Status {
+        if self.notices.is_leaving() {
+            return reported.max(Status::Draining);
+        }
+        match reported {
+            Status::Serving if !self.trusts_reports => Status::Joining,
+            _ => reported,
+        }
+    }
+
     fn release(&mut self, tickets: Vec<QueueTicket>) {
         for ticket in tickets {
             let woken = self
--- a/crates/engine/src/runner/pacing.rs
+++ b/crates/engine/src/runner/pacing.rs
@@ -5,7 +5,7 @@
 
 use filbertwheel_backend::ResponseNotice;
 use filbertwheel_core::{Attempt, Failure, InstanceNotice, Refusal, RefusalKind, Status};
-use filbertwheel_policy::{BackendLoad, SendReservation};
+use filbertwheel_policy::{BackendLoad, Departure, SendReservation};
 
 use super::{Runner, State};
 use crate::control::Message;
@@ -77,6 +77,8 @@
             && instance.status < Status::Draining
         {
             instance.status = Status::Gone;
+            let (instance, until_ms) = instance.life();
+            self.departures.record(Departure { instance, until_ms });
             self.inbox.push_urgent(Message::Leaving);
         }
     }
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -91,6 +91,13 @@
     /// Reads all rows of a table.
     async fn list(&self, table: &'static str) -> Result<StoreResponse<Vec<StoreRow>>, StoreError>;
 
+    /// Reads one row; `None` if it doesn't exist.
+    async fn read(
+        &self,
+        table: &'static str,
+        key: &Text,
+    ) -> Result<StoreResponse<Option<StoreRow>>, StoreError>;
+
     /// Returns the changes of a table after a revision, waiting up to `wait` for the first one.
     async fn watch(
         &self,
