Take requests at a stopping node only if their end is bounded by the time left

Cause: late in the grace period a request was taken if four times the mean time of its route fitted in. Neither a mean nor a multiple of it bounds one request: on a route with short and long ones the long ones were cut.

Ruled out: the order of the stop (the connections close at 93 % of the grace period as they should), requests that wait in a queue (they are checked again before they are sent).

Change: a request is taken if its deadline lies before the end; or if the longest recent time of its route at this node (one to two minutes) ends in time, by half as much again once callers have noticed the stop. What is unknown is taken only before that. Whatever is taken is passed on with a deadline of 100 ms before the connections close, so that its backend server ends it and the caller gets that answer. It is checked when it arrives, before each attempt, and beside the backend server after it has waited.

policy/tests/stop.rs: the former test said that a typical time of 1 s is not taken with 3 s left, which is the factor of four itself; it now checks the longest time in its place, at the border on both sides, and a random test checks that whatever is passed on ends before the connections close.

--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -1,12 +1,13 @@
 //! Sends a request to backend servers until one of them responds or no further attempt is allowed.
 
+use std::borrow::Cow;
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::{
     Attempt, Failure, Refusal, RefusalKind, RouteRule, ServiceId, UnknownReason, Verdict, VmId,
 };
 use filbertwheel_peer::ForwardError;
-use filbertwheel_policy::{BackendView, Distance};
+use filbertwheel_policy::{BackendView, Distance, StopWindow};
 
 use crate::engine::Engine;
 use crate::journal::LogEntry;
@@ -43,9 +44,19 @@
             let Some(target) = self.choose_target(snapshot, &attempt.service, &tried) else {
                 break;
             };
+            // This node may have begun to stop meanwhile.
+            let current = self.snapshots.load();
+            if let Err(refusal) = self.check_stop(&current, &attempt.route, attempt.deadline) {
+                if runs == 0 {
+                    last = Err(refusal.into());
+                }
+                break;
+            }
             vm = target.member.vm.clone();
             tried.push(vm.clone());
-            let verdict = self.send(&target, attempt).await;
+            let verdict = self
+                .send(&target, &bounded(attempt, current.stopping))
+                .await;
             let may_have_run = may_have_run(&verdict);
             runs += usize::from(may_have_run);
             // If an earlier attempt may have run, a later refusal must not report the request as
@@ -186,6 +197,18 @@
     }
 }
 
+/// Returns an attempt with a deadline before which its answer reaches the caller, if this node is
+/// stopping.
+pub(crate) fn bounded(attempt: &Attempt, window: Option<StopWindow>) -> Cow<'_, Attempt> {
+    match window {
+        Some(window) => Cow::Owned(Attempt {
+            deadline: window.bounded(attempt.deadline),
+            ..attempt.clone()
+        }),
+        None => Cow::Borrowed(attempt),
+    }
+}
+
 /// Returns a stride through a list that visits distinct entries for all candidates.
 fn stride(length: usize) -> usize {
     if length <= CANDIDATES {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,8 +13,8 @@
 use filbertwheel_http::LocalFuture;
 use filbertwheel_peer::{Link, LinkEvent, LinkHandler, NodeReport, RulesDocument};
 use filbertwheel_policy::{
-    BackendLoad, Departure, FairShedder, PortionBuckets, RetryBudget, RetryLimits, RulesCatchup,
-    TokenReceipt, WeightedRoundRobin,
+    BackendLoad, Departure, FairShedder, LongestTimes, PortionBuckets, RetryBudget, RetryLimits,
+    RulesCatchup, TokenReceipt, WeightedRoundRobin,
 };
 use futures_lite::FutureExt as _;
 
@@ -61,6 +61,8 @@
     shedder: Mutex<FairShedder>,
     round_robin: Mutex<WeightedRoundRobin>,
     demand: Mutex<HashMap<(RouteId, Rank), u32>>,
+    /// Times from the arrival of a request that was passed on to its outcome.
+    longest_times: Mutex<LongestTimes>,
     /// Time until which an organisation has no tokens left to claim.
     exhausted_until: Mutex<HashMap<OrganisationId, Instant>>,
     /// Time until which no claims are sent to the lease holder, because it did not respond.
@@ -110,6 +112,7 @@
             shedder: Mutex::default(),
             round_robin: Mutex::default(),
             demand: Mutex::default(),
+            longest_times: Mutex::default(),
             exhausted_until: Mutex::default(),
             holder_paused_until: Mutex::default(),
             rules_catchup: Mutex::default(),
@@ -208,6 +211,10 @@
         lock(&self.round_robin)
     }
 
+    pub(crate) fn longest_times(&self) -> MutexGuard<'_, LongestTimes> {
+        lock(&self.longest_times)
+    }
+
     /// Counts a caller's request as demand.
     pub(crate) fn record_demand(&self, rule: &RouteRule, rank: Rank) {
         let mut demand = lock(&self.demand);
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -147,7 +147,8 @@
         let refused = |refusal: Refusal| EntryRefusal::new(Some(rule.id.clone()), refusal);
         let organisation =
             organisation(rules, &rule, incoming).map_err(|kind| refused(kind.into()))?;
-        check_stop(snapshot, &rule, incoming, now).map_err(&refused)?;
+        self.check_stop(snapshot, &rule.id, now + request_timeout(&rule, incoming))
+            .map_err(&refused)?;
         let rank = rules.rank(&rule, organisation.as_ref());
         let receipt =
             match &organisation {
@@ -176,6 +177,26 @@
         })
     }
 
+    /// Refuses a request that may not be answered before this node ends. Another node, or the next run
+    /// of this one, can take it once this node's connections are closed.
+    pub(crate) fn check_stop(
+        &self,
+        snapshot: &Snapshot,
+        route: &RouteId,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
+        let Some(window) = snapshot.stopping else {
+            return Ok(());
+        };
+        let now = self.clock.now();
+        let longest = self.longest_times().get(route);
+        if window.takes(longest, deadline, now) {
+            return Ok(());
+        }
+        let after = with_jitter(window.left(now));
+        Err(Refusal::retry_after(RefusalKind::Draining, after))
+    }
+
     /// Sheds a request if a service that it needs lacks the capacity.
     fn check_capacity(
         &self,
@@ -238,6 +259,11 @@
         };
         let result = self.dispatch(snapshot, &rule, &attempt).await;
         drop(nested_call);
+        if result.attempts > 0 && !matches!(result.verdict, Err(Failure::Refused(_))) {
+            let now = self.clock.now();
+            let elapsed = now.saturating_duration_since(began);
+            self.longest_times().record(&attempt.route, elapsed, now);
+        }
         if matches!(result.verdict, Err(Failure::Refused(_))) {
             self.refund(&attempt.organisation, receipt);
         }
@@ -318,27 +344,6 @@
     path.split(|byte| *byte == b'?').next().unwrap_or_default()
 }
 
-/// Refuses a request that may not be answered before this node ends. Another node, or the next run of
-/// this one, can take it once this node's connections are closed.
-fn check_stop(
-    snapshot: &Snapshot,
-    rule: &RouteRule,
-    incoming: &IncomingRequest,
-    now: Instant,
-) -> Result<(), Refusal> {
-    let Some(window) = snapshot.stopping else {
-        return Ok(());
-    };
-    let seconds = snapshot.elapsed.get(&rule.id);
-    let typical = seconds.and_then(|seconds| Duration::try_from_secs_f64(*seconds).ok());
-    let deadline = now + request_timeout(rule, incoming);
-    if window.takes(typical, deadline, now) {
-        return Ok(());
-    }
-    let after = with_jitter(window.left(now));
-    Err(Refusal::retry_after(RefusalKind::Draining, after))
-}
-
 /// Returns how long a request may take.
 fn request_timeout(rule: &RouteRule, incoming: &IncomingRequest) -> Duration {
     let timeout = incoming.timeout.unwrap_or(DEFAULT_TIMEOUT);
--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -14,8 +14,8 @@
     Attempt, Clock, Failure, Refusal, RefusalKind, RouteId, Status, UnknownReason, Verdict, VmId,
 };
 use filbertwheel_policy::{
-    AdmissionQueue, CrashReport, Departure, Health, Profiler, QueueOutcome, QueueRequest,
-    QueueTicket, RouteProfile,
+    AdmissionQueue, CrashReport, Departure, Health, LongestTimes, Profiler, QueueOutcome,
+    QueueRequest, QueueTicket, RouteProfile, StopWindow,
 };
 use futures_lite::FutureExt as _;
 pub(crate) use instance::BackendState;
@@ -26,6 +26,7 @@
 use crate::control::Message;
 use crate::crashes::{Crashes, RunPermit};
 use crate::departures::Departures;
+use crate::dispatch::bounded;
 use crate::inbox::Inbox;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
@@ -71,6 +72,7 @@
     health: Health,
     profiler: Profiler,
     notices: Notices,
+    longest_runs: LongestTimes,
     /// Whether a status report of a life that is not known to have left is relied on. Until then this
     /// node may have forgotten a departure.
     trusts_reports: bool,
@@ -96,6 +98,7 @@
                 health: Health::open(now),
                 profiler: Profiler::default(),
                 notices: Notices::default(),
+                longest_runs: LongestTimes::default(),
                 trusts_reports: false,
                 run_seconds: None,
             }),
@@ -288,17 +291,22 @@
         self.pace(attempt).await?;
         // The instance may have left while the call waited, or this node may be about to end.
         let instance = self.instance_for(attempt)?;
-        self.check_stop(attempt)?;
+        let stopping = self.check_stop(attempt)?;
         let permit = RunPermit::obtain(&self.crashes, attempt, self.clock.as_ref())?;
         let started = self.clock.now();
         slot.start();
         self.metrics.sent.inc();
-        let reply = instance.server.run(attempt, &instance.instance).await;
+        let attempt = bounded(attempt, stopping);
+        let reply = instance.server.run(&attempt, &instance.instance).await;
         if let Some(notice) = reply.notice {
             self.record_notice(&instance.life(), notice, started);
         }
         let result = reply.outcome;
-        let elapsed = self.clock.now().saturating_duration_since(started);
+        let now = self.clock.now();
+        let elapsed = now.saturating_duration_since(started);
+        self.lock()
+            .longest_runs
+            .record(&attempt.route, elapsed, now);
         slot.finish(&result, elapsed);
         permit.finish(&result);
         match result {
@@ -327,14 +335,15 @@
         }
     }
 
-    /// Refuses a call that may not end before this node does, so that it can run elsewhere.
-    fn check_stop(&self, attempt: &Attempt) -> Result<(), Failure> {
+    /// Refuses a call that may not end before this node does, so that it can run elsewhere. Returns the
+    /// times of the stop, if there is one.
+    fn check_stop(&self, attempt: &Attempt) -> Result<Option<StopWindow>, Failure> {
         let Some(window) = self.snapshots.load().stopping else {
-            return Ok(());
+            return Ok(None);
         };
-        let typical = self.lock().profiler.mean_run_time(&attempt.route);
-        if window.takes(typical, attempt.deadline, self.clock.now()) {
-            return Ok(());
+        let longest = self.lock().longest_runs.get(&attempt.route);
+        if window.takes(longest, attempt.deadline, self.clock.now()) {
+            return Ok(Some(window));
         }
         Err(RefusalKind::Draining.into())
     }
--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -1,11 +1,11 @@
-//! Which requests a node that is stopping still takes.
+//! Which requests a node that is stopping still takes, and by when they have ended.
 
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::copy_value;
 
-/// Multiple of the mean time of a route within which nearly all of its requests are answered.
-const TAIL_FACTOR: u32 = 4;
+/// Time before the connections close in which answers reach the callers.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
 
 /// Times of the stop of a node.
 #[copy_value]
@@ -18,16 +18,33 @@
 
 impl StopWindow {
     /// Returns whether a request is taken that arrives at `now`, has to be answered by `deadline`, and
-    /// typically takes the time `typical`, if that is known. Once callers have noticed the stop, only
-    /// those are taken that are expected to be answered before the connections close.
-    pub fn takes(&self, typical: Option<Duration>, deadline: Instant, now: Instant) -> bool {
-        let left = self.closes.saturating_duration_since(now);
-        let in_time = typical.is_some_and(|typical| typical * TAIL_FACTOR <= left);
-        now < self.noticed || deadline <= self.closes || in_time
+    /// whose route has taken at most the time `longest` of late, if that is known. What may not end
+    /// before the connections close is refused, so that it can run elsewhere. As long as callers
+    /// may not have noticed the stop, what is unknown is taken: its end is bounded by
+    /// [`bounded`](Self::bounded). Later, half as long again as the longest time has to fit in.
+    pub fn takes(&self, longest: Option<Duration>, deadline: Instant, now: Instant) -> bool {
+        if deadline <= self.last_end() {
+            return true;
+        }
+        let left = self.last_end().saturating_duration_since(now);
+        if now < self.noticed {
+            return longest.is_none_or(|longest| longest <= left);
+        }
+        longest.is_some_and(|longest| longest + longest / 2 <= left)
+    }
+
+    /// Returns the deadline of a request that is taken: what still runs then is ended by its backend
+    /// server, whose answer reaches the caller before the connections close.
+    pub fn bounded(&self, deadline: Instant) -> Instant {
+        deadline.min(self.last_end())
     }
 
     /// Returns the time until the connections close.
     pub fn left(&self, now: Instant) -> Duration {
         self.closes.saturating_duration_since(now)
     }
+
+    fn last_end(&self) -> Instant {
+        self.closes.checked_sub(ANSWER_TIME).unwrap_or(self.closes)
+    }
 }
--- a/crates/policy/tests/stop.rs
+++ b/crates/policy/tests/stop.rs
@@ -1,30 +1,116 @@
-//! Which requests a node that is stopping still takes.
+//! Which requests a node that is stopping still takes, and how their end is bounded.
 
 use std::time::{Duration, Instant};
 
-use filbertwheel_policy::StopWindow;
+use filbertwheel_policy::{LongestTimes, StopWindow};
+use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
 
-// Guards against requests that are taken late in the grace period and cut off at its end.
-#[test]
-fn late_requests_are_taken_only_if_they_are_expected_to_end_in_time() {
-    let began = Instant::now();
-    let window = StopWindow {
+fn window(began: Instant) -> StopWindow {
+    StopWindow {
         noticed: began + SECOND * 2,
         closes: began + SECOND * 6,
-    };
+    }
+}
+
+// Guards against requests that are taken late in the grace period and cut off at its end: a mean, or a
+// multiple of it, bounds no single request.
+#[test]
+fn late_requests_are_taken_only_if_the_longest_ends_in_time() {
+    let began = Instant::now();
+    let window = window(began);
     let far = began + SECOND * 30;
-    let takes = |typical: Option<u32>, deadline: Instant, at: u32| {
-        let typical = typical.map(|seconds| SECOND * seconds);
-        window.takes(typical, deadline, began + SECOND * at)
+    let takes = |longest_ms: Option<u64>, deadline: Instant, at: u32| {
+        window.takes(
+            longest_ms.map(Duration::from_millis),
+            deadline,
+            began + SECOND * at,
+        )
     };
     assert!(takes(None, far, 1), "callers haven't noticed the stop");
-    assert!(takes(Some(1), far, 2));
-    assert!(!takes(Some(1), far, 3));
+    assert!(takes(Some(4_500), far, 1));
+    assert!(!takes(Some(5_000), far, 1), "it wouldn't end in time");
+    assert!(takes(Some(1_000), far, 4));
+    assert!(!takes(Some(1_500), far, 4));
     assert!(!takes(None, far, 3), "nothing is known of its time");
     assert!(
         takes(None, began + SECOND * 5, 3),
         "it ends by its deadline"
     );
 }
+
+// Guards against a time that is forgotten while its route is in use, or never.
+#[test]
+fn the_longest_time_is_remembered_for_a_while() {
+    let began = Instant::now();
+    let route = "export".into();
+    let mut times = LongestTimes::default();
+    assert_eq!(times.get(&route), None);
+    times.record(&route, SECOND * 3, began);
+    for at in 1..=59 {
+        times.record(&route, SECOND, began + SECOND * at);
+    }
+    assert_eq!(times.get(&route), Some(SECOND * 3));
+    times.record(&route, SECOND, began + SECOND * 61);
+    assert_eq!(times.get(&route), Some(SECOND * 3));
+    times.record(&route, SECOND, began + SECOND * 122);
+    assert_eq!(times.get(&route), Some(SECOND));
+}
+
+/// A request: when it arrives and runs, for how long, and how long its caller waits.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    arrives_ms: u64,
+    queued_ms: u64,
+    runs_ms: u64,
+    timeout_ms: u64,
+}
+
+fn sent() -> impl Strategy<Value = Sent> {
+    (0..7_000_u64, 0..3_000_u64, 0..4_000_u64, 1..9_000_u64).prop_map(
+        |(arrives_ms, queued_ms, runs_ms, timeout_ms)| Sent {
+            arrives_ms,
+            queued_ms,
+            runs_ms,
+            timeout_ms,
+        },
+    )
+}
+
+proptest! {
+    // Guards against a request that a stopping node has passed on and that still runs when the
+    // connections close: it is checked when it arrives and again before it is passed on, and a backend
+    // server ends its work at the deadline that it is handed.
+    #[test]
+    fn what_is_passed_on_ends_before_the_connections_close(
+        requests in prop::collection::vec(sent(), 1..40),
+        known in prop::collection::vec(0..3_000_u64, 0..5),
+    ) {
+        let began = Instant::now();
+        let window = window(began);
+        let route = "route".into();
+        let mut times = LongestTimes::default();
+        for known_ms in known {
+            times.record(&route, Duration::from_millis(known_ms), began);
+        }
+        let mut requests = requests;
+        requests.sort_by_key(|sent| sent.arrives_ms);
+        for sent in requests {
+            let arrives = began + Duration::from_millis(sent.arrives_ms);
+            let deadline = arrives + Duration::from_millis(sent.timeout_ms);
+            if !window.takes(times.get(&route), deadline, arrives) {
+                prop_assert!(deadline > window.closes - SECOND, "a request that ends in time is taken");
+                continue;
+            }
+            let begins = arrives + Duration::from_millis(sent.queued_ms);
+            let deadline = window.bounded(deadline);
+            if begins >= deadline || !window.takes(times.get(&route), deadline, begins) {
+                continue;
+            }
+            let ends = (begins + Duration::from_millis(sent.runs_ms)).min(deadline);
+            prop_assert!(ends < window.closes);
+            times.record(&route, ends - arrives, ends);
+        }
+    }
+}
