Reuse no connection to a server that has sent bytes beyond a response

Cause: a connection was checked for pending bytes before its reuse only; bytes that arrive after the next request was sent passed for its answer. Nothing was learned from that, so the next connection was reused too.

Evidence: http/tests/endless.rs, a server that answers the first request of each connection and sends stray bytes once the next has arrived. Ruled out: a late answer to another request, which the echoed id identifies.

Change: after the first such bytes the pool closes its idle connections and reuses none for 5 s. Bytes that begin like a response (an extra answer) don't count.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -21,6 +21,9 @@
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 256;
 
+/// Time for which no connection to a server is reused after one had bytes that belong to no response.
+const STRAY_PAUSE: Duration = Duration::from_secs(5);
+
 /// Number of progress intervals without a byte after which a connection counts as stalled.
 const STALL_INTERVALS: u32 = 4;
 /// Interim status of a server that waits for the body.
@@ -106,6 +109,8 @@
     limits: Limits,
     clock: Arc<dyn Clock>,
     idle: Mutex<Vec<IdleConnection>>,
+    /// Until when no connection is reused, because the server sends bytes that belong to no response.
+    unused_until: Mutex<Option<Instant>>,
     receiving: ReceiveBudget,
 }
 
@@ -162,6 +167,7 @@
             limits,
             clock,
             idle: Mutex::default(),
+            unused_until: Mutex::default(),
             receiving: ReceiveBudget::default(),
         }
     }
@@ -220,7 +226,15 @@
             self.sleep_until(options.deadline).await;
             Err(SendError::Late)
         };
-        let received = received.or(timeout).await?;
+        let received = received.or(timeout).await;
+        let has_strays = match &received {
+            Ok(received) => received.keep_alive && connection.has_strays(),
+            Err(error) => used && *error == SendError::Broken,
+        };
+        if has_strays {
+            self.pause_reuse();
+        }
+        let received = received?;
         if received.keep_alive && !connection.has_buffered() {
             self.return_connection(connection, received.limit);
         }
@@ -448,8 +462,31 @@
         idle.pop().map(|entry| entry.connection)
     }
 
+    /// Closes the idle connections and reuses none for a while: bytes that belong to no response may
+    /// arrive on any of them after the next request was sent.
+    fn pause_reuse(&self) {
+        let now = self.clock.now();
+        let before = self.unused_until().replace(now + STRAY_PAUSE);
+        if before.is_none_or(|until| until <= now) {
+            tracing::warn!(
+                server = %self.address,
+                "http: The server sends bytes that belong to no response, so its connections are not reused."
+            );
+        }
+        self.discard_idle();
+    }
+
+    fn unused_until(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
+        self.unused_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn return_connection(&self, connection: Connection, limit: Duration) {
         let since = self.clock.now();
+        if self.unused_until().is_some_and(|until| since < until) {
+            return;
+        }
         let mut idle = self.lock();
         if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(IdleConnection {
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -18,6 +18,8 @@
 const TURN_BYTES: usize = 128 * 1024;
 /// Maximum length of a line between chunks, in bytes.
 const MAX_CHUNK_LINE: usize = 1_024;
+/// What each response begins with.
+const RESPONSE_START: &[u8] = b"HTTP/";
 /// Maximum size of the trailer after the last chunk, in bytes.
 const MAX_TRAILER: usize = 8 * 1024;
 
@@ -73,6 +75,12 @@
         !self.buffered.is_empty()
     }
 
+    /// Whether received bytes are buffered that belong to no message and begin no response.
+    pub(crate) fn has_strays(&self) -> bool {
+        let length = self.buffered.len().min(RESPONSE_START.len());
+        self.buffered[..length] != RESPONSE_START[..length]
+    }
+
     /// Returns the number of buffered bytes that belong to no message yet.
     pub fn buffered_len(&self) -> usize {
         self.buffered.len()
--- a/crates/http/tests/endless.rs
+++ b/crates/http/tests/endless.rs
@@ -139,6 +139,37 @@
     check_endless("trailer lines", trailer, b"X: y\r\n", HEAD_BYTES);
 }
 
+/// Starts a server that answers the first request of each connection, and sends bytes that are no
+/// response once the next one has arrived.
+fn stray_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a client connects");
+            std::thread::spawn(move || {
+                let mut request = [0; 4_096];
+                let whole = b"HTTP/1.1 200 OK\r\nAttempt-Id: one\r\nContent-Length: 2\r\n\r\nok";
+                let answered = stream.read(&mut request).is_ok() && stream.write_all(whole).is_ok();
+                if answered && stream.read(&mut request).is_ok_and(|count| count > 0) {
+                    send_endlessly(stream, b"", b"stray");
+                }
+            });
+        }
+    });
+    address
+}
+
+// Guards against requests that fail one after another because connections are reused on which a server
+// in trouble sends bytes after a whole response.
+#[test]
+fn connections_are_not_reused_while_a_server_sends_stray_bytes() {
+    let pool = Pool::open(stray_server(), limits(), clock());
+    let outcomes: Vec<_> = (0..40).map(|_| exchange(&pool)).collect();
+    let broken = outcomes.iter().filter(|outcome| outcome.is_err()).count();
+    assert!(broken <= 1, "{broken} of 40 requests failed");
+}
+
 /// Starts a server that sends the first `stalled` clients 4 MiB of a body without its end, and the
 /// others a small response.
 fn stalling_server(stalled: usize, others: usize) -> (SocketAddr, JoinHandle<()>) {
