Leave a backend server at which nearly all fails alone, also while the others are full

What callers saw: a backend server that answers with bytes without end fails at once and so is always free. While the other one of its service was full, 923 of 5,596 requests ended with 502, which may not be repeated.

Cause: a failure rate of 1 cost 3 units of occupancy; a full backend server costs more than that.

Change: a failure rate above one half costs 40 units more for the rest.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -10,6 +10,10 @@
 const OTHER_VM_COST: f64 = 0.04;
 /// Cost of a backend server at which all runs fail, in units of occupancy.
 const FAILURE_COST: f64 = 3.0;
+/// Failure rate above which a backend server is hardly used, also if the others are full.
+const BROKEN_RATE: f64 = 0.5;
+/// Cost of a further failure rate above that of 1, in units of occupancy.
+const BROKEN_COST: f64 = 40.0;
 /// How long a backend server is avoided after a failed connection.
 const AVOID_TIME: Duration = Duration::from_millis(400);
 /// Largest random cost. It keeps senders with the same view from choosing the same backend server.
@@ -82,7 +86,8 @@
         let is_avoided = self
             .last_failure
             .is_some_and(|at| now.saturating_duration_since(at) < AVOID_TIME);
-        let failing = f64::from(self.load.failing) * FAILURE_COST;
+        let failing = f64::from(self.load.failing);
+        let failing = failing * FAILURE_COST + (failing - BROKEN_RATE).max(0.0) * BROKEN_COST;
         (0.5 + occupancy + waiting) * slowness.max(0.5)
             + distance
             + failing
