--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,6 +5,7 @@
 //! decide about requests from the latest snapshot. The engine doesn't depend on the encoding of any
 //! message.
 
+mod charging;
 mod claims;
 mod control;
 mod counted_store;
@@ -20,6 +21,7 @@
 mod metrics;
 mod node;
 mod notices;
+mod reports;
 mod runner;
 mod settings;
 mod snapshots;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,7 +6,7 @@
 
 use derive_more::{Display, From};
 use filbertwheel_adapter::PlatformStore;
-use filbertwheel_core::{Clock, SettingsError, SystemClock, init_logging};
+use filbertwheel_core::{Clock, EXIT_USAGE, SettingsError, SystemClock, init_logging, run_program};
 use filbertwheel_node::{Node, NodeError, NodeSettings};
 use filbertwheel_platform::Platform;
 use filbertwheel_runtime::Signals;
@@ -14,8 +14,6 @@
 
 /// Exit code when the node can't start.
 const EXIT_FAILED: u8 = 1;
-/// Exit code for errors on the command line or in the settings.
-const EXIT_USAGE: u8 = 2;
 
 /// Why the program failed.
 #[derive(Debug, Display, From)]
@@ -33,17 +31,10 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    match run(&arguments) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("filbertwheel-node: {error}");
-            ExitCode::from(match error {
-                CliError::Node(_) | CliError::Signals(_) => EXIT_FAILED,
-                _ => EXIT_USAGE,
-            })
-        }
-    }
+    run_program("filbertwheel-node", run, |error| match error {
+        CliError::Node(_) | CliError::Signals(_) => EXIT_FAILED,
+        _ => EXIT_USAGE,
+    })
 }
 
 fn run(arguments: &[String]) -> Result<(), CliError> {
--- a/crates/slopes/src/main.rs
+++ b/crates/slopes/src/main.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, From};
+use filbertwheel_core::{EXIT_USAGE, run_program};
 use getopts::Options;
 
 use crate::connections::hold_connections;
@@ -33,14 +34,7 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    match run(&arguments) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("filbertwheel-slopes: {error}");
-            ExitCode::from(2)
-        }
-    }
+    run_program("filbertwheel-slopes", run, |_| EXIT_USAGE)
 }
 
 fn run(arguments: &[String]) -> Result<(), CliError> {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use derive_more::{Display, From};
-use filbertwheel_core::{Clock, LogFormat, ServiceId, SystemClock, init_logging};
+use filbertwheel_core::{
+    Clock, EXIT_USAGE, LogFormat, ServiceId, SystemClock, init_logging, run_program,
+};
 use filbertwheel_http::{Handler, Limits, Listener, ShutdownTrigger};
 use filbertwheel_runtime::Signals;
 use filbertwheel_standin::{BackendOptions, BackendStandin};
@@ -32,15 +34,8 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
     init_logging(LogFormat::Text);
-    match run(&arguments) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("filbertwheel-standin: {error}");
-            ExitCode::from(2)
-        }
-    }
+    run_program("filbertwheel-standin", run, |_| EXIT_USAGE)
 }
 
 fn run(arguments: &[String]) -> Result<(), CliError> {
