Read warm-up, homes, uploads and the stated load at the border

What callers saw: a document with a route of kind upload was refused as a whole, so no node had rules and none was ready: nothing was served on a deployment with uploads.

Cause: the decoder knew three kinds and took any other for an error of the document. What servers state of their warm-up, and a fourth figure of their load, was dropped unread.

Change: uploads are not idempotent. A kind that this version doesn't know costs no other route: its requests run at most once, the strictest promise there is, with a log line and a metric.

Ways weighed for an unknown kind: refusing the document (stops every route), refusing the route's requests (stops what could be served), and running them at most once (taken).

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -14,5 +14,6 @@
 };
 pub use endpoint::{BackendEndpoint, BackendHandler, NestedRequest};
 pub use server::{
-    BackendInstance, InstanceConnector, InstanceReply, ResponseNotice, StatedLimit, StatusReport,
+    BackendInstance, InstanceConnector, InstanceReply, ResponseNotice, StatedLimit, StatedLoad,
+    StatusReport,
 };
--- a/crates/backend/src/server.rs
+++ b/crates/backend/src/server.rs
@@ -3,6 +3,7 @@
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use filbertwheel_core::{Answer, Attempt, InstanceId, RequestRate, ServiceId, Status, value};
@@ -26,6 +27,8 @@
     pub started_ms: u64,
     /// Sequence number, which increases with each report of an instance.
     pub sequence: u64,
+    /// How much longer it stays cold; zero if it is warm.
+    pub warmup_left: Duration,
 }
 
 /// What a response says about the backend server that made it.
@@ -35,6 +38,24 @@
     pub limit: StatedLimit,
     /// Whether it is leaving and takes no new requests.
     pub leaving: bool,
+    /// Its load when it made the response; `None` if the response states none that can be read.
+    pub load: Option<StatedLoad>,
+    /// How much longer it stays cold; `None` if the response doesn't say.
+    pub warmup_left: Option<Duration>,
+}
+
+/// Load that a backend server states in a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct StatedLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub queued: u32,
+    /// Requests that it can run concurrently.
+    pub slots: u32,
+    /// How long work takes there at present, relative to the usual time, which is 1; `None` if not
+    /// stated.
+    pub slowness: Option<f32>,
 }
 
 /// Limit on its requests that a backend server states in a response.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,7 +43,9 @@
 pub use notice::{InstanceNotice, RequestRate};
 pub use position::{RulesStamp, StorePosition};
 pub use program::{EXIT_USAGE, run_program};
-pub use rules::{OrganisationPolicy, Rank, RequestLimits, RouteRule, Rules, Target};
+pub use rules::{
+    OrganisationPolicy, Rank, RequestLimits, RouteRule, Rules, ServicePolicy, Target, Warmup,
+};
 pub use settings::{InvalidValue, SettingsError, SettingsFault, load_settings};
 pub use signature::{FleetSecret, Signature, SignatureError, sha256_hex};
 pub use text::Text;
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -6,7 +6,9 @@
 
 use filbertwheel_macros::{message, value};
 
-use crate::{OrganisationId, Priority, Rate, RouteId, ServiceId, Text, Version};
+use crate::{
+    OrganisationId, Priority, Rate, RegionId, RequestRate, RouteId, ServiceId, Text, Version,
+};
 
 /// A version of the operators' configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -19,19 +21,41 @@
     pub keys: HashMap<Text, OrganisationId>,
     /// Limits on callers' requests.
     pub limits: RequestLimits,
+    /// What operators state about services, by name. Services without any such statement are missing.
+    pub services: BTreeMap<ServiceId, ServicePolicy>,
+    /// Routes of a kind that this version doesn't know. Their requests are run at most once.
+    pub unknown_kinds: Vec<RouteId>,
     /// Routes by host, sorted by descending length of the prefix.
     by_host: HashMap<Text, Vec<Arc<RouteRule>>>,
     /// Routes by name.
     by_id: HashMap<RouteId, Arc<RouteRule>>,
 }
 
-/// Rate limit and priority of an organisation.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+/// Rate limit, priority and home regions of an organisation.
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct OrganisationPolicy {
     /// Rate limit over the whole fleet; `None` means unlimited.
     pub limit: Option<Rate>,
     /// Priority that takes precedence over the routes' priorities; 0 is the highest.
     pub priority: Option<Priority>,
+    /// Regions in which its requests may be processed; empty if they may be processed in any.
+    pub homes: Vec<RegionId>,
+}
+
+/// What operators state about a service.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ServicePolicy {
+    /// How its backend servers warm up; `None` if they take their full load from the start.
+    pub warmup: Option<Warmup>,
+}
+
+/// How a backend server warms up after it has started.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Warmup {
+    /// Requests per second that it takes from all nodes together while it is cold.
+    pub rate: RequestRate,
+    /// How long it usually stays cold.
+    pub time: Duration,
 }
 
 /// Settings for the requests that match a host and a path prefix.
@@ -57,6 +81,8 @@
     pub objective: Duration,
     /// Maximum number of backend servers that one request is sent to.
     pub max_attempts: u32,
+    /// Regions in which its requests may be processed; empty if they may be processed in any.
+    pub homes: Vec<RegionId>,
 }
 
 /// Order in which requests are admitted when capacity is short; the smallest rank goes first.
--- a/crates/engine/src/control/rules.rs
+++ b/crates/engine/src/control/rules.rs
@@ -196,6 +196,7 @@
                     revision = position.revision,
                     "control: New rules are in force."
                 );
+                self.note_unknown_kinds(&rules);
                 self.limits = Arc::new(rate_limits(&rules));
                 snapshot.rules = Some(Arc::new(rules));
                 snapshot.document.text = text;
@@ -214,6 +215,25 @@
     }
 }
 
+impl Control {
+    /// Logs and counts the routes of a kind that this version doesn't know.
+    fn note_unknown_kinds(&self, rules: &Rules) {
+        let unknown = &rules.unknown_kinds;
+        self.parts
+            .engine
+            .metrics
+            .unknown_kinds
+            .set(unknown.len() as i64);
+        for route in unknown {
+            tracing::warn!(
+                route = %route,
+                version = rules.version,
+                "control: A route is of an unknown kind; its requests are run at most once."
+            );
+        }
+    }
+}
+
 fn reading_of(rules: &Rules, text: &[u8], position: StorePosition) -> RulesReading {
     let mut hasher = DefaultHasher::new();
     text.hash(&mut hasher);
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -91,6 +91,8 @@
     pub(crate) rules: Gauge,
     /// Epoch of the store in which the lineage of the rules in force began; 0 for the first one.
     pub(crate) rules_lineage: Gauge,
+    /// Routes of a kind that this version doesn't know.
+    pub(crate) unknown_kinds: Gauge,
     /// Links to other nodes that are connected.
     pub(crate) links: Gauge,
     /// Epoch of the store.
@@ -156,6 +158,10 @@
                 "rules_lineage",
                 "Epoch of the store in which the lineage of the rules in force began",
             ),
+            unknown_kinds: add.metric(
+                "routes_of_unknown_kind",
+                "Routes of a kind that this version doesn't know",
+            ),
             links: add.metric("links_up", "Links to other nodes that are connected"),
             store_epoch: add.metric("store_epoch", "Epoch of the store; each restore raises it"),
             broken: add.metric("broken_invariants", "Invariant violations"),
--- a/crates/policy/tests/admission_queue.rs
+++ b/crates/policy/tests/admission_queue.rs
@@ -138,6 +138,7 @@
         timeout: None,
         objective: Duration::from_secs(1),
         max_attempts: 2,
+        homes: Vec::new(),
     };
     let mut round_robin = WeightedRoundRobin::default();
     let mut counts: BTreeMap<ServiceId, u32> = BTreeMap::new();
--- a/crates/policy/tests/graph.rs
+++ b/crates/policy/tests/graph.rs
@@ -23,6 +23,7 @@
         timeout: None,
         objective: Duration::from_secs(1),
         max_attempts: 2,
+        homes: Vec::new(),
     }
 }
 
