Evacuate failure domains, and keep requests in their home regions

Homes of routes and organisations were decoded and not used.

Evacuation (docs/design/evacuation.md): policy/src/evacuation.rs keeps a record for each domain and epoch of the store and merges views by position, so reports may arrive in any order and a node that was cut off brings nothing back; a restore of the store is no word of the operators. Senders skip evacuated domains for each attempt, the node beside the backend server refuses as not run what hasn't been sent, its slots leave the sums. GET /status at the metrics listener shows what is evacuated, and what would not fit.

Home regions (docs/design/home-regions.md): policy/src/homes.rs returns the regions of a request; used for each attempt, beside the backend server, and at the entry, which also refuses what its homes have no room for.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -248,6 +248,15 @@
     /// Requests with the same fingerprint have crashed backend servers.
     #[display("requests like this one crash backend servers")]
     Quarantined,
+    /// The backend server's failure domain is evacuated.
+    #[display("the failure domain is evacuated")]
+    Evacuated,
+    /// The backend server is in none of the regions in which the request may be processed.
+    #[display("the request may not be processed in this region")]
+    OutsideHomes,
+    /// The route and the organisation of the request have no home region in common.
+    #[display("the request has no region in which it may be processed")]
+    NoHome,
 }
 
 impl RefusalKind {
@@ -264,7 +273,12 @@
     pub fn is_retryable(self) -> bool {
         matches!(
             self,
-            Self::Overloaded | Self::Shed | Self::Draining | Self::Unavailable
+            Self::Overloaded
+                | Self::Shed
+                | Self::Draining
+                | Self::Unavailable
+                | Self::Evacuated
+                | Self::OutsideHomes
         )
     }
 }
--- a/crates/engine/src/control/feed.rs
+++ b/crates/engine/src/control/feed.rs
@@ -38,8 +38,8 @@
 /// Rows returned by one request to the store.
 #[derive(Debug)]
 pub(super) struct Update {
-    /// Epoch in which the store has responded.
-    pub epoch: Epoch,
+    /// Position up to which the table is known now.
+    pub position: StorePosition,
     pub rows: Rows,
 }
 
@@ -117,8 +117,7 @@
     fn proceed(&mut self, position: StorePosition, rows: Rows) -> Update {
         self.position = Some(position);
         self.backoff = MIN_BACKOFF;
-        let epoch = position.epoch;
-        Update { epoch, rows }
+        Update { position, rows }
     }
 
     /// Makes the next request list the table again.
--- a/crates/engine/src/control/messages.rs
+++ b/crates/engine/src/control/messages.rs
@@ -54,6 +54,7 @@
             LinkEvent::PortionGrant(fence, grant) => self.apply_grant(fence, &grant),
             LinkEvent::CrashReports(reports) => self.parts.engine.runner.merge_crashes(&reports),
             LinkEvent::Sums(message) => self.handle_sums(*message),
+            LinkEvent::Evacuations(report) => self.receive_evacuations(&report),
             LinkEvent::LeaseOffer(vm, fence, left) => self.note_offer(&vm, fence, left),
         }
     }
--- a/crates/engine/src/control/mod.rs
+++ b/crates/engine/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! the store.
 
 mod departures;
+mod evacuations;
 mod feed;
 mod holder;
 mod lease;
@@ -19,6 +20,7 @@
 pub(crate) use lease::hold_lease;
 pub(crate) use members::{join_members, keep_members};
 pub(crate) use messages::handle_messages;
+pub(crate) use plan::usable_slots;
 pub(crate) use profiles::store_profiles;
 pub(crate) use rules::watch_rules;
 pub(crate) use state::{Control, ControlParts, open_control};
--- a/crates/engine/src/control/plan.rs
+++ b/crates/engine/src/control/plan.rs
@@ -7,7 +7,7 @@
 use filbertwheel_core::{Member, ServiceId};
 use filbertwheel_policy::{
     AdmissionPlan, AdmissionPlanner, BackendLoad, CallGraph, Capacity, DemandMeter, FleetSums,
-    RouteProfile, ShedThreshold,
+    RouteProfile, ShedThreshold, demanded_slots,
 };
 
 use super::state::Control;
@@ -67,6 +67,7 @@
         );
         self.parts.engine.metrics.record_sums(sums.nodes, age);
         let capacities = capacities(&sums);
+        let demanded_slots = demanded_slots(&sums.demand, &costs);
         let before = self.plan.planned.replace(now).unwrap_or(now);
         let since = now.saturating_duration_since(before);
         let planner = &mut self.plan.planner;
@@ -75,6 +76,7 @@
         self.parts.snapshots.store(Arc::new(Snapshot {
             admission_plan: Arc::new(admission_plan),
             costs: Arc::new(costs),
+            demanded_slots: Arc::new(demanded_slots),
             elapsed: Arc::new(elapsed),
             ..Snapshot::clone(&self.parts.snapshots.load())
         }));
@@ -184,7 +186,7 @@
 
 /// Returns the slots that a backend server can use at present. Its node reports fewer than it has
 /// while the backend server limits its requests, and none before its first report.
-pub(super) fn usable_slots(member: &Member, load: &BackendLoad) -> u32 {
+pub(crate) fn usable_slots(member: &Member, load: &BackendLoad) -> u32 {
     match load.slots {
         0 => member.slots,
         usable => usable.min(member.slots),
--- a/crates/engine/src/control/rules.rs
+++ b/crates/engine/src/control/rules.rs
@@ -11,7 +11,7 @@
 use filbertwheel_policy::{RateLimits, ReadMode, RulesReading, RulesVerdict};
 
 use super::Shared;
-use super::feed::{Feed, Rows, Update};
+use super::feed::{Feed, Rows};
 use super::state::{Control, Peer};
 use crate::snapshots::Snapshot;
 
@@ -19,7 +19,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of nodes that a watcher announces new rules to. The others learn of them with the
 /// sums over the fleet.
-const MAX_ANNOUNCED: usize = 64;
+pub(super) const MAX_ANNOUNCED: usize = 64;
 
 /// Follows the rules without end, while this node is to watch the store.
 pub(crate) async fn watch_rules(control: Shared) {
@@ -36,14 +36,8 @@
             clock.sleep(CHECK_INTERVAL).await;
             continue;
         }
-        let (mode, rows, epoch) = match feed.next().await {
-            Ok(Update { epoch, rows }) => match rows {
-                Rows::Listed(rows) => (ReadMode::Listed, rows, epoch),
-                Rows::Changed(changes) => {
-                    let rows = changes.into_iter().filter_map(|(_, row)| row);
-                    (ReadMode::Followed, rows.collect(), epoch)
-                }
-            },
+        let update = match feed.next().await {
+            Ok(update) => update,
             Err(error) => {
                 tracing::warn!("control: The rules can't be read: {error}.");
                 control.borrow_mut().set_watching(false);
@@ -53,6 +47,16 @@
         };
         let mut control = control.borrow_mut();
         control.set_watching(true);
+        // A node that takes callers by the rules has to know the evacuations.
+        control.observe_evacuations(&update);
+        let epoch = update.position.epoch;
+        let (mode, rows) = match update.rows {
+            Rows::Listed(rows) => (ReadMode::Listed, rows),
+            Rows::Changed(changes) => {
+                let rows = changes.into_iter().filter_map(|(_, row)| row);
+                (ReadMode::Followed, rows.collect())
+            }
+        };
         let own = rows.into_iter();
         for row in own.filter(|row| row.key.as_bytes() == location.key.as_bytes()) {
             let revision = row.revision;
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -12,10 +12,12 @@
 };
 use filbertwheel_peer::{Link, LinkDriver, LinkHandler, NodeReport};
 use filbertwheel_policy::{
-    Aggregation, Distance, PortionLedger, RateLimits, RulesLineage, StopWindow, WatchDuty,
+    Aggregation, Distance, Evacuations, PortionLedger, RateLimits, RulesLineage, StopWindow,
+    WatchDuty,
 };
 
 use super::Shared;
+use super::evacuations::UnknownDomains;
 use super::plan::Plan;
 use crate::engine::Engine;
 use crate::epochs::StoreEpoch;
@@ -79,6 +81,10 @@
     pub(super) watch_duty: WatchDuty,
     /// Whether this node follows the store, as it tells the others.
     pub(super) watching: bool,
+    /// Which failure domains are evacuated.
+    pub(super) evacuations: Evacuations,
+    /// Evacuated domains that are of no known node, as logged.
+    pub(super) unknown_domains: UnknownDomains,
 }
 
 /// The lease on the organisations' rate limits, held by this node.
@@ -153,6 +159,8 @@
         started,
         watch_duty,
         watching: false,
+        evacuations: Evacuations::default(),
+        unknown_domains: UnknownDomains::default(),
     }))
 }
 
--- a/crates/engine/src/control/sums.rs
+++ b/crates/engine/src/control/sums.rs
@@ -45,12 +45,14 @@
         self.send_sums(outgoing);
     }
 
-    /// Applies what the sums over the fleet say of the lease holder, the rules and the store.
+    /// Applies what the sums over the fleet say of the lease holder, the rules, the store and
+    /// evacuations.
     pub(super) fn apply_notices(&mut self, now: Instant) {
         let Some((sums, _)) = self.sums.fleet(now) else {
             return;
         };
         let (holder, rules) = (sums.holder.clone(), sums.rules);
+        let evacuations = sums.evacuations.clone();
         self.parts.epoch.hear(sums.epoch);
         if let Some(HolderNotice { vm, fence, age }) = holder {
             let heard = now.checked_sub(age).unwrap_or(now);
@@ -58,6 +60,7 @@
                 self.note_holder(&vm, fence, heard);
             }
         }
+        self.receive_evacuations(&evacuations);
         if self.parts.engine.wants_newer_rules(rules) {
             self.request_rules();
         }
@@ -84,7 +87,10 @@
     pub(super) fn sample(&self) -> FleetSums {
         let (member, load) = (&self.local_member, self.parts.engine.runner.load());
         let service = member.service.clone();
-        let serving = service.filter(|_| member.status == Status::Serving);
+        // What an evacuated backend server still runs isn't capacity to plan with.
+        let is_evacuated = self.parts.snapshots.load().is_evacuated(&member.domain);
+        let is_serving = member.status == Status::Serving && !is_evacuated;
+        let serving = service.filter(|_| is_serving);
         let capacity = serving.map(|service| ServiceCapacity {
             service,
             slots: usable_slots(member, &load) as f32,
@@ -103,6 +109,7 @@
                 age: Duration::ZERO,
             }),
             watchers: Vec::from_iter(self.watching.then(|| member.vm.clone())),
+            evacuations: self.evacuations.report(self.parts.clock.now()),
         }
     }
 
--- a/crates/engine/src/control/ticks.rs
+++ b/crates/engine/src/control/ticks.rs
@@ -45,6 +45,7 @@
         control.check_reachability(now);
         control.forget_dead_peers(now);
         control.apply_notices(now);
+        control.note_unknown_domains(now);
         if now.saturating_duration_since(reported) >= control.report_interval() {
             control.send_reports();
             reported = now;
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -7,8 +7,9 @@
     Attempt, Failure, Refusal, RefusalKind, RouteRule, ServiceId, UnknownReason, Verdict, VmId,
 };
 use filbertwheel_peer::ForwardError;
-use filbertwheel_policy::{BackendView, Distance, StopWindow};
+use filbertwheel_policy::{AllowedRegions, BackendView, Distance, StopWindow, have_room};
 
+use crate::control::usable_slots;
 use crate::engine::Engine;
 use crate::journal::LogEntry;
 use crate::snapshots::{Snapshot, Target};
@@ -40,12 +41,19 @@
         let mut runs = 0;
         let mut last: Verdict = Err(RefusalKind::Unavailable.into());
         let mut vm = VmId::default();
+        if !self.have_homes_room(snapshot, rule, attempt) {
+            return DispatchResult {
+                verdict: Err(RefusalKind::Overloaded.into()),
+                vm,
+                attempts: 0,
+            };
+        }
         while tried.len() < MAX_TARGETS {
-            let Some(target) = self.choose_target(snapshot, &attempt.service, &tried) else {
+            // This node may have begun to stop meanwhile, or a failure domain may be evacuated.
+            let current = self.snapshots.load();
+            let Some(target) = self.choose_target(&current, rule, attempt, &tried) else {
                 break;
             };
-            // This node may have begun to stop meanwhile.
-            let current = self.snapshots.load();
             if let Err(refusal) = self.check_stop(&current, &attempt.route, attempt.deadline) {
                 if runs == 0 {
                     last = Err(refusal.into());
@@ -149,24 +157,36 @@
         self.retry_budget().try_spend(&visits, snapshot.nodes, now)
     }
 
+    /// Returns whether the homes of a request, if it has any, have room for it. The plan counts the slots
+    /// of all regions. A nested call belongs to a request that was let in.
+    fn have_homes_room(&self, snapshot: &Snapshot, rule: &RouteRule, attempt: &Attempt) -> bool {
+        let regions = snapshot.allowed_regions(rule, attempt.organisation.as_ref());
+        if regions.is_any() || attempt.nested {
+            return true;
+        }
+        let servers = reachable(snapshot, &attempt.service, &regions);
+        let view = |target: &Target| {
+            let mut view = self.view(target);
+            view.load.slots = usable_slots(&target.member, &view.load);
+            view
+        };
+        let views: Vec<BackendView> = servers.map(view).collect();
+        // Without any backend server there, the request is refused as unavailable.
+        views.is_empty() || have_room(views)
+    }
+
     /// Chooses the backend server with the lowest cost among a few candidates.
     fn choose_target(
         &self,
         snapshot: &Snapshot,
-        service: &ServiceId,
+        rule: &RouteRule,
+        attempt: &Attempt,
         tried: &[VmId],
     ) -> Option<Target> {
-        let targets = snapshot.services.get(service)?;
+        let regions = snapshot.allowed_regions(rule, attempt.organisation.as_ref());
         let now = self.clock.now();
-        let reachable: Vec<&Target> = targets
-            .iter()
+        let reachable: Vec<&Target> = reachable(snapshot, &attempt.service, &regions)
             .filter(|target| !tried.contains(&target.member.vm))
-            .filter(|target| {
-                target
-                    .link
-                    .as_ref()
-                    .is_none_or(filbertwheel_peer::Link::is_up)
-            })
             .collect();
         let first = rand::random_range(0..reachable.len().max(1));
         let candidates = (0..reachable.len().min(CANDIDATES)).map(|step| {
@@ -209,6 +229,24 @@
     }
 }
 
+/// Returns the backend servers of a service that a request may be sent to: they can be reached, their
+/// failure domains aren't evacuated, and the request may be processed in their regions.
+fn reachable<'a>(
+    snapshot: &'a Snapshot,
+    service: &ServiceId,
+    regions: &AllowedRegions<'a>,
+) -> impl Iterator<Item = &'a Target> {
+    let regions = *regions;
+    let targets = snapshot.services.get(service).into_iter().flatten();
+    targets
+        .filter(move |target| !snapshot.is_evacuated(&target.member.domain))
+        .filter(move |target| regions.contains(&target.member.region))
+        .filter(|target| {
+            let link = target.link.as_ref();
+            link.is_none_or(filbertwheel_peer::Link::is_up)
+        })
+}
+
 /// Returns a stride through a list that visits distinct entries for all candidates.
 fn stride(length: usize) -> usize {
     if length <= CANDIDATES {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -12,8 +12,8 @@
 use filbertwheel_http::LocalFuture;
 use filbertwheel_peer::{LinkEvent, LinkHandler, NodeReport, RulesDocument};
 use filbertwheel_policy::{
-    BackendLoad, FairShedder, LongestTimes, PortionBuckets, RetryBudget, RetryLimits, RulesCatchup,
-    WeightedRoundRobin,
+    BackendLoad, EvacuationReport, FairShedder, LongestTimes, PortionBuckets, RetryBudget,
+    RetryLimits, RulesCatchup, WeightedRoundRobin,
 };
 
 use crate::claims::ClaimCounts;
@@ -221,6 +221,10 @@
         Some(snapshot.document.clone())
     }
 
+    fn evacuations(&self) -> EvacuationReport {
+        self.snapshots.load().evacuations.report(self.clock.now())
+    }
+
     fn handle_event(&self, event: LinkEvent) {
         let deferrable = match &event {
             LinkEvent::Report(report) => self.is_unchanged(report),
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -7,7 +7,7 @@
     Attempt, Failure, OrganisationId, Rank, Refusal, RefusalKind, RouteId, RouteRule, Rules,
     Verdict,
 };
-use filbertwheel_policy::TokenReceipt;
+use filbertwheel_policy::{AllowedRegions, TokenReceipt};
 
 use crate::claims::TokenShortage;
 use crate::dispatch::{DispatchResult, with_retry_after};
@@ -147,6 +147,10 @@
         let refused = |refusal: Refusal| EntryRefusal::new(Some(rule.id.clone()), refusal);
         let organisation =
             organisation(rules, &rule, incoming).map_err(|kind| refused(kind.into()))?;
+        let regions = AllowedRegions::of(rules, Some(&rule), organisation.as_ref());
+        if regions.is_none() {
+            return Err(refused(RefusalKind::NoHome.into()));
+        }
         self.check_stop(snapshot, &rule.id, now + request_timeout(&rule, incoming))
             .map_err(&refused)?;
         let rank = rules.rank(&rule, organisation.as_ref());
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -25,6 +25,7 @@
 mod runner;
 mod settings;
 mod snapshots;
+mod status;
 mod traffic;
 
 pub use engine::Engine;
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -97,6 +97,10 @@
     pub(crate) links: Gauge,
     /// Epoch of the store.
     pub(crate) store_epoch: Gauge,
+    /// Failure domains that are evacuated.
+    pub(crate) evacuated_domains: Gauge,
+    /// 1 while this node's own failure domain is evacuated, else 0.
+    pub(crate) own_domain_evacuated: Gauge,
     broken: Gauge,
 }
 
@@ -164,6 +168,12 @@
             ),
             links: add.metric("links_up", "Links to other nodes that are connected"),
             store_epoch: add.metric("store_epoch", "Epoch of the store; each restore raises it"),
+            evacuated_domains: add
+                .metric("evacuated_domains", "Failure domains that are evacuated"),
+            own_domain_evacuated: add.metric(
+                "own_domain_evacuated",
+                "Whether the failure domain of this node is evacuated",
+            ),
             broken: add.metric("broken_invariants", "Invariant violations"),
             latency,
             registry,
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use derive_more::{Display, Error};
-use filbertwheel_core::{Clock, Member, Status};
+use filbertwheel_core::{Clock, Member, Status, Text};
 use filbertwheel_http::{
     Handler, Limits, Listener, LocalFuture, Request, Response, ShutdownSignal, ShutdownTrigger,
 };
@@ -283,17 +283,18 @@
     }
 }
 
-/// Endpoint of the metrics.
+/// Endpoint of the metrics and the status document.
 #[derive(Debug)]
 struct MetricsEndpoint(Arc<Engine>);
 
 impl Handler for MetricsEndpoint {
     fn handle(&self, request: Request) -> LocalFuture<'_, Response> {
         Box::pin(async move {
-            if request.path_only() == b"/metrics" {
-                Response::new(200, self.0.metrics_text())
-            } else {
-                Response::new(404, "")
+            match request.path_only() {
+                b"/metrics" => Response::new(200, self.0.metrics_text()),
+                b"/status" => Response::new(200, self.0.status_text())
+                    .with("content-type", Text::from_static("application/json")),
+                _ => Response::new(404, ""),
             }
         })
     }
--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -15,8 +15,8 @@
     Attempt, Clock, Failure, Refusal, RefusalKind, RouteId, Status, UnknownReason, Verdict, VmId,
 };
 use filbertwheel_policy::{
-    AdmissionQueue, CrashReport, Health, LongestTimes, Profiler, QueueOutcome, QueueRequest,
-    QueueTicket, RouteProfile, StopWindow,
+    AdmissionQueue, AllowedRegions, CrashReport, Health, LongestTimes, Profiler, QueueOutcome,
+    QueueRequest, QueueTicket, RouteProfile, StopWindow,
 };
 use futures_lite::FutureExt as _;
 pub(crate) use instance::BackendState;
@@ -164,10 +164,13 @@
     }
 
     async fn verdict(&self, attempt: &Attempt, began: Instant) -> Verdict {
+        self.check_placement(attempt)?;
         self.instance_for(attempt)?;
         let mut slot = self.admit(attempt, began).await?;
         self.pace(attempt).await?;
-        // The instance may have left while the call waited, or this node may be about to end.
+        // The instance may have left while the call waited, its failure domain may be evacuated, or this
+        // node may be about to end.
+        self.check_placement(attempt)?;
         let instance = self.instance_for(attempt)?;
         let stopping = self.check_stop(attempt)?;
         let permit = RunPermit::obtain(&self.crashes, attempt, self.clock.as_ref())?;
@@ -197,6 +200,25 @@
         }
     }
 
+    /// Refuses a call that may not be processed here: the failure domain is evacuated, or the region is
+    /// no home of the request.
+    fn check_placement(&self, attempt: &Attempt) -> Result<(), Failure> {
+        let snapshot = self.snapshots.load();
+        let member = &snapshot.local_member;
+        if snapshot.is_evacuated(&member.domain) {
+            return Err(RefusalKind::Evacuated.into());
+        }
+        let Some(rules) = &snapshot.rules else {
+            return Ok(());
+        };
+        let route = rules.route_by_id(&attempt.route).map(Arc::as_ref);
+        let regions = AllowedRegions::of(rules, route, attempt.organisation.as_ref());
+        if regions.contains(&member.region) {
+            return Ok(());
+        }
+        Err(RefusalKind::OutsideHomes.into())
+    }
+
     /// Returns the current instance if it serves the call's service, else the refusal.
     fn instance_for(&self, attempt: &Attempt) -> Result<Instance, Failure> {
         let state = self.lock();
@@ -274,6 +296,8 @@
                 waiting.done = true;
                 return Ok(self.slot(&self.lock(), attempt));
             }
+            // A call that can't run here is told at once, so that it can run elsewhere.
+            self.check_placement(attempt)?;
             let now = self.clock.now();
             if now >= queue_request.expires {
                 let kind = if now >= attempt.deadline {
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -59,7 +59,7 @@
     pub backends: Arc<dyn InstanceConnector>,
 }
 
-/// Location of the rules in the store.
+/// Location of what operators write in the store: the rules, and which failure domains are evacuated.
 #[value]
 #[derive(Copy)]
 pub struct RulesLocation {
@@ -67,6 +67,8 @@
     pub table: &'static str,
     /// Key of the rules in that table.
     pub key: &'static str,
+    /// Beginning of the keys of rows that evacuate a failure domain, whose name follows.
+    pub evacuation_prefix: &'static str,
 }
 
 /// Decodes the rules that operators write.
--- a/crates/engine/src/snapshots.rs
+++ b/crates/engine/src/snapshots.rs
@@ -5,9 +5,13 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
-use filbertwheel_core::{Member, RouteId, Rules, ServiceId, Version, VmId};
+use filbertwheel_core::{
+    DomainId, Member, OrganisationId, RouteId, RouteRule, Rules, ServiceId, Version, VmId,
+};
 use filbertwheel_peer::{Link, RulesDocument};
-use filbertwheel_policy::{AdmissionPlan, Distance, RequestCost, StopWindow};
+use filbertwheel_policy::{
+    AdmissionPlan, AllowedRegions, Distance, Evacuation, Evacuations, RequestCost, StopWindow,
+};
 
 /// The latest snapshot, shared by all threads.
 pub(crate) type SharedSnapshot = Arc<ArcSwap<Snapshot>>;
@@ -31,12 +35,18 @@
     pub admission_plan: Arc<AdmissionPlan>,
     /// Cost of a request of each route at each service.
     pub costs: Arc<HashMap<RouteId, RequestCost>>,
+    /// Slots of each service that the demand of callers over the fleet occupies on average.
+    pub demanded_slots: Arc<BTreeMap<ServiceId, f64>>,
     /// Mean run time of each route over the fleet, in seconds.
     pub elapsed: Arc<HashMap<RouteId, f64>>,
     /// Whether other nodes are known: their table was read, or one of them has connected.
     pub members_known: bool,
     /// Times of the node's stop, if it is shutting down.
     pub stopping: Option<StopWindow>,
+    /// What this node knows of evacuations.
+    pub evacuations: Arc<Evacuations>,
+    /// Evacuated failure domains.
+    pub evacuated: Arc<BTreeMap<DomainId, Evacuation>>,
 }
 
 /// A node whose backend server is serving: a peer or the local node.
@@ -70,9 +80,12 @@
             holder: None,
             admission_plan: Arc::default(),
             costs: Arc::default(),
+            demanded_slots: Arc::default(),
             elapsed: Arc::default(),
             members_known: false,
             stopping: None,
+            evacuations: Arc::default(),
+            evacuated: Arc::default(),
         }
     }
 
@@ -81,6 +94,27 @@
         self.rules.as_ref().map_or(0, |rules| rules.version)
     }
 
+    /// Returns the regions in which an organisation's requests on a route may be processed, by the rules
+    /// in force. `admitted` is the route as it was when the request was admitted.
+    pub fn allowed_regions<'a>(
+        &'a self,
+        admitted: &'a RouteRule,
+        organisation: Option<&OrganisationId>,
+    ) -> AllowedRegions<'a> {
+        let Some(rules) = &self.rules else {
+            return AllowedRegions::default();
+        };
+        let route = rules
+            .route_by_id(&admitted.id)
+            .map_or(admitted, Arc::as_ref);
+        AllowedRegions::of(rules, Some(route), organisation)
+    }
+
+    /// Returns whether a failure domain is evacuated.
+    pub fn is_evacuated(&self, domain: &DomainId) -> bool {
+        self.evacuated.contains_key(domain)
+    }
+
     /// Returns whether the node is ready for callers' requests.
     pub fn is_ready(&self) -> bool {
         self.rules.is_some() && self.members_known && self.stopping.is_none()
--- a/crates/http/src/verdict.rs
+++ b/crates/http/src/verdict.rs
@@ -100,6 +100,9 @@
         | RefusalKind::OverloadedDeep
         | RefusalKind::Draining
         | RefusalKind::Unavailable
+        | RefusalKind::Evacuated
+        | RefusalKind::OutsideHomes
+        | RefusalKind::NoHome
         | RefusalKind::Stale => 503,
     }
 }
--- a/crates/peer/src/link/accept.rs
+++ b/crates/peer/src/link/accept.rs
@@ -228,10 +228,16 @@
             }
             Frame::RulesRequest => {
                 if let Some(rules) = handler.rules() {
+                    // A node that takes callers by these rules has to know the evacuations.
+                    self.push(&Frame::Evacuations(handler.evacuations()));
                     self.push(&Frame::Rules(rules));
                 }
                 true
             }
+            Frame::Evacuations(report) => {
+                handler.handle_event(LinkEvent::Evacuations(report));
+                true
+            }
             Frame::Rules(rules) => {
                 handler.handle_event(LinkEvent::Rules(rules));
                 true
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -13,7 +13,7 @@
     Attempt, Clock, Fence, FleetSecret, InstanceNotice, OrganisationId, RulesStamp, Verdict, VmId,
 };
 use filbertwheel_http::{configure_socket, reset_on_close};
-use filbertwheel_policy::{BackendLoad, CrashReport, PortionRequest, SumMessage};
+use filbertwheel_policy::{BackendLoad, CrashReport, EvacuationReport, PortionRequest, SumMessage};
 use filbertwheel_runtime::TcpStream;
 use futures_lite::FutureExt as _;
 
@@ -200,6 +200,11 @@
         self.push(&Frame::RulesAnnounced(stamp));
     }
 
+    /// Announces what this node knows of evacuated failure domains.
+    pub fn announce_evacuations(&self, report: &EvacuationReport) {
+        self.push(&Frame::Evacuations(report.clone()));
+    }
+
     /// Requests portions from the other node as the lease holder.
     pub fn request_portions(&self, request: PortionRequest) {
         self.push(&Frame::PortionRequest(request));
@@ -439,9 +444,15 @@
             }
             Frame::RulesRequest => {
                 if let Some(rules) = self.handler.rules() {
+                    // A node that takes callers by these rules has to know the evacuations.
+                    let evacuations = self.handler.evacuations();
+                    inner.outbox.push(&Frame::Evacuations(evacuations));
                     inner.outbox.push(&Frame::Rules(rules));
                 }
             }
+            Frame::Evacuations(report) => {
+                self.handler.handle_event(LinkEvent::Evacuations(report));
+            }
             Frame::Rules(rules) => self.handler.handle_event(LinkEvent::Rules(rules)),
             Frame::PortionGrant(fence, grant) => self.grant(fence, grant),
             Frame::Tokens(id, count, after) => {
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -13,7 +13,9 @@
     Priority, Refusal, RefusalKind, RequestId, RouteId, RulesStamp, ServiceId, StorePosition, Text,
     UnknownReason, Verdict, message, value,
 };
-use filbertwheel_policy::{BackendLoad, CrashReport, PortionGrant, PortionRequest, SumMessage};
+use filbertwheel_policy::{
+    BackendLoad, CrashReport, EvacuationReport, PortionGrant, PortionRequest, SumMessage,
+};
 
 /// Size of the length field, in bytes.
 const LENGTH_BYTES: usize = 4;
@@ -68,6 +70,8 @@
     /// Offers the lease on the rate limits, which the sender no longer acts on, to be taken over. It
     /// would have stayed in force for the given time.
     LeaseOffer(Fence, Duration),
+    /// What the sender knows of evacuated failure domains.
+    Evacuations(EvacuationReport),
 }
 
 /// The rules in force at a node.
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -21,7 +21,9 @@
     VmId,
 };
 use filbertwheel_http::LocalFuture;
-use filbertwheel_policy::{BackendLoad, CrashReport, PortionGrant, PortionRequest, SumMessage};
+use filbertwheel_policy::{
+    BackendLoad, CrashReport, EvacuationReport, PortionGrant, PortionRequest, SumMessage,
+};
 use filbertwheel_runtime::TcpStream;
 use futures_lite::AsyncReadExt as _;
 
@@ -55,6 +57,9 @@
     /// Returns the rules in force.
     fn rules(&self) -> Option<RulesDocument>;
 
+    /// Returns what this node knows of evacuated failure domains.
+    fn evacuations(&self) -> EvacuationReport;
+
     /// Handles an event of a link.
     fn handle_event(&self, event: LinkEvent);
 }
@@ -81,6 +86,8 @@
     /// A node has given up the lease with this fencing token and offers it to this node. It would
     /// have stayed in force for the given time.
     LeaseOffer(VmId, Fence, Duration),
+    /// What another node knows of evacuated failure domains.
+    Evacuations(EvacuationReport),
 }
 
 /// Sends the reply to a request on the link that received it.
--- a/crates/peer/tests/accept.rs
+++ b/crates/peer/tests/accept.rs
@@ -12,7 +12,7 @@
 };
 use filbertwheel_http::{LocalFuture, ShutdownTrigger};
 use filbertwheel_peer::{LinkEndpoint, LinkEvent, LinkHandler, RulesDocument};
-use filbertwheel_policy::BackendLoad;
+use filbertwheel_policy::{BackendLoad, EvacuationReport};
 use smol::LocalExecutor;
 
 /// Time in which a link is cut off that sends no hello.
@@ -76,6 +76,10 @@
         None
     }
 
+    fn evacuations(&self) -> EvacuationReport {
+        EvacuationReport::default()
+    }
+
     fn handle_event(&self, _event: LinkEvent) {}
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,8 +15,11 @@
 mod dedup;
 mod demand;
 mod departures;
+mod evacuation;
 mod gate;
 mod graph;
+mod headroom;
+mod homes;
 mod lease;
 mod ledger;
 mod limit;
@@ -59,8 +62,13 @@
 pub use dedup::{DEDUP_WINDOW, DedupDecision, DedupTable, MAX_CLOCK_SKEW};
 pub use demand::DemandMeter;
 pub use departures::{Departure, DepartureLog, DepartureRow, DepartureWrite};
+pub use evacuation::{
+    Evacuation, EvacuationChange, EvacuationReport, EvacuationRows, Evacuations, MAX_EVACUATED,
+};
 pub use gate::{Gate, GateOutcome, GateRequest, GateTicket, WaitOutcome};
 pub use graph::{CallGraph, RequestCost, ServiceCost};
+pub use headroom::{Headroom, ServerCapacity, demanded_slots, headroom};
+pub use homes::{AllowedRegions, have_room};
 pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch, Voter};
 pub use ledger::{SHARE_LIFETIME, ShareLedger, ShareLedgerError};
 pub use limit::{ConcurrencyLimit, FixedLimit, LatencyLimit, LimitAlgorithm, RunTime};
--- a/crates/policy/src/sums/sum.rs
+++ b/crates/policy/src/sums/sum.rs
@@ -5,7 +5,7 @@
 
 use filbertwheel_core::{Epoch, Fence, Rank, RouteId, RulesStamp, ServiceId, VmId, message};
 
-use crate::RouteDemand;
+use crate::{EvacuationReport, RouteDemand};
 
 /// Maximum number of watchers of the store that a sum names.
 const MAX_WATCHERS: usize = 8;
@@ -28,6 +28,8 @@
     pub holder: Option<HolderNotice>,
     /// Nodes of one failure domain that watch the store.
     pub watchers: Vec<VmId>,
+    /// What any of the nodes knows of evacuated failure domains.
+    pub evacuations: EvacuationReport,
 }
 
 /// Capacity of a service and its present use.
@@ -63,6 +65,7 @@
             total.rules = total.rules.max(sum.rules);
             total.epoch = total.epoch.max(sum.epoch);
             total.merge_holder(sum.holder.as_ref(), elapsed);
+            total.evacuations.merge(&sum.evacuations, elapsed);
             let room = MAX_WATCHERS.saturating_sub(total.watchers.len());
             let watchers = sum.watchers.iter().take(room);
             total.watchers.extend(watchers.cloned());
