Give the plan a second before an evacuated domain gets no more calls

Cause: senders left the domain in the moment in which they heard, before the plans shed for what was left, so the other domains, which may be cold, got more than they can take. Change: the slots leave the sums at once, calls end a second after a node saw the row being written; the age travels along, so all nodes begin together, and a row found in a list has no notice. What it changes for callers is not measured yet.

--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -164,7 +164,7 @@
         if regions.is_any() || attempt.nested {
             return true;
         }
-        let servers = reachable(snapshot, &attempt.service, &regions);
+        let servers = reachable(snapshot, &attempt.service, &regions, self.clock.now());
         let view = |target: &Target| {
             let mut view = self.view(target);
             view.load.slots = usable_slots(&target.member, &view.load);
@@ -185,7 +185,7 @@
     ) -> Option<Target> {
         let regions = snapshot.allowed_regions(rule, attempt.organisation.as_ref());
         let now = self.clock.now();
-        let reachable: Vec<&Target> = reachable(snapshot, &attempt.service, &regions)
+        let reachable: Vec<&Target> = reachable(snapshot, &attempt.service, &regions, now)
             .filter(|target| !tried.contains(&target.member.vm))
             .collect();
         let first = rand::random_range(0..reachable.len().max(1));
@@ -235,11 +235,12 @@
     snapshot: &'a Snapshot,
     service: &ServiceId,
     regions: &AllowedRegions<'a>,
+    now: Instant,
 ) -> impl Iterator<Item = &'a Target> {
     let regions = *regions;
     let targets = snapshot.services.get(service).into_iter().flatten();
     targets
-        .filter(move |target| !snapshot.is_evacuated(&target.member.domain))
+        .filter(move |target| snapshot.gets_calls(&target.member.domain, now))
         .filter(move |target| regions.contains(&target.member.region))
         .filter(|target| {
             let link = target.link.as_ref();
--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -205,7 +205,7 @@
     fn check_placement(&self, attempt: &Attempt) -> Result<(), Failure> {
         let snapshot = self.snapshots.load();
         let member = &snapshot.local_member;
-        if snapshot.is_evacuated(&member.domain) {
+        if !snapshot.gets_calls(&member.domain, self.clock.now()) {
             return Err(RefusalKind::Evacuated.into());
         }
         let Some(rules) = &snapshot.rules else {
--- a/crates/engine/src/snapshots.rs
+++ b/crates/engine/src/snapshots.rs
@@ -110,11 +110,17 @@
         AllowedRegions::of(rules, Some(route), organisation)
     }
 
-    /// Returns whether a failure domain is evacuated.
+    /// Returns whether a failure domain is evacuated, so that its slots don't count.
     pub fn is_evacuated(&self, domain: &DomainId) -> bool {
         self.evacuated.contains_key(domain)
     }
 
+    /// Returns whether the backend servers of a failure domain get calls.
+    pub fn gets_calls(&self, domain: &DomainId, now: Instant) -> bool {
+        let evacuation = self.evacuated.get(domain);
+        evacuation.is_none_or(|evacuation| now < evacuation.effective)
+    }
+
     /// Returns whether the node is ready for callers' requests.
     pub fn is_ready(&self) -> bool {
         self.rules.is_some() && self.members_known && self.stopping.is_none()
--- a/crates/engine/src/status.rs
+++ b/crates/engine/src/status.rs
@@ -29,6 +29,8 @@
     domain: String,
     /// Seconds since a node first learnt of the evacuation.
     since_s: f64,
+    /// Whether its backend servers get no calls any more.
+    effective: bool,
     /// Position of the row that asks for it.
     store: StorePosition,
     /// Number of backend servers there that are known.
@@ -77,6 +79,7 @@
             evacuated: in_force
                 .map(|(domain, evacuation)| EvacuatedDomain {
                     domain: domain.to_string(),
+                    effective: now >= evacuation.effective,
                     since_s: now
                         .saturating_duration_since(evacuation.since)
                         .as_secs_f64(),
--- a/crates/policy/src/evacuation.rs
+++ b/crates/policy/src/evacuation.rs
@@ -12,6 +12,9 @@
 
 /// Maximum number of domains that are evacuated at a time. More rows than that have no effect.
 pub const MAX_EVACUATED: usize = 64;
+/// Time between the moment at which a node sees a row being written and that at which calls to the domain
+/// end. Meanwhile all nodes plan without its slots, so that what would not fit is shed first.
+const NOTICE_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of records of domains that were taken back.
 const MAX_TAKEN_BACK: usize = 64;
 
@@ -60,6 +63,8 @@
     pub position: StorePosition,
     /// When a node first learnt of it.
     pub since: Instant,
+    /// From when on the domain gets no calls.
+    pub effective: Instant,
 }
 
 /// A change of the evacuations in force.
@@ -114,9 +119,11 @@
         in_force
             .map(|(domain, (epoch, record))| {
                 let age = record.age.saturating_add(elapsed);
+                let since = now.checked_sub(age).unwrap_or(now);
                 let evacuation = Evacuation {
                     position: record.position(epoch),
-                    since: now.checked_sub(age).unwrap_or(now),
+                    since,
+                    effective: since + record.notice(),
                 };
                 (domain.clone(), evacuation)
             })
@@ -328,6 +335,15 @@
         }
     }
 
+    /// Returns the time before the evacuation takes effect. A row that was listed may be old already.
+    fn notice(&self) -> Duration {
+        if self.witnessed {
+            NOTICE_TIME
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Keeps the newer of two records of the same domain and epoch.
     fn merge(&mut self, other: Self) {
         let row = self.row.max(other.row);
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -139,6 +139,25 @@
     assert!(bytes.len() < 4_096, "{} bytes", bytes.len());
 }
 
+// Guards against calls that overload the other domains before the plan sheds for them, and against a notice
+// that begins anew at each node or after a restart.
+#[test]
+fn an_evacuation_that_is_seen_to_begin_takes_effect_after_a_notice() {
+    let (mut first, mut second) = (Evacuations::default(), Evacuations::default());
+    let mut restarted = Evacuations::default();
+    let began = Instant::now();
+    first.observe(listed(&[]), at(1, 4), began);
+    first.observe(changed("east", Some(5)), at(1, 5), began);
+    let heard = began + Duration::from_millis(700);
+    second.receive(&first.report(heard), heard);
+    restarted.observe(listed(&[("east", 5)]), at(1, 6), heard);
+    let effective = |node: &Evacuations| node.in_force(heard)[&DomainId::from("east")].effective;
+    assert!(effective(&first) > heard);
+    assert!(effective(&first) <= began + Duration::from_secs(1));
+    assert_eq!(effective(&second), effective(&first));
+    assert_eq!(effective(&restarted), heard);
+}
+
 /// A store with its history, and an earlier copy of it.
 #[derive(Debug, Clone, Default)]
 struct Store {
