Run pipelined requests of a connection side by side

Callers saw: a request sent behind a slow one on its connection reached its backend server only after the slow one was answered, and was often late for that alone.

Cause: the server read, handled and answered one request after the other.

Change: a connection is one task with a reader and a writer on a queue of what has begun. Responses go out in the order of the requests. Nothing begins behind a request that closes the connection or while the listener stops; what has begun by then is answered, and the last response closes. If the client leaves or a response can't be sent, all is cancelled. After a last response with more bytes to come, the server reads and discards for up to 0.5 s, since a reset could cost the client that response. A connection without pipelining has no timer and no system call more.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -106,6 +106,19 @@
         self.snapshots.load().rules.clone()
     }
 
+    /// Returns whether a request to a host and path may run more than once.
+    pub fn is_idempotent(&self, host: &[u8], path: &[u8]) -> bool {
+        let snapshot = self.snapshots.load();
+        let rules = snapshot.rules.as_ref();
+        let route = rules.and_then(|rules| rules.route(host, path));
+        route.is_some_and(|route| route.idempotent)
+    }
+
+    /// Records that a request has begun before an earlier one of its connection was answered.
+    pub fn record_overlap(&self) {
+        self.metrics.overlapped.inc();
+    }
+
     /// Returns all metrics in the text format.
     pub fn metrics_text(&self) -> String {
         self.metrics.text()
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -75,6 +75,8 @@
     sum_age: Gauge<f64, AtomicU64>,
     lent: Gauge<f64, AtomicU64>,
     withheld: Gauge<f64, AtomicU64>,
+    /// Requests that began before an earlier one of their connection was answered.
+    pub(crate) overlapped: Counter,
     /// Calls that run at the backend server.
     pub(crate) running: Gauge,
     /// Calls that wait for a slot of the backend server.
@@ -138,6 +140,10 @@
                 "withheld_portion",
                 "Largest part of a rate limit that this node withholds as the lease holder",
             ),
+            overlapped: add.metric(
+                "overlapping_requests",
+                "Requests that began before an earlier one of their connection was answered",
+            ),
             running: add.metric("running", "Calls that run at the backend server"),
             queued: add.metric("queued", "Calls that wait for a slot of the backend server"),
             sent: add.metric("backend_requests", "Calls sent to the backend server"),
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -86,6 +86,13 @@
         self.buffered.len()
     }
 
+    /// Discards the buffered bytes. Returns their number.
+    pub(crate) fn discard_buffered(&mut self) -> usize {
+        let count = self.buffered.len();
+        self.buffered.clear();
+        count
+    }
+
     /// Waits for more bytes. Returns `false` if the peer closed the connection instead.
     pub async fn fill(&mut self) -> io::Result<bool> {
         let mut stream = self.stream.clone();
--- /dev/null
+++ b/crates/http/src/encode.rs
@@ -0,0 +1,56 @@
+//! Encoding of responses.
+
+use crate::Response;
+use crate::head::{is_connection_header, push_header};
+
+/// Encodes a response.
+pub(crate) fn encode_response(response: &Response, bodiless: bool, keep_alive: bool) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(256 + response.body.len());
+    bytes.extend_from_slice(b"HTTP/1.1 ");
+    bytes.extend_from_slice(response.status.to_string().as_bytes());
+    bytes.push(b' ');
+    bytes.extend_from_slice(reason_phrase(response.status).as_bytes());
+    bytes.extend_from_slice(b"\r\n");
+    for header in &response.headers {
+        let name = header.name.as_bytes();
+        if !is_connection_header(name) && !push_header(&mut bytes, name, header.value.as_bytes()) {
+            tracing::warn!(
+                "http: Omitted a header whose value contains a line break or a null byte."
+            );
+        }
+    }
+    // Responses with these statuses have neither a body nor a length.
+    if !matches!(response.status, 204 | 304) {
+        let length = response.body.len().to_string();
+        push_header(&mut bytes, b"content-length", length.as_bytes());
+    }
+    if !keep_alive {
+        push_header(&mut bytes, b"connection", b"close");
+    }
+    bytes.extend_from_slice(b"\r\n");
+    if !bodiless && !matches!(response.status, 204 | 304) {
+        bytes.extend_from_slice(&response.body);
+    }
+    bytes
+}
+
+fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        204 => "No Content",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/http/src/session.rs
@@ -0,0 +1,440 @@
+//! One connection of a server. Requests are read while earlier ones are handled, and their responses
+//! are sent in the order of the requests.
+
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use filbertwheel_core::{Clock, SleepFuture, copy_value};
+use filbertwheel_runtime::TcpStream;
+use futures_lite::{AsyncWriteExt as _, FutureExt as _};
+use smol::LocalExecutor;
+
+use crate::budget::BodyLimit;
+use crate::connection::Connection;
+use crate::encode::encode_response;
+use crate::head::{Framing, closes_connection, framing, parse_request};
+use crate::pipeline::{Answer, Exchange, Pipeline};
+use crate::{Handler, Limits, MessageError, Request, Response, ServerEvent, ShutdownSignal};
+
+/// Maximum number of bytes that are read ahead of requests that wait for their turn.
+const MAX_READ_AHEAD: usize = 64 * 1024;
+/// Time for which a connection is read after its last response, so that the client gets that response
+/// before it learns that the rest of what it sent was not read.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+/// Maximum number of bytes that are read and discarded in that time.
+const LINGER_BYTES: usize = 1024 * 1024;
+/// Interim response that lets the client send the body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Interim response for a request that is still being processed.
+const PROCESSING: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+
+/// One connection of a server.
+pub(crate) struct Session {
+    /// Address of the client.
+    pub sender: SocketAddr,
+    /// The connection.
+    pub conn: Connection,
+    /// Timer of the idle timeout.
+    pub timer: SleepFuture,
+    /// Limits of the listener.
+    pub limits: Limits,
+    /// Clock of the listener.
+    pub clock: Arc<dyn Clock>,
+    /// Triggered when the listener stops.
+    pub shutdown: ShutdownSignal,
+    /// Handles the requests.
+    pub handler: Arc<dyn Handler>,
+    /// Runs requests that overlap others.
+    pub executor: Rc<LocalExecutor<'static>>,
+}
+
+/// How a connection ends.
+#[copy_value]
+enum End {
+    /// Nothing more can be sent.
+    Closed,
+    /// The last response has been sent.
+    Answered {
+        /// Whether it was the response to a message that was not read to its end.
+        rejected: bool,
+    },
+}
+
+impl Session {
+    /// Serves requests until either end closes the connection. Requests that are unanswered by then
+    /// are cancelled.
+    pub async fn serve(self) {
+        let Self {
+            sender,
+            mut conn,
+            timer,
+            limits,
+            clock,
+            shutdown,
+            handler,
+            executor,
+        } = self;
+        let limits = Cell::new(limits);
+        let pipeline = Pipeline::open(clock.now());
+        let writer = Writer {
+            stream: conn.stream().clone(),
+            pipeline: &pipeline,
+            limits: &limits,
+            clock: &clock,
+            shutdown: &shutdown,
+        };
+        let reader = Reader {
+            sender,
+            conn: &mut conn,
+            timer,
+            pipeline: &pipeline,
+            limits: &limits,
+            clock: &clock,
+            shutdown: &shutdown,
+            handler: &handler,
+            executor: &executor,
+        };
+        let end = drive(&pipeline, writer.run(), reader.run()).await;
+        drop(pipeline);
+        if let End::Answered { rejected } = end
+            && (rejected || conn.has_buffered())
+        {
+            linger(&mut conn, &clock).await;
+        }
+    }
+}
+
+/// Polls the writer and the reader of a connection until one of them ends, and both again after each
+/// change of their pipeline.
+async fn drive(
+    pipeline: &Pipeline<'_>,
+    writer: impl Future<Output = End>,
+    reader: impl Future<Output = ()>,
+) -> End {
+    let (mut writer, mut reader) = (pin!(writer), pin!(reader));
+    poll_fn(|cx| {
+        loop {
+            if let Poll::Ready(end) = writer.as_mut().poll(cx) {
+                return Poll::Ready(end);
+            }
+            if reader.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(End::Closed);
+            }
+            if !pipeline.take_change() {
+                return Poll::Pending;
+            }
+        }
+    })
+    .await
+}
+
+/// Discards what the client still sends, up to a bound. Closing a connection with unread bytes resets
+/// it, and the client could lose the response.
+async fn linger(conn: &mut Connection, clock: &Arc<dyn Clock>) {
+    let discarded = async {
+        if conn.stream().shutdown(std::net::Shutdown::Write).is_err() {
+            return;
+        }
+        let mut discarded = 0;
+        while discarded < LINGER_BYTES {
+            discarded += conn.discard_buffered();
+            if !matches!(conn.fill().await, Ok(true)) {
+                return;
+            }
+        }
+    };
+    discarded.or(clock.sleep(LINGER_TIME)).await;
+}
+
+/// Sends the responses of a connection.
+struct Writer<'a, 'h> {
+    stream: TcpStream,
+    pipeline: &'a Pipeline<'h>,
+    limits: &'a Cell<Limits>,
+    clock: &'a Arc<dyn Clock>,
+    shutdown: &'a ShutdownSignal,
+}
+
+impl Writer<'_, '_> {
+    /// Sends responses until the connection closes.
+    async fn run(mut self) -> End {
+        loop {
+            let Exchange {
+                answer,
+                keep_alive,
+                bodiless,
+                ..
+            } = self.pipeline.next().await;
+            let waited = matches!(answer, Answer::Task(_));
+            let rejected = matches!(answer, Answer::Rejected(_));
+            let progress = report_progress(&self.stream, self.limits.get(), self.clock);
+            let Some(response) = answer.wait().or(progress).await else {
+                return End::Closed;
+            };
+            let stop = self.shutdown.is_triggered();
+            let keep_alive = self.pipeline.begin_send(keep_alive, stop);
+            if !self.send(&response, bodiless, keep_alive).await {
+                return End::Closed;
+            }
+            if !keep_alive {
+                return End::Answered { rejected };
+            }
+            let now = self.clock.now();
+            self.pipeline.finish(waited, response.body.len(), now);
+        }
+    }
+
+    /// Sends head and body in one write. Returns whether the response was sent.
+    async fn send(&mut self, response: &Response, bodiless: bool, keep_alive: bool) -> bool {
+        let encoded = encode_response(response, bodiless, keep_alive);
+        let limit = self.limits.get().head_timeout;
+        let sent = async { self.stream.write_all(&encoded).await.is_ok() };
+        let timeout = async {
+            self.clock.sleep(limit).await;
+            false
+        };
+        sent.or(timeout).await
+    }
+}
+
+/// Sends `102 Processing` at each interval. Completes when sending fails.
+async fn report_progress(
+    stream: &TcpStream,
+    limits: Limits,
+    clock: &Arc<dyn Clock>,
+) -> Option<Response> {
+    let Some(interval) = limits.progress_interval else {
+        return std::future::pending().await;
+    };
+    let mut stream = stream.clone();
+    loop {
+        clock.sleep(interval).await;
+        stream.write_all(PROCESSING).await.ok()?;
+    }
+}
+
+/// Reads the requests of a connection and begins them.
+struct Reader<'a, 'h> {
+    sender: SocketAddr,
+    conn: &'a mut Connection,
+    timer: SleepFuture,
+    pipeline: &'a Pipeline<'h>,
+    limits: &'a Cell<Limits>,
+    clock: &'a Arc<dyn Clock>,
+    shutdown: &'a ShutdownSignal,
+    handler: &'h Arc<dyn Handler>,
+    executor: &'a Rc<LocalExecutor<'static>>,
+}
+
+/// A complete request, with the properties that its response depends on.
+struct ReceivedRequest {
+    request: Request,
+    keep_alive: bool,
+    bodiless: bool,
+    overlaps: bool,
+    bytes: usize,
+}
+
+impl Reader<'_, '_> {
+    /// Begins requests until the connection is to be closed. Behind a request that closes it, only
+    /// watches whether the client leaves.
+    async fn run(mut self) {
+        while self.has_next().await {
+            let keep_alive = match self.receive().await {
+                Ok(Some(received)) => self.begin(received),
+                Ok(None) => break,
+                // The client has left, or it would have waited for the responses.
+                Err(MessageError::Truncated) if !self.pipeline.is_empty() => break,
+                Err(error) => self.reject(error),
+            };
+            // A request that is answered at once is answered before the next one is read.
+            self.pipeline.yield_to_writer().await;
+            if !keep_alive {
+                self.client_left().await;
+                break;
+            }
+        }
+        self.pipeline.sent().await;
+    }
+
+    /// Waits for the first byte of the next request. Returns `false` if the connection is to be
+    /// closed instead.
+    async fn has_next(&mut self) -> bool {
+        if self.conn.has_buffered() {
+            return true;
+        }
+        self.limits.set(self.handler.limits(self.limits.get()));
+        let (clock, limits, shutdown) = (self.clock, self.limits.get(), self.shutdown);
+        let pipeline = self.pipeline;
+        let arrived = async { matches!(self.conn.fill().await, Ok(true)) };
+        // One timer serves many requests, because each timer costs a system call.
+        let idle = async {
+            pipeline.wait_until(Pipeline::is_empty).await;
+            loop {
+                (&mut self.timer).await;
+                let idle = clock.now().saturating_duration_since(pipeline.idle_since());
+                if idle >= limits.idle_timeout {
+                    return false;
+                }
+                self.timer = clock.sleep(limits.idle_timeout - idle);
+            }
+        };
+        let stopped = async {
+            pipeline.wait_until(Pipeline::is_empty).await;
+            shutdown.wait().await;
+            clock.sleep(limits.drain_time).await;
+            false
+        };
+        arrived.or(idle).or(stopped).await
+    }
+
+    /// Reads a request once it may begin. Returns `None` if the client has left.
+    async fn receive(&mut self) -> Result<Option<ReceivedRequest>, MessageError> {
+        let limits = self.limits.get();
+        let timeout = timed_out(self.clock, limits.head_timeout);
+        let Some(head) = self.conn.read_head(limits.head_bytes).or(timeout).await? else {
+            return Ok(None);
+        };
+        let head_bytes = head.len();
+        let head = parse_request(head)?;
+        let has = |name: &[u8]| head.headers.iter().any(|line| line.name.as_bytes() == name);
+        if !has(b"host") {
+            return Err(MessageError::Malformed);
+        }
+        let framing = framing(&head.headers)?;
+        if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
+            return Err(MessageError::BodyTooLarge);
+        }
+        let expects_continue = has(b"expect");
+        let keep_alive = !closes_connection(&head.headers);
+        let bodiless = head.line.method.as_bytes() == b"HEAD";
+        let request = Request {
+            method: head.line.method,
+            path: head.line.path,
+            headers: head.headers,
+            body: Bytes::new(),
+        };
+        let mut request = request.without_connection_headers();
+        // An interim response can't be sent before the responses to earlier requests.
+        let overlaps = !expects_continue && self.handler.may_overlap(&request);
+        let bytes = head_bytes + known_length(framing);
+        let overlaps = overlaps && framing != Framing::Chunked;
+        if !self.has_turn(overlaps, bytes).await {
+            return Ok(None);
+        }
+        if expects_continue && self.conn.write(CONTINUE).await.is_err() {
+            return Ok(None);
+        }
+        request.body = self.read_body(framing, limits).await?;
+        // The listener may have begun to stop while the body arrived.
+        if !self.has_turn(overlaps, bytes).await {
+            return Ok(None);
+        }
+        Ok(Some(ReceivedRequest {
+            request,
+            keep_alive,
+            bodiless,
+            overlaps,
+            bytes,
+        }))
+    }
+
+    async fn read_body(&mut self, framing: Framing, limits: Limits) -> Result<Bytes, MessageError> {
+        let timeout = timed_out(self.clock, limits.body_timeout);
+        let limit = BodyLimit::open(limits.body_bytes);
+        match framing {
+            Framing::Length(length) => self.conn.read_body(length, limit).or(timeout).await,
+            Framing::Chunked => self.conn.read_chunked(limit).or(timeout).await,
+            Framing::UntilClose => Ok(Bytes::new()),
+        }
+    }
+
+    /// Waits until a request may begin. Returns `false` if the client leaves before that.
+    async fn has_turn(&mut self, overlaps: bool, bytes: usize) -> bool {
+        let (pipeline, shutdown) = (self.pipeline, self.shutdown);
+        let has_room = |pipeline: &Pipeline<'_>| {
+            let stops = shutdown.is_triggered() && !pipeline.is_empty();
+            !stops && pipeline.has_room(overlaps, bytes)
+        };
+        let room = async {
+            pipeline.wait_until(has_room).await;
+            true
+        };
+        let left = async {
+            self.client_left().await;
+            false
+        };
+        room.or(left).await
+    }
+
+    /// Completes once the client has closed the connection. What arrives until then stays buffered.
+    async fn client_left(&mut self) {
+        while self.conn.buffered_len() < MAX_READ_AHEAD {
+            if !matches!(self.conn.fill().await, Ok(true)) {
+                return;
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Begins a request. Returns whether further ones may follow it.
+    fn begin(&mut self, received: ReceivedRequest) -> bool {
+        let (request, sender) = (received.request, self.sender);
+        let answer = if self.pipeline.is_empty() {
+            Answer::Inline(self.handler.handle_from(request, sender))
+        } else {
+            self.handler.record(ServerEvent::Overlapped);
+            let handler = Arc::clone(self.handler);
+            let handled = async move { handler.handle_from(request, sender).await };
+            let (number, waiting) = self.pipeline.next_place();
+            Answer::Task(self.executor.spawn(waiting.keep(number, handled)))
+        };
+        self.pipeline.push(Exchange {
+            answer,
+            keep_alive: received.keep_alive,
+            bodiless: received.bodiless,
+            overlaps: received.overlaps,
+            bytes: received.bytes,
+        });
+        received.keep_alive
+    }
+
+    /// Responds to a message that is not a complete request, as the last one of the connection.
+    fn reject(&mut self, error: MessageError) -> bool {
+        self.pipeline.push(Exchange {
+            answer: Answer::Rejected(self.handler.reject(error)),
+            keep_alive: false,
+            bodiless: false,
+            overlaps: false,
+            bytes: 0,
+        });
+        false
+    }
+}
+
+/// Returns the length of a body, as far as the head states it.
+fn known_length(framing: Framing) -> usize {
+    match framing {
+        Framing::Length(length) => length,
+        Framing::Chunked | Framing::UntilClose => 0,
+    }
+}
+
+/// Fails with `TimedOut` after a time limit.
+fn timed_out<T>(
+    clock: &Arc<dyn Clock>,
+    limit: Duration,
+) -> impl Future<Output = Result<T, MessageError>> + use<T> {
+    let clock = Arc::clone(clock);
+    async move {
+        clock.sleep(limit).await;
+        Err(MessageError::TimedOut)
+    }
+}
