Send a response for as long as its reader makes progress

Cause: the whole write of a response had the time limit of a head.

Change: the limit holds for each step of the write. A client that reads nothing for that long is still given up. A body of more than 16 KiB is written behind its head in place of being copied first, so a slow reader holds it once, not twice.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -36,9 +36,11 @@
 
 /// Time limit for a read or write that makes no progress.
 #[derive(Debug)]
-struct Progress {
-    limit: Duration,
-    clock: Arc<dyn Clock>,
+pub(crate) struct Progress {
+    /// The time limit.
+    pub limit: Duration,
+    /// Measures it.
+    pub clock: Arc<dyn Clock>,
 }
 
 impl Connection {
@@ -269,7 +271,8 @@
     }
 }
 
-async fn write_all(
+/// Writes all bytes, and fails if no progress is made within a time limit.
+pub(crate) async fn write_all(
     stream: &TcpStream,
     mut bytes: &[u8],
     progress: Option<&Progress>,
--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -1,11 +1,33 @@
 //! Encoding of responses.
 
+use bytes::Bytes;
+use filbertwheel_core::value;
+
 use crate::Response;
 use crate::head::{is_connection_header, push_header};
 
+/// Maximum size, in bytes, of a body that is copied behind its head so that both are sent in one write.
+const MAX_COPIED_BODY: usize = 16 * 1024;
+
+/// An encoded response.
+#[value]
+pub(crate) struct EncodedResponse {
+    /// The head, with the body if that is small.
+    pub start: Vec<u8>,
+    /// The body, if it is large.
+    pub rest: Bytes,
+}
+
 /// Encodes a response.
-pub(crate) fn encode_response(response: &Response, bodiless: bool, keep_alive: bool) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(256 + response.body.len());
+pub(crate) fn encode_response(
+    response: &Response,
+    bodiless: bool,
+    keep_alive: bool,
+) -> EncodedResponse {
+    let has_body = !bodiless && !matches!(response.status, 204 | 304);
+    let is_copied = has_body && response.body.len() <= MAX_COPIED_BODY;
+    let copied = if is_copied { response.body.len() } else { 0 };
+    let mut bytes = Vec::with_capacity(256 + copied);
     bytes.extend_from_slice(b"HTTP/1.1 ");
     bytes.extend_from_slice(response.status.to_string().as_bytes());
     bytes.push(b' ');
@@ -28,10 +50,13 @@
         push_header(&mut bytes, b"connection", b"close");
     }
     bytes.extend_from_slice(b"\r\n");
-    if !bodiless && !matches!(response.status, 204 | 304) {
-        bytes.extend_from_slice(&response.body);
-    }
-    bytes
+    bytes.extend_from_slice(&response.body[..copied]);
+    let rest = if has_body && !is_copied {
+        response.body.clone()
+    } else {
+        Bytes::new()
+    };
+    EncodedResponse { start: bytes, rest }
 }
 
 fn reason_phrase(status: u16) -> &'static str {
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -14,7 +14,8 @@
     pub total_bytes: usize,
     /// Maximum idle time of a connection between messages.
     pub idle_timeout: Duration,
-    /// Maximum time to receive a head after its first byte, and to send a response.
+    /// Maximum time to receive a head after its first byte, and time in which the client must make
+    /// progress with reading a response.
     pub head_timeout: Duration,
     /// Maximum time to receive a body.
     pub body_timeout: Duration,
--- a/crates/http/src/session.rs
+++ b/crates/http/src/session.rs
@@ -17,7 +17,7 @@
 use smol::LocalExecutor;
 
 use crate::budget::BodyLimit;
-use crate::connection::Connection;
+use crate::connection::{Connection, Progress, write_all};
 use crate::encode::encode_response;
 use crate::head::{Framing, closes_connection, framing, parse_request};
 use crate::pipeline::{Answer, Exchange, Pipeline};
@@ -164,7 +164,7 @@
 
 impl Writer<'_, '_> {
     /// Sends responses until the connection closes.
-    async fn run(mut self) -> End {
+    async fn run(self) -> End {
         loop {
             let Exchange {
                 answer,
@@ -191,16 +191,23 @@
         }
     }
 
-    /// Sends head and body in one write. Returns whether the response was sent.
-    async fn send(&mut self, response: &Response, bodiless: bool, keep_alive: bool) -> bool {
+    /// Sends a response. Returns whether it was sent. A client may read as slowly as it likes while it
+    /// makes progress.
+    async fn send(&self, response: &Response, bodiless: bool, keep_alive: bool) -> bool {
         let encoded = encode_response(response, bodiless, keep_alive);
-        let limit = self.limits.get().head_timeout;
-        let sent = async { self.stream.write_all(&encoded).await.is_ok() };
-        let timeout = async {
-            self.clock.sleep(limit).await;
-            false
+        let progress = Progress {
+            limit: self.limits.get().head_timeout,
+            clock: Arc::clone(self.clock),
         };
-        sent.or(timeout).await
+        for part in [&encoded.start[..], &encoded.rest[..]] {
+            if write_all(&self.stream, part, Some(&progress))
+                .await
+                .is_err()
+            {
+                return false;
+            }
+        }
+        true
     }
 }
 
