Bound the memory for request bodies, and write them without a copy

Cause: nothing bounded the bodies of a node's requests together, and each was copied once more behind its head for the backend server.

A body takes its part as its bytes arrive and holds it until its response has been sent; bodies up to 64 KiB don't count. What can't fit is refused as not run before it is read (503 with Retry-After), or while it is read. A large body is written from where it lies.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -119,6 +119,11 @@
         self.metrics.overlapped.inc();
     }
 
+    /// Records that a request was refused for want of memory for its body.
+    pub fn record_refused_body(&self) {
+        self.metrics.refused_bodies.inc();
+    }
+
     /// Returns all metrics in the text format.
     pub fn metrics_text(&self) -> String {
         self.metrics.text()
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -77,6 +77,8 @@
     withheld: Gauge<f64, AtomicU64>,
     /// Requests that began before an earlier one of their connection was answered.
     pub(crate) overlapped: Counter,
+    /// Requests refused for want of memory for their body.
+    pub(crate) refused_bodies: Counter,
     /// Calls that run at the backend server.
     pub(crate) running: Gauge,
     /// Calls that wait for a slot of the backend server.
@@ -144,6 +146,10 @@
                 "overlapping_requests",
                 "Requests that began before an earlier one of their connection was answered",
             ),
+            refused_bodies: add.metric(
+                "refused_bodies",
+                "Requests refused for want of memory for their body",
+            ),
             running: add.metric("running", "Calls that run at the backend server"),
             queued: add.metric("queued", "Calls that wait for a slot of the backend server"),
             sent: add.metric("backend_requests", "Calls sent to the backend server"),
--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -1,4 +1,5 @@
-//! Memory that the bodies being received from one server may take together.
+//! Memory that bodies may take together: those being received from one server, or those of the requests
+//! of one listener.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -8,10 +9,17 @@
 /// unharmed by large ones.
 const SMALL_BODY_BYTES: usize = 64 * 1024;
 
-/// Bytes of the large bodies that are being received.
+/// Bytes of the large bodies that are held.
 #[derive(Debug, Default)]
 pub(crate) struct ReceiveBudget(AtomicUsize);
 
+impl ReceiveBudget {
+    /// Returns the bytes of the large bodies that are held.
+    pub fn held(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Limits of one body, and the part of the budget that it holds.
 #[derive(Debug)]
 pub(crate) struct BodyLimit<'a> {
@@ -44,6 +52,20 @@
         bytes <= self.bytes
     }
 
+    /// Checks that a body of a stated length may be received now.
+    pub fn expect(&self, bytes: usize) -> Result<(), MessageError> {
+        if !self.allows(bytes) {
+            return Err(MessageError::BodyTooLarge);
+        }
+        match self.budget {
+            Some((budget, total)) if bytes > SMALL_BODY_BYTES => {
+                let fits = budget.held().saturating_add(bytes) <= total;
+                fits.then_some(()).ok_or(MessageError::NoMemory)
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Makes room for a body of which `bytes` bytes have been received.
     pub fn grow(&mut self, bytes: usize) -> Result<(), MessageError> {
         if !self.allows(bytes) {
@@ -59,7 +81,7 @@
         let used = budget.0.fetch_add(more, Ordering::Relaxed);
         self.held = bytes;
         if used + more > total {
-            return Err(MessageError::BodyTooLarge);
+            return Err(MessageError::NoMemory);
         }
         Ok(())
     }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,6 +13,7 @@
 
 use crate::budget::{BodyLimit, ReceiveBudget};
 use crate::connection::Connection;
+use crate::encode::Encoded;
 use crate::head::{
     Framing, closes_connection, framing, is_connection_header, parse_response, push_header,
 };
@@ -264,8 +265,8 @@
         probe.is_ok()
     }
 
-    fn encode(&self, request: &Request) -> Result<Vec<u8>, SendError> {
-        let mut bytes = Vec::with_capacity(512 + request.body.len());
+    fn encode(&self, request: &Request) -> Result<Encoded, SendError> {
+        let mut bytes = Vec::with_capacity(512 + Encoded::copied_len(&request.body));
         let is_graphic =
             |text: &Text| !text.is_empty() && text.as_bytes().iter().all(u8::is_ascii_graphic);
         if !is_graphic(&request.method) || !is_graphic(&request.path) {
@@ -292,8 +293,7 @@
             push(b"content-length", request.body.len().to_string().as_bytes())?;
         }
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&request.body);
-        Ok(bytes)
+        Ok(Encoded::with_body(bytes, &request.body))
     }
 
     /// Returns an open connection, and whether it has been used before.
@@ -333,13 +333,16 @@
     async fn send_and_receive(
         &self,
         connection: &mut Connection,
-        encoded: &[u8],
+        encoded: &Encoded,
         exchange: &Exchange<'_>,
     ) -> Result<ReceivedResponse, SendError> {
         let mut stream = connection.stream().clone();
         let mut written = None;
         let write = async {
-            let done = stream.write_all(encoded).await;
+            let mut done = stream.write_all(&encoded.start).await;
+            if done.is_ok() {
+                done = stream.write_all(&encoded.rest).await;
+            }
             written = Some(done.is_ok());
             // The server may respond and close the connection before it has read the whole request.
             std::future::pending().await
@@ -430,14 +433,14 @@
         framing: Framing,
         bodiless: bool,
     ) -> Result<bytes::Bytes, MessageError> {
-        let limit = BodyLimit::open(self.limits.body_bytes)
+        let mut limit = BodyLimit::open(self.limits.body_bytes)
             .with_budget(&self.receiving, self.limits.total_bytes);
         match framing {
             _ if bodiless => Ok(bytes::Bytes::new()),
             Framing::Length(len) if !limit.allows(len) => Err(MessageError::BodyTooLarge),
-            Framing::Length(len) => connection.read_body(len, limit).await,
-            Framing::Chunked => connection.read_chunked(limit).await,
-            Framing::UntilClose => connection.read_to_end(limit).await,
+            Framing::Length(len) => connection.read_body(len, &mut limit).await,
+            Framing::Chunked => connection.read_chunked(&mut limit).await,
+            Framing::UntilClose => connection.read_to_end(&mut limit).await,
         }
     }
 
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -172,9 +172,9 @@
     pub(crate) async fn read_body(
         &mut self,
         length: usize,
-        mut limit: BodyLimit<'_>,
+        limit: &mut BodyLimit<'_>,
     ) -> Result<Bytes, MessageError> {
-        self.read_part(length, 0, &mut limit).await
+        self.read_part(length, 0, limit).await
     }
 
     /// Reads a part of a body after the `earlier` bytes of it.
@@ -196,7 +196,7 @@
     /// Reads a body that ends when the peer closes the connection. A connection reset is an error.
     pub(crate) async fn read_to_end(
         &mut self,
-        mut limit: BodyLimit<'_>,
+        limit: &mut BodyLimit<'_>,
     ) -> Result<Bytes, MessageError> {
         limit.grow(self.buffered.len())?;
         while self.fill().await.map_err(|_| MessageError::Truncated)? {
@@ -208,7 +208,7 @@
     /// Reads a chunked body with its trailer, and no bytes beyond it.
     pub(crate) async fn read_chunked(
         &mut self,
-        mut limit: BodyLimit<'_>,
+        limit: &mut BodyLimit<'_>,
     ) -> Result<Bytes, MessageError> {
         let mut body = BytesMut::new();
         loop {
@@ -219,7 +219,7 @@
             if !limit.allows(body.len().saturating_add(size)) {
                 return Err(MessageError::BodyTooLarge);
             }
-            let part = self.read_part(size, body.len(), &mut limit).await?;
+            let part = self.read_part(size, body.len(), limit).await?;
             limit.grow(body.len() + size)?;
             body.extend_from_slice(&part);
             if !self.read_line(MAX_CHUNK_LINE).await?.is_empty() {
--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -1,4 +1,4 @@
-//! Encoding of responses.
+//! Encoding of messages.
 
 use bytes::Bytes;
 use filbertwheel_core::value;
@@ -9,25 +9,45 @@
 /// Maximum size, in bytes, of a body that is copied behind its head so that both are sent in one write.
 const MAX_COPIED_BODY: usize = 16 * 1024;
 
-/// An encoded response.
+/// An encoded message.
 #[value]
-pub(crate) struct EncodedResponse {
+pub(crate) struct Encoded {
     /// The head, with the body if that is small.
     pub start: Vec<u8>,
     /// The body, if it is large.
     pub rest: Bytes,
 }
 
+impl Encoded {
+    /// Returns how many bytes of a body are copied behind the head.
+    pub fn copied_len(body: &Bytes) -> usize {
+        if body.len() <= MAX_COPIED_BODY {
+            body.len()
+        } else {
+            0
+        }
+    }
+
+    /// Adds a body to an encoded head.
+    pub fn with_body(mut head: Vec<u8>, body: &Bytes) -> Self {
+        let copied = Self::copied_len(body);
+        head.extend_from_slice(&body[..copied]);
+        Self {
+            start: head,
+            rest: body.slice(copied..),
+        }
+    }
+}
+
 /// Encodes a response.
-pub(crate) fn encode_response(
-    response: &Response,
-    bodiless: bool,
-    keep_alive: bool,
-) -> EncodedResponse {
+pub(crate) fn encode_response(response: &Response, bodiless: bool, keep_alive: bool) -> Encoded {
     let has_body = !bodiless && !matches!(response.status, 204 | 304);
-    let is_copied = has_body && response.body.len() <= MAX_COPIED_BODY;
-    let copied = if is_copied { response.body.len() } else { 0 };
-    let mut bytes = Vec::with_capacity(256 + copied);
+    let body = if has_body {
+        response.body.clone()
+    } else {
+        Bytes::new()
+    };
+    let mut bytes = Vec::with_capacity(256 + Encoded::copied_len(&body));
     bytes.extend_from_slice(b"HTTP/1.1 ");
     bytes.extend_from_slice(response.status.to_string().as_bytes());
     bytes.push(b' ');
@@ -50,13 +70,7 @@
         push_header(&mut bytes, b"connection", b"close");
     }
     bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(&response.body[..copied]);
-    let rest = if has_body && !is_copied {
-        response.body.clone()
-    } else {
-        Bytes::new()
-    };
-    EncodedResponse { start: bytes, rest }
+    Encoded::with_body(bytes, &body)
 }
 
 fn reason_phrase(status: u16) -> &'static str {
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -10,7 +10,7 @@
     /// Maximum size of a body in bytes.
     pub body_bytes: usize,
     /// Maximum size, in bytes, of all large bodies that a client receives from one server at the same
-    /// time.
+    /// time, or that a listener holds for its requests.
     pub total_bytes: usize,
     /// Maximum idle time of a connection between messages.
     pub idle_timeout: Duration,
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -43,6 +43,9 @@
     /// The body exceeds its limit.
     #[display("the body is too long")]
     BodyTooLarge,
+    /// The bodies of other messages take up the memory for bodies.
+    #[display("there is no memory for the body at present")]
+    NoMemory,
     /// Conflicting `Content-Length` or `Transfer-Encoding` headers.
     #[display("the length is ambiguous")]
     Ambiguous,
--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -7,6 +7,7 @@
 use std::task::Poll;
 use std::time::Instant;
 
+use crate::budget::BodyLimit;
 use crate::{LocalFuture, Response};
 
 /// Maximum number of requests of a connection that have begun and are unanswered.
@@ -29,6 +30,8 @@
     pub overlaps: bool,
     /// Size of the request in bytes.
     pub bytes: usize,
+    /// Memory that the body of the request takes until the response has been sent.
+    pub body: BodyLimit<'a>,
 }
 
 /// Source of a response.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -12,9 +12,10 @@
 use futures_lite::FutureExt as _;
 use smol::LocalExecutor;
 
+use crate::budget::ReceiveBudget;
 use crate::connection::Connection;
 use crate::session::Session;
-use crate::{Limits, MessageError, Request, Response, ShutdownSignal};
+use crate::{Limits, MessageError, Request, Response, ShutdownSignal, names};
 
 /// Future that stays on its traffic thread.
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
@@ -45,7 +46,11 @@
 
     /// Returns the response to a message that is not a complete request.
     fn reject(&self, error: MessageError) -> Response {
-        Response::new(error_status(error), error.to_string())
+        let response = Response::new(error_status(error), error.to_string());
+        match error {
+            MessageError::NoMemory => response.with(names::RETRY_AFTER, MEMORY_RETRY_AFTER_S),
+            _ => response,
+        }
     }
 }
 
@@ -54,6 +59,8 @@
 pub enum ServerEvent {
     /// A request has begun before an earlier one of its connection was answered.
     Overlapped,
+    /// A request was refused because the bodies of others take up the memory for bodies.
+    BodyRefused,
 }
 
 /// Bound listener. Clones share the socket, so that each traffic thread runs its own clone.
@@ -64,6 +71,7 @@
     limits: Limits,
     clock: Arc<dyn Clock>,
     shutdown: ShutdownSignal,
+    bodies: Arc<ReceiveBudget>,
 }
 
 impl Listener {
@@ -82,6 +90,7 @@
             limits,
             clock,
             shutdown,
+            bodies: Arc::default(),
         })
     }
 
@@ -144,6 +153,7 @@
             shutdown: self.shutdown.clone(),
             handler: Arc::clone(handler),
             executor: Rc::clone(executor),
+            bodies: Arc::clone(&self.bodies),
         };
         Some(executor.spawn(session.serve()))
     }
@@ -170,6 +180,8 @@
 
 /// Maximum number of backlog connections that are accepted when a listener shuts down.
 const MAX_BACKLOG: usize = 1_024;
+/// `retry-after` of a request that is refused for want of memory, in seconds.
+const MEMORY_RETRY_AFTER_S: &str = "1";
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(50);
 
@@ -179,5 +191,6 @@
         MessageError::TimedOut => 408,
         MessageError::HeadTooLarge => 431,
         MessageError::BodyTooLarge => 413,
+        MessageError::NoMemory => 503,
     }
 }
--- a/crates/http/src/session.rs
+++ b/crates/http/src/session.rs
@@ -16,7 +16,7 @@
 use futures_lite::{AsyncWriteExt as _, FutureExt as _};
 use smol::LocalExecutor;
 
-use crate::budget::BodyLimit;
+use crate::budget::{BodyLimit, ReceiveBudget};
 use crate::connection::{Connection, Progress, write_all};
 use crate::encode::encode_response;
 use crate::head::{Framing, closes_connection, framing, parse_request};
@@ -53,6 +53,8 @@
     pub handler: Arc<dyn Handler>,
     /// Runs requests that overlap others.
     pub executor: Rc<LocalExecutor<'static>>,
+    /// Memory for the bodies of all requests of the listener.
+    pub bodies: Arc<ReceiveBudget>,
 }
 
 /// How a connection ends.
@@ -80,6 +82,7 @@
             shutdown,
             handler,
             executor,
+            bodies,
         } = self;
         let limits = Cell::new(limits);
         let pipeline = Pipeline::open(clock.now());
@@ -100,6 +103,7 @@
             shutdown: &shutdown,
             handler: &handler,
             executor: &executor,
+            bodies: &bodies,
         };
         let end = drive(&pipeline, writer.run(), reader.run()).await;
         drop(pipeline);
@@ -170,6 +174,7 @@
                 answer,
                 keep_alive,
                 bodiless,
+                body: _held_until_sent,
                 ..
             } = self.pipeline.next().await;
             let waited = matches!(answer, Answer::Task(_));
@@ -238,18 +243,20 @@
     shutdown: &'a ShutdownSignal,
     handler: &'h Arc<dyn Handler>,
     executor: &'a Rc<LocalExecutor<'static>>,
+    bodies: &'h ReceiveBudget,
 }
 
 /// A complete request, with the properties that its response depends on.
-struct ReceivedRequest {
+struct ReceivedRequest<'h> {
     request: Request,
     keep_alive: bool,
     bodiless: bool,
     overlaps: bool,
     bytes: usize,
+    body: BodyLimit<'h>,
 }
 
-impl Reader<'_, '_> {
+impl<'h> Reader<'_, 'h> {
     /// Begins requests until the connection is to be closed. Behind a request that closes it, only
     /// watches whether the client leaves.
     async fn run(mut self) {
@@ -303,7 +310,7 @@
     }
 
     /// Reads a request once it may begin. Returns `None` if the client has left.
-    async fn receive(&mut self) -> Result<Option<ReceivedRequest>, MessageError> {
+    async fn receive(&mut self) -> Result<Option<ReceivedRequest<'h>>, MessageError> {
         let limits = self.limits.get();
         let timeout = timed_out(self.clock, limits.head_timeout);
         let Some(head) = self.conn.read_head(limits.head_bytes).or(timeout).await? else {
@@ -316,9 +323,9 @@
             return Err(MessageError::Malformed);
         }
         let framing = framing(&head.headers)?;
-        if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
-            return Err(MessageError::BodyTooLarge);
-        }
+        let mut body =
+            BodyLimit::open(limits.body_bytes).with_budget(self.bodies, limits.total_bytes);
+        body.expect(known_length(framing))?;
         let expects_continue = has(b"expect");
         let keep_alive = !closes_connection(&head.headers);
         let bodiless = head.line.method.as_bytes() == b"HEAD";
@@ -339,7 +346,7 @@
         if expects_continue && self.conn.write(CONTINUE).await.is_err() {
             return Ok(None);
         }
-        request.body = self.read_body(framing, limits).await?;
+        request.body = self.read_body(framing, limits, &mut body).await?;
         // The listener may have begun to stop while the body arrived.
         if !self.has_turn(overlaps, bytes).await {
             return Ok(None);
@@ -350,12 +357,17 @@
             bodiless,
             overlaps,
             bytes,
+            body,
         }))
     }
 
-    async fn read_body(&mut self, framing: Framing, limits: Limits) -> Result<Bytes, MessageError> {
+    async fn read_body(
+        &mut self,
+        framing: Framing,
+        limits: Limits,
+        limit: &mut BodyLimit<'_>,
+    ) -> Result<Bytes, MessageError> {
         let timeout = timed_out(self.clock, limits.body_timeout);
-        let limit = BodyLimit::open(limits.body_bytes);
         match framing {
             Framing::Length(length) => self.conn.read_body(length, limit).or(timeout).await,
             Framing::Chunked => self.conn.read_chunked(limit).or(timeout).await,
@@ -392,7 +404,7 @@
     }
 
     /// Begins a request. Returns whether further ones may follow it.
-    fn begin(&mut self, received: ReceivedRequest) -> bool {
+    fn begin(&mut self, received: ReceivedRequest<'h>) -> bool {
         let (request, sender) = (received.request, self.sender);
         let answer = if self.pipeline.is_empty() {
             Answer::Inline(self.handler.handle_from(request, sender))
@@ -409,18 +421,28 @@
             bodiless: received.bodiless,
             overlaps: received.overlaps,
             bytes: received.bytes,
+            body: received.body,
         });
         received.keep_alive
     }
 
     /// Responds to a message that is not a complete request, as the last one of the connection.
     fn reject(&mut self, error: MessageError) -> bool {
+        if error == MessageError::NoMemory {
+            tracing::info!(
+                held = self.bodies.held(),
+                total = self.limits.get().total_bytes,
+                "http: Refused a request for want of memory for its body."
+            );
+            self.handler.record(ServerEvent::BodyRefused);
+        }
         self.pipeline.push(Exchange {
             answer: Answer::Rejected(self.handler.reject(error)),
             keep_alive: false,
             bodiless: false,
             overlaps: false,
             bytes: 0,
+            body: BodyLimit::open(0),
         });
         false
     }
--- a/crates/http/src/verdict.rs
+++ b/crates/http/src/verdict.rs
@@ -31,6 +31,7 @@
         | MessageError::Truncated
         | MessageError::TimedOut => RefusalKind::Malformed,
         MessageError::HeadTooLarge | MessageError::BodyTooLarge => RefusalKind::TooLarge,
+        MessageError::NoMemory => RefusalKind::Overloaded,
     }
 }
 
