Take no response with a status outside 200 to 599 for an answer

Here 000, 099, 101, 199, statuses of two or four digits, with a sign or letters, and none at all were already malformed at the HTTP client, which backend servers and the store are read with; tests on raw bytes now guard that. 600 and 999 passed. Between nodes, any number in a verdict passed, also 0.

Change: one rule, is_final_status, at the HTTP client and where verdicts of other nodes are decoded (frames of links, and the older encoding). Such a response ends as broken (502): it may have run.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -120,6 +120,11 @@
     }
 }
 
+/// Returns whether a complete response can have this status code.
+pub fn is_final_status(status: u16) -> bool {
+    (200..=599).contains(&status)
+}
+
 /// A complete response of a backend server.
 #[value]
 pub struct Answer {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,7 +25,7 @@
 pub use attempt::Attempt;
 pub use call::{
     Answer, Call, Criticality, CutOff, Deduplication, Failure, Header, Method, Refusal,
-    RefusalKind, UnknownReason, Verdict,
+    RefusalKind, UnknownReason, Verdict, is_final_status,
 };
 pub use clock::{Clock, PausedClock, SleepFuture, SystemClock};
 pub use config::{Change, ConfigError, Configuration, Edit, Key, Organisation, Rate, Route};
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::{Display, Error};
-use filbertwheel_core::{Clock, Text, copy_value, value};
+use filbertwheel_core::{Clock, Text, copy_value, is_final_status, value};
 use filbertwheel_runtime::TcpStream;
 use futures_lite::{AsyncWriteExt as _, FutureExt as _};
 
@@ -392,6 +392,9 @@
                 }
                 return Err(MessageError::Malformed);
             }
+            if !is_final_status(head.line) {
+                return Err(MessageError::Malformed);
+            }
             let framing = framing(&head.headers)?;
             let body = self.read_body(
                 connection,
--- a/crates/http/tests/raw.rs
+++ b/crates/http/tests/raw.rs
@@ -100,6 +100,22 @@
     }
 }
 
+// Guards against a response with a status that no response can have, which the caller would get as its
+// answer.
+#[test]
+fn responses_with_odd_statuses_are_broken() {
+    let statuses = [
+        "000", "099", "101", "199", "600", "999", "20", "2000", "+20", "-20", "2x0", "abc", "",
+    ];
+    for status in statuses {
+        let answer = format!("HTTP/1.1 {status} OK\r\nContent-Length: 3\r\n\r\none");
+        let outcome = outcome(answer.leak().as_bytes());
+        assert_eq!(outcome, Err(SendError::Broken), "status {status:?}");
+    }
+    let bare = outcome(b"HTTP/1.1\r\nContent-Length: 3\r\n\r\none");
+    assert_eq!(bare, Err(SendError::Broken));
+}
+
 #[test]
 fn a_close_without_a_response_is_lost() {
     assert_eq!(outcome(b""), Err(SendError::Lost));
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -11,7 +11,7 @@
 use filbertwheel_core::{
     Answer, Attempt, Failure, Fence, Header, InstanceNotice, Member, Method, OrganisationId,
     Priority, Refusal, RefusalKind, RequestId, RouteId, RulesStamp, ServiceId, StorePosition, Text,
-    UnknownReason, Verdict, message, value,
+    UnknownReason, Verdict, is_final_status, message, value,
 };
 use filbertwheel_policy::{BackendLoad, CrashReport, PortionGrant, PortionRequest, SumMessage};
 
@@ -264,6 +264,9 @@
 
     pub fn into_verdict(self, body: Bytes) -> Verdict {
         match self {
+            Self::Answer(status, _) if !is_final_status(status) => {
+                Err(Failure::Unknown(UnknownReason::Broken))
+            }
             Self::Answer(status, headers) => Ok(Answer {
                 status,
                 headers: to_headers(headers),
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -9,7 +9,7 @@
 use filbertwheel_core::{
     Answer, Call, CallId, Criticality, CutOff, Deduplication, Failure, Header, KeyHash, Method,
     OrganisationId, Refusal, RefusalKind, RequestId, ServiceId, Text, UnknownReason, Verdict,
-    message, value,
+    is_final_status, message, value,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -169,6 +169,9 @@
 pub(crate) fn decode_verdict(frame: &Bytes, now: Instant) -> Option<(Verdict, LoadReport)> {
     let (head, body) = split::<VerdictHead>(frame)?;
     let verdict = match head.outcome {
+        OutcomeHead::Answer { status, .. } if !is_final_status(status) => {
+            Err(Failure::Unknown(UnknownReason::Broken))
+        }
         OutcomeHead::Answer {
             status,
             headers,
--- a/crates/peer/tests/accept.rs
+++ b/crates/peer/tests/accept.rs
@@ -6,12 +6,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use filbertwheel_core::{
-    Attempt, Clock, FleetSecret, InstanceNotice, Member, OrganisationId, RulesStamp, Status,
-    SystemClock, Text, Verdict,
+    Answer, Attempt, Clock, Failure, FleetSecret, InstanceNotice, Member, OrganisationId,
+    RulesStamp, Status, SystemClock, Text, UnknownReason, Verdict,
 };
 use filbertwheel_http::{LocalFuture, ShutdownTrigger};
-use filbertwheel_peer::{LinkEndpoint, LinkEvent, LinkHandler, RulesDocument};
+use filbertwheel_peer::{Link, LinkEndpoint, LinkEvent, LinkHandler, RulesDocument};
 use filbertwheel_policy::BackendLoad;
 use smol::LocalExecutor;
 
@@ -28,11 +29,11 @@
     FleetSecret::new(Text::from_static("a secret of the fleet"))
 }
 
-/// Node without a backend server.
+/// Node that answers each call with the status that the call's path names.
 #[derive(Debug)]
-struct Idle;
+struct Odd;
 
-impl LinkHandler for Idle {
+impl LinkHandler for Odd {
     fn local_member(&self) -> Member {
         Member {
             vm: "vm1".into(),
@@ -64,8 +65,15 @@
         false
     }
 
-    fn run(&self, _attempt: Attempt) -> LocalFuture<'_, Verdict> {
-        Box::pin(std::future::pending())
+    fn run(&self, attempt: Attempt) -> LocalFuture<'_, Verdict> {
+        let status = attempt.path.as_str().and_then(|path| path.parse().ok());
+        let answer = Answer {
+            status: status.expect("the path is a status"),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            retries: 0,
+        };
+        Box::pin(async { Ok(answer) })
     }
 
     fn claim_tokens(&self, _organisation: &OrganisationId, _count: u32) -> (u32, u32) {
@@ -104,7 +112,7 @@
         let executor = Rc::new(LocalExecutor::new());
         filbertwheel_runtime::block_on(executor.run(async {
             let address = "127.0.0.1:0".parse().expect("an address");
-            let links = LinkEndpoint::bind(address, Arc::new(Idle), secret(), clock(), stop).await;
+            let links = LinkEndpoint::bind(address, Arc::new(Odd), secret(), clock(), stop).await;
             let links = links.expect("a port is free");
             sender.send(links.address()).expect("the test waits");
             links.run(Rc::clone(&executor)).await;
@@ -140,3 +148,51 @@
     stopper.trigger();
     served.join().expect("the endpoint ends");
 }
+
+fn attempt(status: u16) -> Attempt {
+    Attempt {
+        request: "one".into(),
+        route: "sheets".into(),
+        service: "rounds".into(),
+        organisation: None,
+        caller: "desk".into(),
+        priority: 0,
+        idempotent: true,
+        nested: false,
+        deadline: Instant::now() + GIVE_UP_TIME,
+        objective: GIVE_UP_TIME,
+        method: "GET".into(),
+        path: status.to_string().into(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+    }
+}
+
+// Guards against a verdict with a status that no response can have, which the caller would get as its
+// answer.
+#[test]
+fn verdicts_with_odd_statuses_are_broken() {
+    let executor = Rc::new(LocalExecutor::new());
+    filbertwheel_runtime::block_on(executor.run(async {
+        let (_stopper, stop) = ShutdownTrigger::open();
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let links = LinkEndpoint::bind(any, Arc::new(Odd), secret(), clock(), stop).await;
+        let links = links.expect("a port is free");
+        let address = links.address().expect("the endpoint is bound");
+        executor.spawn(links.run(Rc::clone(&executor))).detach();
+        let (link, driver) = Link::open("vm1".into(), address, Arc::new(Odd), secret(), clock());
+        executor.spawn(driver.run()).detach();
+        while !link.is_up() {
+            clock().sleep(Duration::from_millis(5)).await;
+        }
+        for status in [0, 20, 99, 101, 199, 600, 999, 2_000] {
+            let verdict = link.call(&attempt(status)).await.expect("the link is up");
+            let broken = Err(Failure::Unknown(UnknownReason::Broken));
+            assert_eq!(verdict, broken, "status {status}");
+        }
+        for status in [200, 204, 404, 500, 599] {
+            let verdict = link.call(&attempt(status)).await.expect("the link is up");
+            assert_eq!(verdict.map(|answer| answer.status), Ok(status));
+        }
+    }));
+}
