Read on behind a last response, so that its client gets it

Cause: after 1 MiB the connection was closed with unread bytes, which resets it.

Change: the rest is read and discarded up to the size and time of a body, 0.5 s without a byte at most, and no longer than that once the listener stops.

--- a/crates/http/src/session.rs
+++ b/crates/http/src/session.rs
@@ -3,7 +3,7 @@
 
 use std::cell::Cell;
 use std::future::poll_fn;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,11 +25,9 @@
 
 /// Maximum number of bytes that are read ahead of requests that wait for their turn.
 const MAX_READ_AHEAD: usize = 64 * 1024;
-/// Time for which a connection is read after its last response, so that the client gets that response
-/// before it learns that the rest of what it sent was not read.
+/// Time without a byte after which a connection is no longer read behind its last response, also if the
+/// client does not close it.
 const LINGER_TIME: Duration = Duration::from_millis(500);
-/// Maximum number of bytes that are read and discarded in that time.
-const LINGER_BYTES: usize = 1024 * 1024;
 /// Interim response that lets the client send the body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// Interim response for a request that is still being processed.
@@ -110,7 +108,7 @@
         if let End::Answered { rejected } = end
             && (rejected || conn.has_buffered())
         {
-            linger(&mut conn, &clock).await;
+            linger(&mut conn, limits.get(), &clock, &shutdown).await;
         }
     }
 }
@@ -139,22 +137,36 @@
     .await
 }
 
-/// Discards what the client still sends, up to a bound. Closing a connection with unread bytes resets
-/// it, and the client could lose the response.
-async fn linger(conn: &mut Connection, clock: &Arc<dyn Clock>) {
+/// Discards what the client still sends, up to the size and time of a body. Closing a connection with
+/// unread bytes resets it, and the client could lose the response.
+async fn linger(
+    conn: &mut Connection,
+    limits: Limits,
+    clock: &Arc<dyn Clock>,
+    shutdown: &ShutdownSignal,
+) {
     let discarded = async {
-        if conn.stream().shutdown(std::net::Shutdown::Write).is_err() {
+        if conn.stream().shutdown(Shutdown::Write).is_err() {
             return;
         }
         let mut discarded = 0;
-        while discarded < LINGER_BYTES {
+        while discarded < limits.body_bytes {
             discarded += conn.discard_buffered();
-            if !matches!(conn.fill().await, Ok(true)) {
+            let silent = async {
+                clock.sleep(LINGER_TIME).await;
+                Ok(false)
+            };
+            if !matches!(conn.fill().or(silent).await, Ok(true)) {
                 return;
             }
         }
     };
-    discarded.or(clock.sleep(LINGER_TIME)).await;
+    let stopped = async {
+        shutdown.wait().await;
+        clock.sleep(LINGER_TIME).await;
+    };
+    let timeout = clock.sleep(limits.body_timeout);
+    discarded.or(stopped).or(timeout).await;
 }
 
 /// Sends the responses of a connection.
--- a/crates/http/tests/request_bodies.rs
+++ b/crates/http/tests/request_bodies.rs
@@ -103,6 +103,17 @@
     listener.close();
 }
 
+// Guards against a refusal that the client loses with a reset, because it sends its body to the end
+// before it reads.
+#[test]
+fn a_client_that_sends_on_gets_the_refusal() {
+    let (listener, _, _gate) = listen();
+    let length = Limits::default().body_bytes;
+    let refused = response(upload(listener.address, "/", length, length));
+    assert!(refused.starts_with("HTTP/1.1 503 "), "{refused}");
+    listener.close();
+}
+
 // Guards against slow uploads that reserve the memory before their bytes arrive and so lock others out.
 #[test]
 fn announced_bodies_take_no_memory_before_they_arrive() {
