--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -75,6 +75,10 @@
     sum_age: Gauge<f64, AtomicU64>,
     lent: Gauge<f64, AtomicU64>,
     withheld: Gauge<f64, AtomicU64>,
+    /// Requests that began before an earlier one of their connection was answered.
+    pub(crate) overlapped: Counter,
+    /// Requests refused for want of memory for their body.
+    pub(crate) refused_bodies: Counter,
     /// Calls that run at the backend server.
     pub(crate) running: Gauge,
     /// Calls that wait for a slot of the backend server.
@@ -142,6 +146,14 @@
                 "withheld_portion",
                 "Largest part of a rate limit that this node withholds as the lease holder",
             ),
+            overlapped: add.metric(
+                "overlapping_requests",
+                "Requests that began before an earlier one of their connection was answered",
+            ),
+            refused_bodies: add.metric(
+                "refused_bodies",
+                "Requests refused for want of memory for their body",
+            ),
             running: add.metric("running", "Calls that run at the backend server"),
             queued: add.metric("queued", "Calls that wait for a slot of the backend server"),
             sent: add.metric("backend_requests", "Calls sent to the backend server"),
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -36,9 +36,11 @@
 
 /// Time limit for a read or write that makes no progress.
 #[derive(Debug)]
-struct Progress {
-    limit: Duration,
-    clock: Arc<dyn Clock>,
+pub(crate) struct Progress {
+    /// The time limit.
+    pub limit: Duration,
+    /// Measures it.
+    pub clock: Arc<dyn Clock>,
 }
 
 impl Connection {
@@ -86,6 +88,13 @@
         self.buffered.len()
     }
 
+    /// Discards the buffered bytes. Returns their number.
+    pub(crate) fn discard_buffered(&mut self) -> usize {
+        let count = self.buffered.len();
+        self.buffered.clear();
+        count
+    }
+
     /// Waits for more bytes. Returns `false` if the peer closed the connection instead.
     pub async fn fill(&mut self) -> io::Result<bool> {
         let mut stream = self.stream.clone();
@@ -163,9 +172,9 @@
     pub(crate) async fn read_body(
         &mut self,
         length: usize,
-        mut limit: BodyLimit<'_>,
+        limit: &mut BodyLimit<'_>,
     ) -> Result<Bytes, MessageError> {
-        self.read_part(length, 0, &mut limit).await
+        self.read_part(length, 0, limit).await
     }
 
     /// Reads a part of a body after the `earlier` bytes of it.
@@ -187,7 +196,7 @@
     /// Reads a body that ends when the peer closes the connection. A connection reset is an error.
     pub(crate) async fn read_to_end(
         &mut self,
-        mut limit: BodyLimit<'_>,
+        limit: &mut BodyLimit<'_>,
     ) -> Result<Bytes, MessageError> {
         limit.grow(self.buffered.len())?;
         while self.fill().await.map_err(|_| MessageError::Truncated)? {
@@ -199,7 +208,7 @@
     /// Reads a chunked body with its trailer, and no bytes beyond it.
     pub(crate) async fn read_chunked(
         &mut self,
-        mut limit: BodyLimit<'_>,
+        limit: &mut BodyLimit<'_>,
     ) -> Result<Bytes, MessageError> {
         let mut body = BytesMut::new();
         loop {
@@ -210,7 +219,7 @@
             if !limit.allows(body.len().saturating_add(size)) {
                 return Err(MessageError::BodyTooLarge);
             }
-            let part = self.read_part(size, body.len(), &mut limit).await?;
+            let part = self.read_part(size, body.len(), limit).await?;
             limit.grow(body.len() + size)?;
             body.extend_from_slice(&part);
             if !self.read_line(MAX_CHUNK_LINE).await?.is_empty() {
@@ -262,7 +271,8 @@
     }
 }
 
-async fn write_all(
+/// Writes all bytes, and fails if no progress is made within a time limit.
+pub(crate) async fn write_all(
     stream: &TcpStream,
     mut bytes: &[u8],
     progress: Option<&Progress>,
