Learn the speed of a backend server and what calls cost

What callers saw: where calls went followed one smoothed run time for each backend server, with a half-life of 1.5 s. Spells of 0.6 s were over before it showed them, a few long runs looked like a slow server, and a server that ran one organisation's heavy calls looked slow too.

Change: three causes of a long run are told apart, in pure code. Speed holds what runs show of a server over time, and what its responses state at this moment as a deviation from its own mean, for half a second. ExpectedWork holds a distribution by route and a factor by organisation, both bounded. Nothing uses them yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 mod dedup;
 mod demand;
 mod departures;
+mod expected_work;
 mod gate;
 mod graph;
 mod lease;
@@ -38,6 +39,7 @@
 mod roster;
 mod round_robin;
 mod routing;
+mod speed;
 mod stop;
 mod subtree;
 mod succession;
@@ -45,6 +47,7 @@
 mod term;
 mod tree;
 mod watch;
+mod work_meter;
 
 pub use admission::{
     AdmissionPlan, AdmissionPlanner, Capacity, FairShedder, RouteDemand, ShedThreshold,
@@ -59,6 +62,7 @@
 pub use dedup::{DEDUP_WINDOW, DedupDecision, DedupTable, MAX_CLOCK_SKEW};
 pub use demand::DemandMeter;
 pub use departures::{Departure, DepartureLog, DepartureRow, DepartureWrite};
+pub use expected_work::{Expectation, ExpectedWork, WorkSeconds};
 pub use gate::{Gate, GateOutcome, GateRequest, GateTicket, WaitOutcome};
 pub use graph::{CallGraph, RequestCost, ServiceCost};
 pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch, Voter};
@@ -82,6 +86,7 @@
 pub use roster::Roster;
 pub use round_robin::WeightedRoundRobin;
 pub use routing::{Candidate, LoadTracker, choose_backend};
+pub use speed::Speed;
 pub use stop::StopWindow;
 pub use subtree::{REJOIN_TIMEOUT, Subtree};
 pub use succession::{LeaseClaim, LeaseOffer, LeaseView, StatedLease, Succession};
@@ -92,6 +97,7 @@
 pub use term::{LeaseTerm, OUTAGE_LIMIT, SUPPORT_LIFETIME};
 pub use tree::{MAX_CHILDREN, MAX_CLAIM_HOPS, choose_child};
 pub use watch::WatchDuty;
+pub use work_meter::{CallWork, MeasuredRun, Occupancy, RunTicket, WorkFigures, WorkMeter};
 
 /// A full rate and burst, in the integer units that shares are counted in.
 pub const FULL_PORTION: u64 = 1_000_000_000;
