Place and queue calls by their expected cost, where settings ask for it

What callers saw: a call counted as one, whatever it cost. A server with a few long calls looked freer than one with many short ones, and a sender counted its own calls twice: in the report and in flight.

Change: with `[placement] by_cost` the node beside a server reports the work left there per slot, the time until a new call would start, and its present and usual slowness (13 bytes more a verdict or report, no message more). Senders fade the present slowness with the age of the report, add the work of what they have sent since, and compare four drawn candidates by expected completion and backlog. Against herding and belief that feeds itself there is jitter, one choice in 64 that ignores costs, and one in 8 for servers without a call for a second. Queued calls start by due time plus expected work; the test for what can't complete before its deadline uses the same estimate. Without the setting, calls are placed as before; the choice is a trait object, `Placement`.

Figures of other nodes are made plausible when they arrive: not a number counted as a cost until now.

--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -4,13 +4,14 @@
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::{
-    Attempt, Failure, Refusal, RefusalKind, RouteRule, ServiceId, UnknownReason, Verdict, VmId,
+    Attempt, Failure, Refusal, RefusalKind, RouteId, RouteRule, ServiceId, UnknownReason, Verdict,
+    VmId,
 };
 use filbertwheel_peer::ForwardError;
 use filbertwheel_policy::{BackendView, Distance, StopWindow};
 
 use crate::engine::Engine;
-use crate::journal::LogEntry;
+use crate::journal::{ChoiceInputs, LogEntry};
 use crate::snapshots::{Snapshot, Target};
 
 /// Maximum number of backend servers that one request is sent to.
@@ -26,6 +27,15 @@
     /// VM of the last attempt.
     pub vm: VmId,
     pub attempts: usize,
+    /// What the choice of the last VM was based on.
+    pub choice: Option<ChoiceInputs>,
+}
+
+/// A chosen backend server.
+struct ChosenTarget {
+    target: Target,
+    /// What the choice was based on.
+    inputs: ChoiceInputs,
 }
 
 impl Engine {
@@ -40,8 +50,11 @@
         let mut runs = 0;
         let mut last: Verdict = Err(RefusalKind::Unavailable.into());
         let mut vm = VmId::default();
+        let mut choice = None;
+        let work = expected_work(snapshot, &attempt.route);
         while tried.len() < MAX_TARGETS {
-            let Some(target) = self.choose_target(snapshot, &attempt.service, &tried) else {
+            let chosen = self.choose_target(snapshot, &attempt.service, &tried, work);
+            let Some(ChosenTarget { target, inputs }) = chosen else {
                 break;
             };
             // This node may have begun to stop meanwhile.
@@ -52,10 +65,11 @@
                 }
                 break;
             }
+            choice = Some(inputs);
             vm = target.member.vm.clone();
             tried.push(vm.clone());
             let verdict = self
-                .send(&target, &bounded(attempt, current.stopping))
+                .send(&target, &bounded(attempt, current.stopping), work)
                 .await;
             let may_have_run = may_have_run(&verdict);
             runs += usize::from(may_have_run);
@@ -79,21 +93,22 @@
                 .as_ref()
                 .map_or(0, filbertwheel_peer::Link::in_flight);
             self.journal
-                .attempt_ended(entry, &vm, &describe(&last), "another", pending);
+                .attempt_ended(entry, &vm, &describe(&last), "another", pending, inputs);
         }
         DispatchResult {
             verdict: last,
             vm,
             attempts: tried.len(),
+            choice,
         }
     }
 
-    /// Sends a request to one backend server.
-    async fn send(&self, target: &Target, attempt: &Attempt) -> Verdict {
+    /// Sends a request, which is expected to take the time `work`, to one backend server.
+    async fn send(&self, target: &Target, attempt: &Attempt, work: Duration) -> Verdict {
         let Some(link) = &target.link else {
             return self.runner.run(attempt).await;
         };
-        match link.call(attempt).await {
+        match link.call(attempt, work).await {
             Ok(verdict) => verdict,
             Err(ForwardError::NotSent) => Err(RefusalKind::Unavailable.into()),
             Err(ForwardError::Lost) => Err(UnknownReason::Lost.into()),
@@ -149,13 +164,14 @@
         self.retry_budget().try_spend(&visits, snapshot.nodes, now)
     }
 
-    /// Chooses the backend server with the lowest cost among a few candidates.
+    /// Chooses one of a few candidates for a call that is expected to take the time `work`.
     fn choose_target(
         &self,
         snapshot: &Snapshot,
         service: &ServiceId,
         tried: &[VmId],
-    ) -> Option<Target> {
+        work: Duration,
+    ) -> Option<ChosenTarget> {
         let targets = snapshot.services.get(service)?;
         let now = self.clock.now();
         let reachable: Vec<&Target> = targets
@@ -169,34 +185,44 @@
             })
             .collect();
         let first = rand::random_range(0..reachable.len().max(1));
-        let candidates = (0..reachable.len().min(CANDIDATES)).map(|step| {
+        let candidate = |step: usize| {
             // The stride spreads the candidates over the list.
             reachable[(first + step * stride(reachable.len())) % reachable.len()]
-        });
-        let cost = |target: &Target| self.view(target).cost(now, rand::random());
-        let costs = candidates.map(|target| (cost(target), target));
-        let (_, best) = costs.min_by(|one, other| one.0.total_cmp(&other.0))?;
-        Some(best.clone())
+        };
+        let mut views = [BackendView::default(); CANDIDATES];
+        let count = reachable.len().min(CANDIDATES);
+        for (step, view) in views.iter_mut().enumerate().take(count) {
+            *view = self.view(candidate(step), now);
+        }
+        let views = &views[..count];
+        let chosen = self
+            .placement
+            .choose(views, work, now, &mut || rand::random())?;
+        Some(ChosenTarget {
+            target: candidate(chosen).clone(),
+            inputs: ChoiceInputs::of(views.get(chosen)?, work, now),
+        })
     }
 
-    fn view(&self, target: &Target) -> BackendView {
+    fn view(&self, target: &Target, now: Instant) -> BackendView {
         match &target.link {
             None => BackendView {
                 load: self.runner.load(),
-                pending: 0,
+                reported: Some(now),
                 distance: Distance::SameVm,
-                last_failure: None,
-            },
-            Some(link) => BackendView {
-                load: link.load(),
-                pending: link.in_flight(),
-                distance: target.distance,
-                last_failure: link.last_failure(),
+                ..BackendView::default()
             },
+            Some(link) => link.view(target.distance),
         }
     }
 }
 
+/// Returns the time that a call is expected to take at a server of usual speed; zero if unknown.
+fn expected_work(snapshot: &Snapshot, route: &RouteId) -> Duration {
+    let seconds = snapshot.elapsed.get(route).copied().unwrap_or_default();
+    Duration::try_from_secs_f64(seconds).unwrap_or_default()
+}
+
 /// Returns an attempt with a deadline before which its answer reaches the caller, if this node is
 /// stopping.
 pub(crate) fn bounded(attempt: &Attempt, window: Option<StopWindow>) -> Cow<'_, Attempt> {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -12,8 +12,8 @@
 use filbertwheel_http::LocalFuture;
 use filbertwheel_peer::{LinkEvent, LinkHandler, NodeReport, RulesDocument};
 use filbertwheel_policy::{
-    BackendLoad, FairShedder, LongestTimes, PortionBuckets, RetryBudget, RetryLimits, RulesCatchup,
-    WeightedRoundRobin,
+    BackendLoad, FairShedder, LongestTimes, Placement, PortionBuckets, RetryBudget, RetryLimits,
+    RulesCatchup, WeightedRoundRobin,
 };
 
 use crate::claims::ClaimCounts;
@@ -40,6 +40,8 @@
     /// Service of the backend server on this VM.
     pub(crate) service: ServiceId,
     pub(crate) inbox: Arc<Inbox>,
+    /// How the backend server of a call is chosen.
+    pub(crate) placement: Arc<dyn Placement>,
     portions: Mutex<PortionBuckets>,
     retry_budget: Mutex<RetryBudget>,
     shedder: Mutex<FairShedder>,
@@ -69,6 +71,7 @@
     pub metrics: Arc<Metrics>,
     pub service: ServiceId,
     pub retries: RetryLimits,
+    pub placement: Arc<dyn Placement>,
 }
 
 impl Engine {
@@ -81,6 +84,7 @@
             journal: parts.journal,
             metrics: parts.metrics,
             service: parts.service,
+            placement: parts.placement,
             inbox: parts.inbox,
             portions: Mutex::default(),
             retry_budget: Mutex::new(RetryBudget::open(parts.retries)),
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -13,7 +13,7 @@
 use crate::dispatch::{DispatchResult, with_retry_after};
 use crate::engine::Engine;
 use crate::incoming::IncomingRequest;
-use crate::journal::LogEntry;
+use crate::journal::{LastAttempt, LogEntry};
 use crate::runner::NestedCall;
 use crate::snapshots::Snapshot;
 
@@ -68,6 +68,7 @@
                     verdict: Err(refused.refusal.into()),
                     vm: snapshot.local_member.vm.clone(),
                     attempts: 0,
+                    choice: None,
                 };
                 (refused.route, result)
             }
@@ -103,10 +104,14 @@
         let attempts_text = || format!("{} attempts, last to {}", result.attempts, result.vm);
         match &result.verdict {
             Ok(answer) => {
-                let (vm, tries) = (&result.vm, result.attempts);
+                let last = LastAttempt {
+                    vm: &result.vm,
+                    tries: result.attempts,
+                    choice: result.choice,
+                };
                 let failed = slow || answer.status >= 500;
                 self.journal
-                    .request_answered(entry, answer.status, vm, tries, took_ms, failed);
+                    .request_answered(entry, answer.status, last, took_ms, failed);
             }
             Err(Failure::Refused(refusal)) => {
                 let detail = match shortage {
@@ -238,6 +243,7 @@
                 verdict: Err(RefusalKind::Unavailable.into()),
                 vm: snapshot.local_member.vm.clone(),
                 attempts: 0,
+                choice: None,
             };
         };
         self.retry_budget().record_request(&service, began);
--- a/crates/engine/src/journal.rs
+++ b/crates/engine/src/journal.rs
@@ -1,8 +1,10 @@
 //! Logs one line for each decision about a request, up to a number of lines per second.
 
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
 
 use filbertwheel_core::{OrganisationId, RequestId, RequestRate, RouteId, Version, VmId};
+use filbertwheel_policy::BackendView;
 
 /// Maximum lines per second about requests without a complete response, failed or slow responses,
 /// attempts and failed runs.
@@ -28,6 +30,52 @@
     pub version: Version,
 }
 
+/// Where a request was sent last.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LastAttempt<'a> {
+    pub vm: &'a VmId,
+    /// Number of attempts up to it.
+    pub tries: usize,
+    pub choice: Option<ChoiceInputs>,
+}
+
+/// What the choice of a backend server was based on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ChoiceInputs {
+    /// Time that the call was expected to take.
+    expected: Duration,
+    /// Work that the backend server had, in seconds per slot.
+    backlog: f32,
+    slowness: f32,
+    /// Age of what was known of it.
+    age: Option<Duration>,
+}
+
+impl ChoiceInputs {
+    /// Returns what speaks for or against a backend server.
+    pub fn of(view: &BackendView, expected: Duration, now: Instant) -> Self {
+        let reported = view.reported;
+        Self {
+            expected,
+            backlog: view.load.backlog,
+            slowness: view.load.slowness,
+            age: reported.map(|at| now.saturating_duration_since(at)),
+        }
+    }
+
+    fn expected_ms(&self) -> u64 {
+        self.expected.as_millis() as u64
+    }
+
+    fn backlog_ms(&self) -> u64 {
+        (self.backlog * 1_000.0) as u64
+    }
+
+    fn age_ms(&self) -> Option<u64> {
+        self.age.map(|age| age.as_millis() as u64)
+    }
+}
+
 impl Journal {
     /// Logs a request that ended without a complete response.
     pub fn request_failed(
@@ -63,8 +111,7 @@
         &self,
         entry: LogEntry<'_>,
         status: u16,
-        vm: &VmId,
-        tries: usize,
+        last: LastAttempt<'_>,
         took_ms: u64,
         failed: bool,
     ) {
@@ -76,6 +123,7 @@
         if !admitted {
             return;
         }
+        let choice = last.choice;
         let route = entry.route.map(ToString::to_string).unwrap_or_default();
         let organisation = entry.organisation.map(ToString::to_string);
         let organisation = organisation.unwrap_or_default();
@@ -86,15 +134,19 @@
             rules = entry.version,
             outcome = "whole",
             status,
-            vm = %vm,
-            tries,
+            vm = %last.vm,
+            tries = last.tries,
             took_ms,
+            expected_ms = choice.map(|choice| choice.expected_ms()),
+            backlog_ms = choice.map(|choice| choice.backlog_ms()),
+            slowness = choice.map(|choice| choice.slowness),
+            load_age_ms = choice.and_then(|choice| choice.age_ms()),
             "entry: Request ended."
         );
     }
 
     /// Logs an attempt that is followed by another one. `pending` is the number of calls in flight
-    /// from this node to that VM.
+    /// from this node to that VM, `choice` what spoke for it.
     pub fn attempt_ended(
         &self,
         entry: LogEntry<'_>,
@@ -102,6 +154,7 @@
         outcome: &str,
         next: &str,
         pending: u32,
+        choice: ChoiceInputs,
     ) {
         if !self.admit(&self.failed, MAX_FAILED_LINES) {
             return;
@@ -112,6 +165,10 @@
             outcome,
             next,
             pending,
+            expected_ms = choice.expected_ms(),
+            backlog_ms = choice.backlog_ms(),
+            slowness = choice.slowness,
+            load_age_ms = choice.age_ms(),
             "dispatch: Attempt ended."
         );
     }
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -1,13 +1,13 @@
 //! Metrics of a node.
 
-use std::fmt::Write as _;
+use std::fmt::{self, Write as _};
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use filbertwheel_core::{Failure, Verdict, broken_invariants};
+use filbertwheel_core::{Failure, RouteId, Verdict, broken_invariants};
 use filbertwheel_policy::LedgerSummary;
-use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -32,6 +32,9 @@
     reason: String,
 }
 
+/// Upper bounds of the buckets of measured relative to expected work.
+const WORK_RATIO_BUCKETS: [f64; 9] = [0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0, 8.0];
+
 /// Labels of requests refused as over a rate limit.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ShortageLabels {
@@ -47,6 +50,22 @@
     table: &'static str,
 }
 
+/// Labels of measured work.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WorkLabels {
+    route: RouteLabel,
+}
+
+/// A route as a label. Its id is cloned without copying.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct RouteLabel(RouteId);
+
+impl EncodeLabelValue for RouteLabel {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        EncodeLabelValue::encode(&self.0.as_str().unwrap_or_default(), encoder)
+    }
+}
+
 /// Labels of latencies.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RouteLabels {
@@ -59,6 +78,7 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     latency: Family<RouteLabels, Histogram>,
+    work_ratio: Family<WorkLabels, Histogram>,
     /// Attempts beyond the first of a request.
     pub(crate) retries: Counter,
     /// Token claims sent to the lease holder.
@@ -111,6 +131,12 @@
             Unit::Seconds,
             latency.clone(),
         );
+        let work_ratio = Family::new_with_constructor(work_histogram as fn() -> Histogram);
+        registry.register(
+            "work_ratio",
+            "Measured work of a run at the backend server relative to the expected work",
+            work_ratio.clone(),
+        );
         let mut add = Registration(&mut registry);
         Self {
             requests: add.metric("requests", "Finished requests"),
@@ -166,6 +192,7 @@
             store_epoch: add.metric("store_epoch", "Epoch of the store; each restore raises it"),
             broken: add.metric("broken_invariants", "Invariant violations"),
             latency,
+            work_ratio,
             registry,
         }
     }
@@ -190,6 +217,14 @@
         latency.observe(elapsed.as_secs_f64());
     }
 
+    /// Records the work of a finished run relative to the expected work.
+    pub(crate) fn record_work(&self, route: &RouteId, ratio: f64) {
+        let labels = WorkLabels {
+            route: RouteLabel(route.clone()),
+        };
+        self.work_ratio.get_or_create(&labels).observe(ratio);
+    }
+
     /// Records a request refused as over a rate limit.
     pub(crate) fn record_shortage(&self, shortage: TokenShortage) {
         let reason = match shortage {
@@ -249,3 +284,7 @@
 fn latency_histogram() -> Histogram {
     Histogram::new(LATENCY_BUCKETS)
 }
+
+fn work_histogram() -> Histogram {
+    Histogram::new(WORK_RATIO_BUCKETS)
+}
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -13,7 +13,7 @@
     Handler, Limits, Listener, LocalFuture, Request, Response, ShutdownSignal, ShutdownTrigger,
 };
 use filbertwheel_peer::{LinkEndpoint, LinkHandler};
-use filbertwheel_policy::StopWindow;
+use filbertwheel_policy::{LeastExpectedTime, LeastOccupied, Placement, StopWindow};
 use smol::LocalExecutor;
 
 use crate::control::{
@@ -121,6 +121,7 @@
             journal: Arc::clone(&journal),
             metrics: Arc::clone(&metrics),
             inbox: Arc::clone(&inbox),
+            by_cost: settings.by_cost,
             departures: Arc::clone(&departures),
         });
         let engine = Arc::new(Engine::open(EngineParts {
@@ -133,6 +134,7 @@
             metrics,
             service: settings.service.clone(),
             retries: settings.retries,
+            placement: placement(settings),
         }));
         let mut specs = open_listeners(&engine);
         specs.push(ListenerSpec {
@@ -269,6 +271,15 @@
     Ok(BoundListener { listener, handler })
 }
 
+/// Returns how backend servers are chosen.
+fn placement(settings: &EngineSettings) -> Arc<dyn Placement> {
+    if settings.by_cost {
+        Arc::new(LeastExpectedTime)
+    } else {
+        Arc::new(LeastOccupied)
+    }
+}
+
 fn member(settings: &EngineSettings, clock: &dyn Clock) -> Member {
     let started = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
     Member {
--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -15,8 +15,8 @@
     Attempt, Clock, Failure, Refusal, RefusalKind, RouteId, Status, UnknownReason, Verdict, VmId,
 };
 use filbertwheel_policy::{
-    AdmissionQueue, CrashReport, Health, LongestTimes, Profiler, QueueOutcome, QueueRequest,
-    QueueTicket, RouteProfile, StopWindow,
+    AdmissionQueue, CallWork, CrashReport, Health, LongestTimes, Profiler, QueueOutcome,
+    QueueRequest, QueueTicket, RouteProfile, StopWindow, WorkMeter,
 };
 use futures_lite::FutureExt as _;
 pub(crate) use instance::BackendState;
@@ -60,6 +60,8 @@
     pub metrics: Arc<Metrics>,
     pub inbox: Arc<Inbox>,
     pub departures: Arc<Departures>,
+    /// Whether calls are queued by their expected work, which is measured then.
+    pub by_cost: bool,
 }
 
 #[derive(Debug)]
@@ -69,6 +71,8 @@
     waiting: HashMap<QueueTicket, Sender<()>>,
     health: Health,
     profiler: Profiler,
+    /// Speed and work of the backend server; `None` if calls are only counted.
+    work: Option<WorkMeter>,
     notices: Notices,
     longest_runs: LongestTimes,
     /// Whether a status report of a life that is not known to have left is relied on. Until then this
@@ -95,6 +99,7 @@
                 waiting: HashMap::new(),
                 health: Health::open(now),
                 profiler: Profiler::default(),
+                work: parts.by_cost.then(|| WorkMeter::open(now)),
                 notices: Notices::default(),
                 longest_runs: LongestTimes::default(),
                 trusts_reports: false,
@@ -172,7 +177,7 @@
         let stopping = self.check_stop(attempt)?;
         let permit = RunPermit::obtain(&self.crashes, attempt, self.clock.as_ref())?;
         let started = self.clock.now();
-        slot.start();
+        slot.start(attempt);
         self.metrics.sent.inc();
         let attempt = bounded(attempt, stopping);
         let reply = instance.server.run(&attempt, &instance.instance).await;
@@ -228,18 +233,21 @@
 
     async fn admit(&self, attempt: &Attempt, now: Instant) -> Result<Slot<'_>, Failure> {
         let queue_request = {
+            let fleet_mean = self.fleet_mean(&attempt.route);
             let state = self.lock();
-            // A call that can't complete before its deadline must not occupy a slot. Half the mean
-            // run time is taken as the minimum.
-            let needed = state
-                .profiler
-                .mean_run_time(&attempt.route)
-                .unwrap_or_default()
-                / 2;
+            let work = state
+                .work
+                .as_ref()
+                .map(|work| work.expected_time(call_work(attempt, fleet_mean), now));
+            let run_time = work.or_else(|| state.profiler.mean_run_time(&attempt.route));
+            // A call that can't complete before its deadline must not occupy a slot. Half the
+            // expected time is taken as the minimum.
+            let needed = run_time.unwrap_or_default() / 2;
             let expires = attempt.deadline.checked_sub(needed).unwrap_or(now);
             QueueRequest {
                 rank: 0,
                 due: now + attempt.objective,
+                work: work.unwrap_or_default(),
                 expires: expires.max(now),
             }
         };
@@ -286,6 +294,11 @@
         }
     }
 
+    /// Returns the mean time of a route's runs over all servers, in seconds, if known.
+    fn fleet_mean(&self, route: &RouteId) -> Option<f64> {
+        self.snapshots.load().elapsed.get(route).copied()
+    }
+
     fn slot(&self, state: &State, attempt: &Attempt) -> Slot<'_> {
         self.set_gauges(state);
         Slot::open(self, attempt.route.clone())
@@ -320,3 +333,14 @@
         }
     }
 }
+
+/// Returns a call as far as its work is concerned. `fleet_mean` is the mean time of its route's runs
+/// over all servers in seconds, if known.
+fn call_work(attempt: &Attempt, fleet_mean: Option<f64>) -> CallWork<'_> {
+    CallWork {
+        route: &attempt.route,
+        organisation: attempt.organisation.as_ref(),
+        fleet_mean,
+        deadline: attempt.deadline,
+    }
+}
--- a/crates/engine/src/runner/pacing.rs
+++ b/crates/engine/src/runner/pacing.rs
@@ -5,7 +5,7 @@
 
 use filbertwheel_backend::ResponseNotice;
 use filbertwheel_core::{Attempt, Failure, InstanceNotice, Refusal, RefusalKind, Status};
-use filbertwheel_policy::{BackendLoad, Departure, SendReservation};
+use filbertwheel_policy::{BackendLoad, Departure, Occupancy, SendReservation, WorkFigures};
 
 use super::{Runner, State};
 use crate::control::Message;
@@ -28,6 +28,7 @@
         let (slowness, failing) = state.health.read(now);
         let slots = state.usable_slots();
         let queued = state.queue.queued() as u32;
+        let work = state.work_figures(slots, now);
         let is_saturated = state
             .notices
             .pacer()
@@ -40,8 +41,12 @@
                 queued
             },
             slots,
-            slowness,
+            slowness: work.map_or(slowness, |work| work.slowness as f32),
+            usual_slowness: work.map_or(slowness, |work| work.usual_slowness as f32),
             failing,
+            backlog: work.map_or(0.0, |work| work.backlog as f32),
+            delay: work.map_or(0.0, |work| work.delay as f32),
+            idle: work.is_some_and(|work| work.idle),
         }
     }
 
@@ -64,6 +69,7 @@
     pub(super) fn record_notice(&self, life: &Life, notice: ResponseNotice, sent: Instant) {
         let now = self.clock.now();
         let mut state = self.lock();
+        state.record_slowness(&notice, now);
         state.notices.record(life, notice, sent, now);
         self.apply_notices(&mut state);
     }
@@ -121,6 +127,26 @@
 }
 
 impl State {
+    /// Records the slowness that a response states.
+    fn record_slowness(&mut self, notice: &ResponseNotice, now: Instant) {
+        let slowness = notice.load.and_then(|load| load.slowness);
+        if let (Some(work), Some(slowness)) = (&mut self.work, slowness) {
+            work.record_stated(slowness, now);
+        }
+    }
+
+    /// Returns the work at the backend server, if it is measured.
+    fn work_figures(&mut self, slots: u32, now: Instant) -> Option<WorkFigures> {
+        let occupancy = Occupancy {
+            running: self.queue.running() as u32,
+            queued: self.queue.queued() as u32,
+            queued_work: self.queue.queued_work(),
+            slots,
+        };
+        let work = self.work.as_mut()?;
+        Some(work.figures(occupancy, now))
+    }
+
     /// Returns the slots that the backend server can use within its limit.
     fn usable_slots(&mut self) -> u32 {
         let slots = self.queue.slots() as u32;
--- a/crates/engine/src/runner/reports.rs
+++ b/crates/engine/src/runner/reports.rs
@@ -72,6 +72,9 @@
             self.crashes().record_exit();
         }
         state.health = Health::open(now);
+        if let Some(work) = &mut state.work {
+            work.begin_life(now);
+        }
         tracing::info!(
             backend = %report.instance,
             service = %report.service,
--- a/crates/engine/src/runner/slot.rs
+++ b/crates/engine/src/runner/slot.rs
@@ -1,13 +1,13 @@
 //! Calls that occupy a slot, wait for one, or are made by a running call.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use filbertwheel_backend::BackendError;
-use filbertwheel_core::{Answer, RouteId};
-use filbertwheel_policy::{PendingCall, QueueTicket};
+use filbertwheel_core::{Answer, Attempt, RouteId};
+use filbertwheel_policy::{MeasuredRun, PendingCall, QueueTicket, RunTicket};
 
-use super::Runner;
+use super::{Runner, State, call_work};
 
 /// A nested call of the backend server, in flight until it is dropped.
 pub(crate) struct NestedCall<'a> {
@@ -53,6 +53,8 @@
     runner: &'a Runner,
     route: RouteId,
     stage: Stage,
+    /// Its run, if its work is measured.
+    run: Option<RunTicket>,
 }
 
 /// What became of the call that occupies a slot.
@@ -73,29 +75,27 @@
             runner,
             route,
             stage: Stage::Reserved,
+            run: None,
         }
     }
 }
 
 impl Slot<'_> {
     /// Begins the run.
-    pub fn start(&mut self) {
+    pub fn start(&mut self, attempt: &Attempt) {
         self.stage = Stage::Running;
         let now = self.runner.clock.now();
+        let fleet_mean = self.runner.fleet_mean(&self.route);
         let mut state = self.runner.lock();
         state.profiler.begin_run(&self.route, now);
+        let work = state.work.as_mut();
+        self.run = work.map(|work| work.begin(call_work(attempt, fleet_mean), now));
     }
 
     /// Ends the run and records its result.
     pub fn finish(mut self, result: &Result<Answer, BackendError>, elapsed: Duration) {
         let now = self.runner.clock.now();
-        let mean = self
-            .runner
-            .snapshots
-            .load()
-            .elapsed
-            .get(&self.route)
-            .copied();
+        let mean = self.runner.fleet_mean(&self.route);
         let mut state = self.runner.lock();
         match result {
             Ok(answer) if answer.status < 500 => {
@@ -105,10 +105,21 @@
             }
             Ok(_) | Err(_) => state.health.record_failure(now),
         }
+        let completed = matches!(result, Ok(answer) if answer.status < 500);
+        let measured = self.end_run(&mut state, completed, now);
         drop(state);
+        if let Some(run) = measured {
+            self.runner.metrics.record_work(&self.route, run.ratio);
+        }
         self.end(result.is_ok().then_some(elapsed));
     }
 
+    /// Ends the measurement of the run, unless it has ended.
+    fn end_run(&mut self, state: &mut State, completed: bool, now: Instant) -> Option<MeasuredRun> {
+        let run = self.run.take()?;
+        state.work.as_mut()?.end(run, completed, now)
+    }
+
     fn end(&mut self, elapsed: Option<Duration>) {
         let now = self.runner.clock.now();
         let mut state = self.runner.lock();
@@ -116,6 +127,7 @@
             state.profiler.end_run(&self.route, elapsed, now);
         }
         self.stage = Stage::Ended;
+        self.end_run(&mut state, false, now);
         let released = state.queue.finish();
         state.release(released);
         self.runner.set_gauges(&state);
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -28,6 +28,8 @@
     pub secret: FleetSecret,
     /// Limits of retries over the fleet.
     pub retries: RetryLimits,
+    /// Whether calls are placed and queued by their expected work rather than by their number.
+    pub by_cost: bool,
     /// Interval between status reports of the backend server.
     pub report_interval: Duration,
     /// Maximum duration of a graceful shutdown.
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -13,7 +13,9 @@
     Attempt, Clock, Fence, FleetSecret, InstanceNotice, OrganisationId, RulesStamp, Verdict, VmId,
 };
 use filbertwheel_http::{configure_socket, reset_on_close};
-use filbertwheel_policy::{BackendLoad, CrashReport, PortionRequest, SumMessage};
+use filbertwheel_policy::{
+    BackendLoad, BackendView, CrashReport, Distance, PeerLoad, PortionRequest, SentCall, SumMessage,
+};
 use filbertwheel_runtime::TcpStream;
 use futures_lite::FutureExt as _;
 
@@ -57,7 +59,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    load: BackendLoad,
+    load: PeerLoad,
     last_failure: Option<Instant>,
     /// What the other node's backend server has stated about itself, and when this node learned it.
     /// It outlasts the connection: after a restart the other node learns it from here.
@@ -119,14 +121,16 @@
         self.0.up.load(Ordering::Relaxed)
     }
 
-    /// Returns the last reported load of the other node's backend server.
-    pub fn load(&self) -> BackendLoad {
-        self.0.state().load
+    /// Returns the other node's backend server as a candidate for a call.
+    pub fn view(&self, distance: Distance) -> BackendView {
+        let in_flight = self.in_flight();
+        let state = self.0.state();
+        state.load.view(in_flight, distance, state.last_failure)
     }
 
     /// Sets the load of the other node's backend server from a source other than this link.
     pub fn set_load(&self, load: BackendLoad) {
-        self.0.state().load = load;
+        self.0.record_load(load);
     }
 
     /// Returns the number of calls in flight on this link.
@@ -134,14 +138,9 @@
         self.0.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Returns the time of the last connection loss.
-    pub fn last_failure(&self) -> Option<Instant> {
-        self.0.state().last_failure
-    }
-
-    /// Sends a call and waits for its verdict. Dropping the future cancels the call at the other
-    /// node.
-    pub async fn call(&self, attempt: &Attempt) -> Result<Verdict, ForwardError> {
+    /// Sends a call, which is expected to take the time `work`, and waits for its verdict. Dropping the
+    /// future cancels the call at the other node.
+    pub async fn call(&self, attempt: &Attempt, work: Duration) -> Result<Verdict, ForwardError> {
         let now = self.0.clock.now();
         let head = CallHead::from_attempt(attempt, now);
         let id = self.0.next_id.fetch_add(1, Ordering::Relaxed);
@@ -152,6 +151,7 @@
         let mut guard = CallGuard {
             link: &self.0,
             id,
+            sent: self.0.state().load.begin(work),
             answered: false,
         };
         let verdict = async { receiver.recv().await.unwrap_or(Err(ForwardError::Lost)) };
@@ -257,6 +257,11 @@
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn record_load(&self, load: BackendLoad) {
+        let now = self.clock.now();
+        self.state().load.record(load, now);
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -297,12 +302,14 @@
 struct CallGuard<'a> {
     link: &'a Inner,
     id: CorrelationId,
+    sent: SentCall,
     answered: bool,
 }
 
 impl Drop for CallGuard<'_> {
     fn drop(&mut self) {
         self.link.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.link.state().load.end(self.sent);
         if !self.answered {
             self.link.pending().remove(&self.id);
             // If the link is down, the call is lost anyway.
@@ -427,14 +434,14 @@
                 self.request_rules(rules);
             }
             Frame::Verdict(id, head, load, body) => {
-                inner.state().load = load;
+                inner.record_load(load);
                 if let Some(PendingReply::Call(_, sender)) = inner.pending().remove(&id) {
                     // A closed channel means that the caller has stopped waiting.
                     let _closed = sender.try_send(Ok(head.into_verdict(body)));
                 }
             }
             Frame::ReportAck { load, rules } => {
-                inner.state().load = load;
+                inner.record_load(load);
                 self.request_rules(rules);
             }
             Frame::RulesRequest => {
--- a/crates/policy/src/admission_queue.rs
+++ b/crates/policy/src/admission_queue.rs
@@ -1,10 +1,12 @@
 //! Admission queue of one backend server.
 //!
 //! Calls for which the backend server has no free slot are queued in the node, where the queue is
-//! visible, rather than inside the backend server. They start by rank, then by deadline.
+//! visible, rather than inside the backend server. They start by rank, then by the time at which
+//! their response is due plus their expected work. So a long call lets short ones pass that are due
+//! little later, and only calls that arrive within its own time ahead can pass it.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use filbertwheel_core::{invariant, value};
 
@@ -22,8 +24,10 @@
 pub struct QueueRequest {
     /// Calls with a lower rank run first.
     pub rank: u32,
-    /// When its response is due; among calls of one rank, the earliest runs first.
+    /// When its response is due.
     pub due: Instant,
+    /// Time that it is expected to take; zero if only due times count.
+    pub work: Duration,
     /// When the call leaves the queue without having run.
     pub expires: Instant,
 }
@@ -49,10 +53,18 @@
     queue: BTreeSet<QueuePosition>,
     waiting: HashMap<QueueTicket, QueueRequest>,
     expiry: BTreeMap<(Instant, QueueTicket), ()>,
+    queued_work: Duration,
 }
 
 type QueuePosition = (u32, Instant, QueueTicket);
 
+impl QueueRequest {
+    fn position(&self, ticket: QueueTicket) -> QueuePosition {
+        let order = self.due.checked_add(self.work).unwrap_or(self.due);
+        (self.rank, order, ticket)
+    }
+}
+
 impl AdmissionQueue {
     /// Creates the queue of a backend server that runs `slots` calls concurrently.
     pub fn open(slots: usize) -> Self {
@@ -63,6 +75,7 @@
             queue: BTreeSet::new(),
             waiting: HashMap::new(),
             expiry: BTreeMap::new(),
+            queued_work: Duration::ZERO,
         }
     }
 
@@ -76,6 +89,11 @@
         self.queue.len()
     }
 
+    /// Returns the time that the queued calls are expected to take.
+    pub fn queued_work(&self) -> Duration {
+        self.queued_work
+    }
+
     /// Returns the number of calls that may run concurrently.
     pub fn slots(&self) -> usize {
         self.slots
@@ -98,7 +116,8 @@
         }
         self.last_ticket += 1;
         let ticket = self.last_ticket;
-        self.queue.insert((request.rank, request.due, ticket));
+        self.queue.insert(request.position(ticket));
+        self.queued_work += request.work;
         self.expiry.insert((request.expires, ticket), ());
         self.waiting.insert(ticket, request);
         QueueOutcome::Wait(ticket)
@@ -120,7 +139,8 @@
         let Some(request) = self.waiting.remove(&ticket) else {
             return false;
         };
-        self.queue.remove(&(request.rank, request.due, ticket));
+        self.queue.remove(&request.position(ticket));
+        self.queued_work -= request.work;
         self.expiry.remove(&(request.expires, ticket));
         true
     }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -11,9 +11,11 @@
 /// Cost of a backend server at which all runs fail, in units of occupancy.
 const FAILURE_COST: f64 = 3.0;
 /// Failure rate above which a backend server is hardly used, also if the others are full.
-const BROKEN_RATE: f64 = 0.5;
+pub(crate) const BROKEN_RATE: f64 = 0.5;
 /// Cost of a further failure rate above that of 1, in units of occupancy.
 const BROKEN_COST: f64 = 40.0;
+/// Cost of a backend server that is avoided, in units of occupancy.
+const AVOID_COST: f64 = 10.0;
 /// How long a backend server is avoided after a failed connection.
 const AVOID_TIME: Duration = Duration::from_millis(400);
 /// Largest random cost. It keeps senders with the same view from choosing the same backend server.
@@ -33,22 +35,32 @@
     pub slots: u32,
     /// Duration of its runs relative to the mean over all backend servers, which is 1.
     pub slowness: f32,
+    /// The same apart from changes of a moment.
+    pub usual_slowness: f32,
     /// Fraction of its runs that fail.
     pub failing: f32,
+    /// Seconds for which its running and queued calls are expected to occupy all its slots; 0 if its
+    /// node only counts calls.
+    pub backlog: f32,
+    /// Seconds until a call that arrives now is expected to start.
+    pub delay: f32,
+    /// Whether it has had no call for some time, so that nothing is known of it.
+    pub idle: bool,
 }
 
 impl BackendLoad {
     /// Returns the number of running and queued calls per slot.
     pub fn occupancy(&self) -> f64 {
-        f64::from(self.running + self.queued) / f64::from(self.slots.max(1))
+        (f64::from(self.running) + f64::from(self.queued)) / f64::from(self.slots.max(1))
     }
 }
 
 /// Network distance to another node.
 #[value]
-#[derive(Copy)]
+#[derive(Copy, Default)]
 pub enum Distance {
     /// On the same VM.
+    #[default]
     SameVm,
     /// In the same failure domain.
     SameDomain,
@@ -57,12 +69,18 @@
 }
 
 /// State of one backend server as seen by a sending node.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct BackendView {
     /// Load that its node reported last.
     pub load: BackendLoad,
-    /// Unanswered calls that this node has sent since that report.
+    /// When that report arrived; `None` if none has.
+    pub reported: Option<Instant>,
+    /// Unanswered calls that this node has sent there.
+    pub in_flight: u32,
+    /// Unanswered calls that this node has sent there since that report.
     pub pending: u32,
+    /// Expected work of the latter in seconds at a server of usual speed.
+    pub pending_work: f64,
     /// Distance to its node.
     pub distance: Distance,
     /// When a connection to it last failed.
@@ -70,29 +88,44 @@
 }
 
 impl BackendView {
-    /// Returns the cost of sending a call there, where the lowest cost wins. `jitter` is a random
-    /// number from 0 to 1.
+    /// Returns the cost of sending a call there by the number of calls, where the lowest cost wins.
+    /// `jitter` is a random number from 0 to 1.
     pub fn cost(&self, now: Instant, jitter: f64) -> f64 {
         let slots = f64::from(self.load.slots.max(1));
-        let occupancy = self.load.occupancy() + f64::from(self.pending) / slots;
+        let occupancy = self.load.occupancy() + f64::from(self.in_flight) / slots;
         // Without a free slot, a call waits for others to finish.
         let waiting = (occupancy - 0.9).max(0.0) * 3.0;
         let slowness = f64::from(self.load.slowness.clamp(0.2, MAX_SLOWNESS as f32));
+        (0.5 + occupancy + waiting) * slowness.max(0.5) + self.other_costs(now, jitter)
+    }
+
+    /// Returns the calls per slot, with those that this node has sent since the report.
+    pub fn utilisation(&self) -> f64 {
+        let slots = f64::from(self.load.slots.max(1));
+        self.load.occupancy() + f64::from(self.pending) / slots
+    }
+
+    /// Returns whether a connection to it has just failed.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.last_failure
+            .is_some_and(|at| now.saturating_duration_since(at) < AVOID_TIME)
+    }
+
+    /// Returns the cost of its distance and of what fails there, in units of occupancy, with jitter.
+    pub(crate) fn other_costs(&self, now: Instant, jitter: f64) -> f64 {
         let distance = match self.distance {
             Distance::SameVm => 0.0,
             Distance::SameDomain => OTHER_VM_COST,
             Distance::OtherDomain => OTHER_DOMAIN_COST,
         };
-        let is_avoided = self
-            .last_failure
-            .is_some_and(|at| now.saturating_duration_since(at) < AVOID_TIME);
         let failing = f64::from(self.load.failing);
         let failing = failing * FAILURE_COST + (failing - BROKEN_RATE).max(0.0) * BROKEN_COST;
-        (0.5 + occupancy + waiting) * slowness.max(0.5)
-            + distance
-            + failing
-            + if is_avoided { 10.0 } else { 0.0 }
-            + jitter * JITTER_COST
+        let avoided = if self.is_avoided(now) {
+            AVOID_COST
+        } else {
+            0.0
+        };
+        distance + failing + avoided + jitter * JITTER_COST
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,8 @@
 mod ownership;
 mod pacer;
 mod parent_session;
+mod peer_load;
+mod placement;
 mod profiler;
 mod quarantine;
 mod queue;
@@ -74,6 +76,8 @@
 pub use ownership::OwnershipHistory;
 pub use pacer::{Pacer, SendReservation};
 pub use parent_session::{AttachOutcome, PARENT_TIMEOUT, ParentSession};
+pub use peer_load::{PeerLoad, SentCall};
+pub use placement::{LeastExpectedTime, LeastOccupied, Placement};
 pub use profiler::{PendingCall, Profiler, RouteProfile};
 pub use quarantine::{CRASH_LIMIT, CrashReport, Fingerprint, Quarantine, RunMode};
 pub use quota::{
--- a/crates/policy/tests/admission_queue.rs
+++ b/crates/policy/tests/admission_queue.rs
@@ -13,6 +13,7 @@
     QueueRequest {
         rank: 0,
         due: now + Duration::from_millis(due_ms),
+        work: Duration::ZERO,
         expires: now + Duration::from_millis(expires_ms),
     }
 }
@@ -32,6 +33,33 @@
     assert_eq!(queue.finish(), vec![late]);
 }
 
+/// A long call in front of short ones makes them all late, though it isn't due before them.
+#[test]
+fn a_long_call_lets_short_ones_pass_that_are_due_soon() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::open(1);
+    queue.offer(request(now, 0, 900));
+    let mut offer = |due_ms, work_ms| {
+        let request = QueueRequest {
+            work: Duration::from_millis(work_ms),
+            ..request(now, due_ms, 9_000)
+        };
+        match queue.offer(request) {
+            QueueOutcome::Wait(ticket) => ticket,
+            other => panic!("the only slot is taken: {other:?}"),
+        }
+    };
+    let long = offer(600, 400);
+    let short: Vec<_> = (0..5).map(|step| offer(700 + step, 20)).collect();
+    // One that is due only when the long one should have ended doesn't pass it.
+    let later = offer(1_000, 20);
+    assert_eq!(queue.queued_work(), Duration::from_millis(520));
+    let order: Vec<_> = (0..7).flat_map(|_| queue.finish()).collect();
+    let expected: Vec<_> = short.into_iter().chain([long, later]).collect();
+    assert_eq!(order, expected);
+    assert_eq!(queue.queued_work(), Duration::ZERO);
+}
+
 #[test]
 fn expired_calls_leave_the_queue() {
     let now = Instant::now();
@@ -53,6 +81,37 @@
 }
 
 proptest! {
+    /// No kind of call starves: a call is only passed by those that arrive before it is due and its work
+    /// should be done, whatever keeps arriving.
+    #[test]
+    fn a_long_call_is_passed_for_a_bounded_time(
+        work_ms in 0..5_000_u64,
+        due_ms in 0..3_000_u64,
+        others in proptest::collection::vec((0..50_u64, 0..500_u64), 300..400),
+    ) {
+        let start = Instant::now();
+        let mut queue = AdmissionQueue::open(1);
+        queue.offer(request(start, 0, 900));
+        let call = QueueRequest {
+            work: Duration::from_millis(work_ms),
+            ..request(start, due_ms, 90_000)
+        };
+        let QueueOutcome::Wait(ticket) = queue.offer(call) else {
+            panic!("the only slot is taken");
+        };
+        let latest_ms = due_ms + work_ms;
+        let mut passed_ms = 0;
+        for (gap_ms, due_ms) in others {
+            passed_ms += gap_ms;
+            let now = start + Duration::from_millis(passed_ms);
+            queue.offer(request(now, due_ms, 90_000));
+            if queue.finish().contains(&ticket) {
+                break;
+            }
+            prop_assert!(passed_ms <= latest_ms, "passed after {passed_ms} ms");
+        }
+    }
+
     /// No sequence of offered, finished and cancelled calls runs more calls than there are slots.
     #[test]
     fn running_calls_never_exceed_the_slots(steps in proptest::collection::vec(0..4_u8, 1..200)) {
