Weigh the time of a call itself in full when it is placed

What callers saw (drawn runs): calls waited for less, but many still ran at slow servers beside faster ones with room.

Cause: the time that a call takes itself counted half, a weight left from counting calls. Expected completion and the work found there now count alike, which also removes a constant.

The load tests ask for a clear gain now, so that they fail without the policy. It now asks the stricter thing in every second: none gets more than half above what it can run.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -12,9 +12,6 @@
 const EXPLORED_PART: f64 = 1.0 / 64.0;
 /// The same if a candidate has had no call for some time, so that no sound server stays without.
 const IDLE_PART: f64 = 1.0 / 8.0;
-/// Weight of the time that a call is expected to take itself, relative to the work that it finds
-/// there. What a sender knows of the latter is old, so more may have come.
-const OWN_TIME_WEIGHT: f64 = 0.5;
 /// Utilisation above which a call may have to wait for a slot by the time it arrives, and the cost
 /// of each further unit in units of a run.
 const NEARLY_FULL: f64 = 0.9;
@@ -117,7 +114,8 @@
     run.max(work).max(MIN_UNIT)
 }
 
-/// Returns the cost of the call's own time and of the work that it finds there.
+/// Returns the cost of the time until the call is complete, and of the work that it finds there: what a
+/// sender knows of the latter is old, so more may have come.
 fn expected_cost(view: &BackendView, work: f64, unit: f64, now: Instant) -> f64 {
     let slowness = present_slowness(view, now);
     let slots = f64::from(view.load.slots.max(1));
@@ -131,7 +129,7 @@
     let complete = waits + work * slowness;
     let backlog = reported_backlog(view, unit) + own_pending;
     let nearly_full = (utilisation - NEARLY_FULL).max(0.0) * FULL_COST * slowness;
-    (complete * OWN_TIME_WEIGHT + backlog) / unit + nearly_full
+    (complete + backlog) / unit + nearly_full
 }
 
 /// Returns the slowness that was reported, faded to the usual one with the age of the report.
--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -8,6 +8,8 @@
 use crate::drawn::{Draw, Outcome, play};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
+/// Part of a time below which another one is clearly shorter.
+const MUCH_LESS: f64 = 0.96;
 
 /// Returns the 99th percentiles by number of calls and by expected cost, each the mean of a few seeds.
 fn p99(draw: &Draw) -> (f64, f64) {
@@ -49,12 +51,31 @@
     }
 }
 
+/// A server that is always slow must get less, without a figure that says so.
 #[test]
 fn uneven_servers_serve_calls_as_fast_as_placed_by_number() {
     let (by_number, by_cost) = p99(&uneven());
-    assert!(by_cost <= by_number, "{by_cost} against {by_number}");
+    assert!(
+        by_cost < by_number * MUCH_LESS,
+        "{by_cost} against {by_number}"
+    );
 }
 
+/// Near the limit, fast servers must not be so full that calls wait long while slow ones have room.
+#[test]
+fn uneven_servers_near_their_limit_are_all_used() {
+    let draw = Draw {
+        rate: 1_000.0,
+        ..uneven()
+    };
+    let (by_number, by_cost) = p99(&draw);
+    assert!(
+        by_cost < by_number * MUCH_LESS,
+        "{by_cost} against {by_number}"
+    );
+}
+
+/// Servers that are slow for 0.6 s at a time must get less while it lasts.
 #[test]
 fn spells_of_slowness_delay_fewer_calls() {
     let draw = Draw {
@@ -63,7 +84,10 @@
         ..uneven()
     };
     let (by_number, by_cost) = p99(&draw);
-    assert!(by_cost <= by_number, "{by_cost} against {by_number}");
+    assert!(
+        by_cost < by_number * MUCH_LESS,
+        "{by_cost} against {by_number}"
+    );
 }
 
 /// Calls of a heavy organisation, counted as one each, make others wait behind them.
@@ -79,7 +103,10 @@
         waits.iter().sum::<f64>() / waits.len() as f64
     };
     let (by_number, by_cost) = (wait(false), wait(true));
-    assert!(by_cost <= by_number, "{by_cost} against {by_number}");
+    assert!(
+        by_cost < by_number * MUCH_LESS,
+        "{by_cost} against {by_number}"
+    );
 }
 
 /// Many senders that know the same old report must not all send to the server that looked best.
@@ -119,11 +146,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 12, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
-    /// Whatever the speeds and the load, each sound server gets calls, and none gets all of them.
+    /// Whatever the speeds and the load, each sound server gets calls, and none more than it can run.
     #[test]
-    fn every_sound_server_gets_some_calls_and_none_gets_all(
+    fn every_sound_server_gets_some_calls_and_none_too_many(
         servers in proptest::collection::vec(0.4..1.7_f64, 3..14),
         load in 0.1..0.8_f64,
         spells in 0.0..0.3_f64,
@@ -142,13 +169,11 @@
         };
         let outcome = play(&draw, true, seed);
         prop_assert!(longest_without(&outcome) <= 4, "{:?}", outcome.calls);
-        let calls: Vec<usize> = outcome.calls.iter().map(|server| server.iter().sum()).collect();
-        let all: usize = calls.iter().sum();
-        for (server, calls) in calls.iter().enumerate() {
-            // There is room elsewhere, so none gets more than it can run.
-            let bearable = 8.0 / draw.servers[server] / 0.1 * 8.0;
-            prop_assert!((*calls as f64) < bearable, "{calls} at {server}");
-            prop_assert!((*calls as f64) < 0.75 * all as f64, "{calls} at {server} of {all}");
+        for (calls, slowness) in outcome.calls.iter().zip(&draw.servers) {
+            // There is room elsewhere, so none gets much more than it can run, in any second.
+            let bearable = 8.0 / slowness / 0.1;
+            let most = *calls.iter().max().expect("there are seconds") as f64;
+            prop_assert!(most < 1.5 * bearable, "{calls:?} where {bearable} a second can run");
         }
     }
 }
