--- a/crates/engine/src/status.rs
+++ b/crates/engine/src/status.rs
@@ -99,7 +99,7 @@
         let capacity = |target: &Target| {
             let load = match &target.link {
                 None => self.runner.load(),
-                Some(link) => link.load(),
+                Some(link) => link.view(target.distance).load,
             };
             let slots = usable_slots(&target.member, &load);
             (f64::from(slots), f64::from(load.running + load.queued))
--- a/crates/peer/tests/accept.rs
+++ b/crates/peer/tests/accept.rs
@@ -190,12 +190,18 @@
             clock().sleep(Duration::from_millis(5)).await;
         }
         for status in [0, 20, 99, 101, 199, 600, 999, 2_000] {
-            let verdict = link.call(&attempt(status)).await.expect("the link is up");
+            let verdict = link
+                .call(&attempt(status), Duration::ZERO)
+                .await
+                .expect("the link is up");
             let broken = Err(Failure::Unknown(UnknownReason::Broken));
             assert_eq!(verdict, broken, "status {status}");
         }
         for status in [200, 204, 404, 500, 599] {
-            let verdict = link.call(&attempt(status)).await.expect("the link is up");
+            let verdict = link
+                .call(&attempt(status), Duration::ZERO)
+                .await
+                .expect("the link is up");
             assert_eq!(verdict.map(|answer| answer.status), Ok(status));
         }
     }));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod demand;
 mod departures;
 mod evacuation;
+mod expected_work;
 mod gate;
 mod graph;
 mod headroom;
@@ -30,6 +31,8 @@
 mod ownership;
 mod pacer;
 mod parent_session;
+mod peer_load;
+mod placement;
 mod profiler;
 mod quarantine;
 mod queue;
@@ -41,6 +44,7 @@
 mod roster;
 mod round_robin;
 mod routing;
+mod speed;
 mod stop;
 mod subtree;
 mod succession;
@@ -48,6 +52,7 @@
 mod term;
 mod tree;
 mod watch;
+mod work_meter;
 
 pub use admission::{
     AdmissionPlan, AdmissionPlanner, Capacity, FairShedder, RouteDemand, ShedThreshold,
@@ -65,6 +70,7 @@
 pub use evacuation::{
     Evacuation, EvacuationChange, EvacuationReport, EvacuationRows, Evacuations, MAX_EVACUATED,
 };
+pub use expected_work::{Expectation, ExpectedWork, WorkSeconds};
 pub use gate::{Gate, GateOutcome, GateRequest, GateTicket, WaitOutcome};
 pub use graph::{CallGraph, RequestCost, ServiceCost};
 pub use headroom::{Headroom, ServerCapacity, demanded_slots, headroom};
@@ -78,6 +84,8 @@
 pub use ownership::OwnershipHistory;
 pub use pacer::{Pacer, SendReservation};
 pub use parent_session::{AttachOutcome, PARENT_TIMEOUT, ParentSession};
+pub use peer_load::{PeerLoad, SentCall};
+pub use placement::{LeastExpectedTime, LeastOccupied, Placement};
 pub use profiler::{PendingCall, Profiler, RouteProfile};
 pub use quarantine::{CRASH_LIMIT, CrashReport, Fingerprint, Quarantine, RunMode};
 pub use quota::{
@@ -90,6 +98,7 @@
 pub use roster::Roster;
 pub use round_robin::WeightedRoundRobin;
 pub use routing::{Candidate, LoadTracker, choose_backend};
+pub use speed::Speed;
 pub use stop::StopWindow;
 pub use subtree::{REJOIN_TIMEOUT, Subtree};
 pub use succession::{LeaseClaim, LeaseOffer, LeaseView, StatedLease, Succession};
@@ -100,6 +109,7 @@
 pub use term::{LeaseTerm, OUTAGE_LIMIT, SUPPORT_LIFETIME};
 pub use tree::{MAX_CHILDREN, MAX_CLAIM_HOPS, choose_child};
 pub use watch::WatchDuty;
+pub use work_meter::{CallWork, MeasuredRun, Occupancy, RunTicket, WorkFigures, WorkMeter};
 
 /// A full rate and burst, in the integer units that shares are counted in.
 pub const FULL_PORTION: u64 = 1_000_000_000;
--- a/crates/policy/tests/homes.rs
+++ b/crates/policy/tests/homes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use filbertwheel_core::{OrganisationPolicy, RegionId, RouteRule, Rules, Target};
-use filbertwheel_policy::{AllowedRegions, BackendLoad, BackendView, Distance, have_room};
+use filbertwheel_policy::{AllowedRegions, BackendLoad, BackendView, have_room};
 
 fn regions(names: &[&'static str]) -> Vec<RegionId> {
     names.iter().map(|name| (*name).into()).collect()
@@ -82,8 +82,7 @@
             ..BackendLoad::default()
         },
         pending,
-        distance: Distance::SameDomain,
-        last_failure: None,
+        ..BackendView::default()
     }
 }
 
