Shed a load that the learnt costs don't explain yet by the calls in flight

Callers saw most requests refused, and 504 of backend servers, in the first seconds of a load over capacity, though the same load was served later.

Cause: with nothing learnt, all requests were let in until the first had ended and their profiles had reached all nodes (1.4 s). 2,191 calls were then in flight at a service with 772 slots, and kept it full of work that ended at its deadline. The demand was smoothed over 500 ms at each node, so a rise by a wave or a burst counted late too.

As long as the learnt costs explain less than half of the calls in flight, these calls, extrapolated by the time that calls follow their request, decide how much is let in, by rank and alike for all routes. Nodes state their demand over 150 ms; the sum over the fleet, in which chance is small, is smoothed over 500 ms when it falls, and a rise beyond three standard deviations counts at once.

--- a/crates/engine/src/control/plan.rs
+++ b/crates/engine/src/control/plan.rs
@@ -6,8 +6,8 @@
 
 use filbertwheel_core::{Member, ServiceId};
 use filbertwheel_policy::{
-    AdmissionPlan, AdmissionPlanner, BackendLoad, CallGraph, Capacity, DemandMeter, FleetSums,
-    RouteProfile, ShedThreshold,
+    AdmissionPlan, AdmissionPlanner, BackendLoad, CallGraph, Capacity, DemandMeter, DemandTrend,
+    FleetSums, RouteProfile, ShedThreshold,
 };
 
 use super::state::Control;
@@ -27,6 +27,7 @@
     pub own_profiles: Vec<RouteProfile>,
     /// Route profiles that were read from the store, if this node holds the lease.
     stored_profiles: Option<Vec<RouteProfile>>,
+    trend: DemandTrend,
     planner: AdmissionPlanner,
     /// Time of the last plan.
     planned: Option<Instant>,
@@ -69,8 +70,9 @@
         let capacities = capacities(&sums);
         let before = self.plan.planned.replace(now).unwrap_or(now);
         let since = now.saturating_duration_since(before);
+        let demand = self.plan.trend.update(&sums.demand, since);
         let planner = &mut self.plan.planner;
-        let admission_plan = planner.plan(&sums.demand, &costs, &capacities, since);
+        let admission_plan = planner.plan(&demand, &costs, &capacities, since);
         self.log_thresholds(&admission_plan, &capacities, sums.nodes, age);
         self.parts.snapshots.store(Arc::new(Snapshot {
             admission_plan: Arc::new(admission_plan),
@@ -146,6 +148,7 @@
                     kept = threshold.admitted_permille,
                     slots = capacity.slots,
                     busy = capacity.in_flight,
+                    learnt = !admission_plan.unlearnt.contains(service),
                     nodes,
                     age_ms = age.as_millis() as u64,
                     "control: A service is overloaded; requests of this rank are shed."
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -10,6 +10,7 @@
 use filbertwheel_core::{OrganisationId, Rank, RouteId, ServiceId, message, value};
 
 use crate::graph::RequestCost;
+use crate::unlearnt::UnlearntLoads;
 
 /// Fraction of a service's slots that the plan assigns. The rest absorbs bursts of calls.
 const PLANNED_OCCUPANCY: f64 = 0.92;
@@ -74,6 +75,8 @@
 pub struct AdmissionPlan {
     /// Shed threshold of each overloaded service.
     pub thresholds: BTreeMap<ServiceId, ShedThreshold>,
+    /// Services whose threshold follows from the calls in flight, because costs aren't learnt yet.
+    pub unlearnt: Vec<ServiceId>,
     /// Overloaded services that a route uses.
     routes: HashMap<RouteId, Vec<ServiceId>>,
 }
@@ -116,6 +119,7 @@
 pub struct AdmissionPlanner {
     /// Factor that corrects the planned capacity of each service; 1 is no correction.
     trims: BTreeMap<ServiceId, f64>,
+    unlearnt: UnlearntLoads,
 }
 
 impl AdmissionPlanner {
@@ -130,7 +134,9 @@
         let steps = elapsed.as_secs_f64() / TRIM_TIME.as_secs_f64();
         let mut slots_by_rank: BTreeMap<&ServiceId, BTreeMap<Rank, f64>> = BTreeMap::new();
         let mut slots_by_route: BTreeMap<&ServiceId, BTreeMap<&RouteId, f64>> = BTreeMap::new();
+        let mut rates: BTreeMap<Rank, f64> = BTreeMap::new();
         for demand in demands {
+            *rates.entry(demand.rank).or_default() += f64::from(demand.rate);
             for (service, cost) in costs.get(&demand.route).into_iter().flatten() {
                 if cost.slot_seconds >= MIN_SLOT_SECONDS {
                     let slots = f64::from(demand.rate) * cost.slot_seconds;
@@ -142,10 +148,19 @@
             }
         }
         let mut thresholds = BTreeMap::new();
-        for (service, by_rank) in slots_by_rank {
-            let Some(capacity) = capacities.get(service).filter(|one| one.slots > 0.0) else {
+        let mut unlearnt = Vec::new();
+        for (service, capacity) in capacities.iter().filter(|(_, one)| one.slots > 0.0) {
+            let by_rank = slots_by_rank.remove(service).unwrap_or_default();
+            let explained = by_rank.values().sum();
+            let loads = &mut self.unlearnt;
+            if let Some(expected) = loads.expected(service, *capacity, explained, elapsed) {
+                let available = capacity.slots * PLANNED_OCCUPANCY;
+                if let Some(threshold) = shed_threshold(&spread(&rates, expected), available) {
+                    thresholds.insert(service.clone(), threshold);
+                    unlearnt.push(service.clone());
+                }
                 continue;
-            };
+            }
             let trim = self.trims.get(service).copied().unwrap_or(1.0);
             let queued = (capacity.in_flight - capacity.slots).max(0.0);
             let planned =
@@ -157,8 +172,14 @@
             }
         }
         let mut routes: HashMap<RouteId, Vec<ServiceId>> = HashMap::new();
+        for route in costs.keys() {
+            for service in &unlearnt {
+                let used = routes.entry(route.clone()).or_default();
+                used.push(service.clone());
+            }
+        }
         for (service, by_route) in slots_by_route {
-            if !thresholds.contains_key(service) {
+            if !thresholds.contains_key(service) || unlearnt.contains(service) {
                 continue;
             }
             let slots = capacities.get(service).map_or(0.0, |one| one.slots);
@@ -167,7 +188,11 @@
                 used.push(service.clone());
             }
         }
-        AdmissionPlan { thresholds, routes }
+        AdmissionPlan {
+            thresholds,
+            unlearnt,
+            routes,
+        }
     }
 
     /// Corrects the planned capacity of a service by its occupancy. `steps` is the time since the
@@ -193,6 +218,15 @@
     }
 }
 
+/// Spreads a number of slots over all requests alike, by rank.
+fn spread(rates: &BTreeMap<Rank, f64>, slots: f64) -> BTreeMap<Rank, f64> {
+    let total: f64 = rates.values().sum();
+    let parts = rates.iter();
+    parts
+        .map(|(rank, rate)| (*rank, slots * rate / total.max(f64::MIN_POSITIVE)))
+        .collect()
+}
+
 /// Returns the routes without the least demanding ones, which together use up to `exempt_slots`.
 fn demanding_routes<'a>(
     slots_by_route: &BTreeMap<&'a RouteId, f64>,
--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -1,4 +1,4 @@
-//! Smoothed demand of callers at one node.
+//! Smoothed demand of callers, at one node and over the fleet.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -7,8 +7,13 @@
 
 use crate::RouteDemand;
 
-/// Time constant of the smoothing.
-const SMOOTHING_TIME: Duration = Duration::from_millis(500);
+/// Time constant of the smoothing at one node. The sums over the fleet are smoothed further.
+const SMOOTHING_TIME: Duration = Duration::from_millis(150);
+/// Time constant of the smoothing over the fleet.
+const TREND_TIME: Duration = Duration::from_millis(500);
+/// Standard deviations by which a demand must exceed the smoothed one to count at once. Smaller
+/// differences may be chance.
+const MIN_RISE_DEVIATIONS: f64 = 3.0;
 /// Requests per second below which a demand is dropped.
 const MIN_DEMAND: f64 = 0.005;
 
@@ -54,3 +59,42 @@
             .collect()
     }
 }
+
+/// Smooths the demand over the fleet. Chance differences are small there, so a rise beyond them
+/// counts at once: calls of requests that were let in can't be shed later.
+#[derive(Debug, Default)]
+pub struct DemandTrend {
+    rates: HashMap<(RouteId, Rank), f64>,
+}
+
+impl DemandTrend {
+    /// Adds the present demand, a time `elapsed` after the last one. Returns the smoothed demand.
+    pub fn update(&mut self, present: &[RouteDemand], elapsed: Duration) -> Vec<RouteDemand> {
+        let kept = (-elapsed.as_secs_f64() / TREND_TIME.as_secs_f64()).exp();
+        for rate in self.rates.values_mut() {
+            *rate *= kept;
+        }
+        for demand in present {
+            let key = (demand.route.clone(), demand.rank);
+            let latest = f64::from(demand.rate);
+            let rate = self.rates.entry(key).or_default();
+            let smoothed = *rate + latest * (1.0 - kept);
+            let is_rise = latest - smoothed > MIN_RISE_DEVIATIONS * deviation(latest);
+            *rate = if is_rise { latest } else { smoothed };
+        }
+        self.rates.retain(|_, rate| *rate >= MIN_DEMAND);
+        let rates = self.rates.iter();
+        rates
+            .map(|((route, rank), rate)| RouteDemand {
+                route: route.clone(),
+                rank: *rank,
+                rate: *rate as f32,
+            })
+            .collect()
+    }
+}
+
+/// Returns the standard deviation of a rate of independent requests that was smoothed at the nodes.
+fn deviation(rate: f64) -> f64 {
+    (rate / (2.0 * SMOOTHING_TIME.as_secs_f64())).sqrt()
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -44,6 +44,7 @@
 mod sums;
 mod term;
 mod tree;
+mod unlearnt;
 mod watch;
 
 pub use admission::{
@@ -57,7 +58,7 @@
 pub use catchup::RulesCatchup;
 pub use cutoff::{CUT_OFF_LIFETIME, CutOffs};
 pub use dedup::{DEDUP_WINDOW, DedupDecision, DedupTable, MAX_CLOCK_SKEW};
-pub use demand::DemandMeter;
+pub use demand::{DemandMeter, DemandTrend};
 pub use departures::{Departure, DepartureLog, DepartureRow, DepartureWrite};
 pub use gate::{Gate, GateOutcome, GateRequest, GateTicket, WaitOutcome};
 pub use graph::{CallGraph, RequestCost, ServiceCost};
