Pace cold backend servers and let in whole requests while they warm up

Cause: nobody read what a cold backend server states. It got its share of all requests, far above the rate that it takes. No node knew what calls cost, since the route profiles are in a row that only the lease holder reads, and the lease of before the loss expires only later.

Change: the node beside a backend server knows until when it is cold (reports by start and sequence, responses, other nodes' hellos; a refused connection or two losses in a row count as a restart until the next report), and paces its calls with the pacer of the stated limits, at the lower of both rates. Calls that wait reserve again when pacing begins. The sums over the fleet carry number, rate and time left of the cold ones; the entries let in whole requests by calls per second, by rank, and tell the others to return when the service is warm, spread. While no lease holder is known, the nodes that watch the store read the route profiles.

--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -21,6 +21,10 @@
     pub limit: Option<RequestRate>,
     /// Whether it is leaving and takes no new requests.
     pub leaving: bool,
+    /// How much longer it was cold when it stated this; zero if it was warm.
+    pub warmup_left: Duration,
+    /// Sequence number of its last status report.
+    pub sequence: u64,
     /// Time since it stated this.
     pub age: Duration,
 }
--- a/crates/engine/src/control/plan.rs
+++ b/crates/engine/src/control/plan.rs
@@ -1,13 +1,13 @@
 //! Plans load shedding from the demand, the request costs and the capacity of the fleet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use filbertwheel_core::{Member, ServiceId};
 use filbertwheel_policy::{
     AdmissionPlan, AdmissionPlanner, BackendLoad, CallGraph, Capacity, DemandMeter, FleetSums,
-    RouteProfile, ShedThreshold,
+    RouteProfile, ShedThreshold, WarmupPlan, plan_warmup,
 };
 
 use super::state::Control;
@@ -32,6 +32,8 @@
     planned: Option<Instant>,
     /// Shed thresholds as they were last logged.
     logged_thresholds: BTreeMap<ServiceId, ShedThreshold>,
+    /// Services whose warm-up was logged as the reason of refusals.
+    logged_warmups: BTreeSet<ServiceId>,
 }
 
 impl Control {
@@ -72,8 +74,11 @@
         let planner = &mut self.plan.planner;
         let admission_plan = planner.plan(&sums.demand, &costs, &capacities, since);
         self.log_thresholds(&admission_plan, &capacities, sums.nodes, age);
+        let warmup_plan = plan_warmup(&sums.demand, &costs, &sums.capacities);
+        self.log_warmups(&warmup_plan);
         self.parts.snapshots.store(Arc::new(Snapshot {
             admission_plan: Arc::new(admission_plan),
+            warmup_plan: Arc::new(warmup_plan),
             costs: Arc::new(costs),
             elapsed: Arc::new(elapsed),
             ..Snapshot::clone(&self.parts.snapshots.load())
@@ -105,6 +110,11 @@
         });
     }
 
+    /// Returns whether this node is to contribute the stored profiles.
+    pub(super) fn keeps_profiles(&self) -> bool {
+        self.lease.is_some() || self.holder.is_none() && self.watching
+    }
+
     /// Returns whether the stored profiles were read.
     pub(super) fn has_stored_profiles(&self) -> bool {
         self.plan.stored_profiles.is_some()
@@ -118,6 +128,31 @@
         self.call_graph().profiles()
     }
 
+    /// Logs the services whose warm-up begins or ends to be a reason to refuse requests.
+    fn log_warmups(&mut self, plan: &WarmupPlan) {
+        let known = std::mem::take(&mut self.plan.logged_warmups);
+        let mut warming = BTreeSet::new();
+        for ((route, rank), share) in plan.shares() {
+            if warming.insert(share.service.clone()) && !known.contains(&share.service) {
+                tracing::info!(
+                    service = %share.service,
+                    route = %route,
+                    rank = %rank,
+                    kept = share.admitted_permille,
+                    left_ms = share.left.as_millis() as u64,
+                    "control: A service warms up; requests that need it are refused."
+                );
+            }
+        }
+        for service in known.difference(&warming) {
+            tracing::info!(
+                service = %service,
+                "control: No requests are refused any more because a service warms up."
+            );
+        }
+        self.plan.logged_warmups = warming;
+    }
+
     /// Logs shed thresholds that are new, have ended or have changed significantly, with the number
     /// of nodes whose measurements they are based on and the mean age of these.
     fn log_thresholds(
@@ -170,9 +205,11 @@
     }
 }
 
-/// Returns the slots and the load of each service.
+/// Returns the slots and the load of each service, without those that warm up, which the warm-up plan
+/// is for.
 fn capacities(sums: &FleetSums) -> BTreeMap<ServiceId, Capacity> {
-    let capacities = sums.capacities.iter().map(|one| {
+    let capacities = sums.capacities.iter();
+    let capacities = capacities.filter(|one| !one.is_warming_up()).map(|one| {
         let capacity = Capacity {
             slots: f64::from(one.slots),
             in_flight: f64::from(one.in_flight),
--- a/crates/engine/src/control/profiles.rs
+++ b/crates/engine/src/control/profiles.rs
@@ -20,7 +20,9 @@
 const WRITE_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Reads the stored route profiles when this node has acquired the lease, and writes the current ones
-/// at intervals while it holds it. The other nodes receive them with the sums over the fleet.
+/// at intervals while it holds it. While no holder is known, the nodes that watch the store read them:
+/// after the loss of all nodes, the earlier lease expires only later. The other nodes receive them
+/// with the sums over the fleet.
 pub(crate) async fn store_profiles(control: Shared) {
     let (store, clock) = {
         let control = control.borrow();
@@ -30,7 +32,7 @@
     let mut written = clock.now();
     loop {
         clock.sleep(CHECK_INTERVAL).await;
-        if control.borrow().lease.is_none() {
+        if !control.borrow().keeps_profiles() {
             control.borrow_mut().set_stored_profiles(None);
             continue;
         }
--- a/crates/engine/src/control/sums.rs
+++ b/crates/engine/src/control/sums.rs
@@ -89,6 +89,8 @@
             service,
             slots: usable_slots(member, &load) as f32,
             in_flight: (load.running + load.queued) as f32,
+            servers: 1,
+            cold: self.parts.engine.runner.cold_capacity().unwrap_or_default(),
         });
         let lease = self.lease.as_ref();
         FleetSums {
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -7,7 +7,7 @@
     Attempt, Failure, OrganisationId, Rank, Refusal, RefusalKind, RouteId, RouteRule, Rules,
     Verdict,
 };
-use filbertwheel_policy::TokenReceipt;
+use filbertwheel_policy::{TokenReceipt, return_time};
 
 use crate::claims::TokenShortage;
 use crate::dispatch::{DispatchResult, with_retry_after};
@@ -207,14 +207,20 @@
     ) -> Result<(), Refusal> {
         let admitted_part = snapshot.admission_plan.admitted_permille(&rule.id, rank);
         let part = admitted_part.map_or(1_000, |(part, _)| part);
+        let warmup = snapshot.warmup_plan.share(&rule.id, rank);
+        let warmup = warmup.filter(|share| share.admitted_permille < part);
+        let part = warmup.map_or(part, |share| share.admitted_permille);
         if self.shedder().admit(&rule.id, rank, organisation, part) {
             return Ok(());
         }
-        let refusal = Refusal::retry_after(
-            RefusalKind::OverloadedDeep,
-            with_jitter(OVERLOAD_RETRY_AFTER),
-        );
-        Err(refusal)
+        let after = match warmup {
+            Some(share) => {
+                self.metrics.shed_warming.inc();
+                return_time(share.left, rand::random())
+            }
+            None => with_jitter(OVERLOAD_RETRY_AFTER),
+        };
+        Err(Refusal::retry_after(RefusalKind::OverloadedDeep, after))
     }
 
     async fn run(
@@ -307,7 +313,17 @@
                     threshold.admitted_permille, threshold.rank
                 )
             });
-            Some(overloaded.collect::<Vec<_>>().join(", "))
+            let warming = snapshot.warmup_plan.shares();
+            let warming = warming.filter(|((warming, _), _)| Some(warming) == route);
+            let warming = warming.map(|((_, rank), share)| {
+                format!(
+                    "{} warms up for {} ms and admits {} of 1000 requests of rank {rank}",
+                    share.service,
+                    share.left.as_millis(),
+                    share.admitted_permille
+                )
+            });
+            Some(overloaded.chain(warming).collect::<Vec<_>>().join(", "))
         }
         _ => None,
     }
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -87,6 +87,14 @@
     pub(crate) unacknowledged: Counter,
     /// Requests per second that the backend server accepts; 0 if it states no limit.
     pub(crate) backend_limit: Gauge<f64, AtomicU64>,
+    /// 1 while the backend server is cold and its calls are paced, else 0.
+    pub(crate) cold: Gauge,
+    /// Seconds until the backend server is warm.
+    pub(crate) warmup_left: Gauge<f64, AtomicU64>,
+    /// Calls turned away because the backend server is cold.
+    pub(crate) held_back: Counter,
+    /// Requests refused at the entry because a service warms up.
+    pub(crate) shed_warming: Counter,
     /// Version of the rules in force.
     pub(crate) rules: Gauge,
     /// Epoch of the store in which the lineage of the rules in force began; 0 for the first one.
@@ -153,6 +161,22 @@
                 "backend_request_limit",
                 "Requests per second that the backend server accepts; 0 if it states no limit",
             ),
+            cold: add.metric(
+                "backend_cold",
+                "Whether the backend server is cold and its calls are paced",
+            ),
+            warmup_left: add.metric(
+                "backend_warmup_left_seconds",
+                "Time until the backend server is warm",
+            ),
+            held_back: add.metric(
+                "held_back_by_warmup",
+                "Calls turned away because the backend server is cold",
+            ),
+            shed_warming: add.metric(
+                "refused_by_warmup",
+                "Requests refused at the entry because a service warms up",
+            ),
             rules: add.metric("rules_version", "Version of the rules in force"),
             rules_lineage: add.metric(
                 "rules_lineage",
--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -179,6 +179,7 @@
         if let Some(notice) = reply.notice {
             self.record_notice(&instance.life(), notice, started);
         }
+        self.record_connection(&instance.life(), &attempt, &reply.outcome);
         let result = reply.outcome;
         let now = self.clock.now();
         let elapsed = now.saturating_duration_since(started);
--- a/crates/engine/src/runner/pacing.rs
+++ b/crates/engine/src/runner/pacing.rs
@@ -1,21 +1,28 @@
-//! Keeps to what the backend server states about itself: the limit on its requests, and that it is
-//! leaving.
+//! Keeps to what the backend server states about itself: the limit on its requests, that it is cold,
+//! and that it is leaving.
 
 use std::time::{Duration, Instant};
 
-use filbertwheel_backend::ResponseNotice;
-use filbertwheel_core::{Attempt, Failure, InstanceNotice, Refusal, RefusalKind, Status};
-use filbertwheel_policy::{BackendLoad, Departure, SendReservation};
+use filbertwheel_backend::{BackendError, ResponseNotice};
+use filbertwheel_core::{
+    Answer, Attempt, Failure, InstanceNotice, Refusal, RefusalKind, Status, Warmup,
+};
+use filbertwheel_policy::{BackendLoad, ColdCapacity, Departure};
 
 use super::{Runner, State};
 use crate::control::Message;
-use crate::notices::Life;
+use crate::notices::{Life, PacedSend};
 
 /// How long a call of a running request may wait for its send time. It is the last to be turned
 /// away, because the work of its request would be wasted.
 const NESTED_MAX_WAIT: Duration = Duration::from_millis(500);
 /// How long other calls may wait. After that another backend server is tried.
 const MAX_WAIT: Duration = Duration::from_millis(100);
+/// Warm-up that is assumed as long as no rules are known: the lowest rate that is of use.
+const UNKNOWN_WARMUP: Warmup = Warmup {
+    rate: 1.0,
+    time: Duration::from_secs(1),
+};
 /// Weight of the newest run in the smoothed run time.
 const RUN_TIME_EWMA_WEIGHT: f64 = 0.1;
 
@@ -26,12 +33,11 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let (slowness, failing) = state.health.read(now);
-        let slots = state.usable_slots();
+        let warmup = self.warmup(&state);
+        let slots = self.usable_slots(&mut state);
         let queued = state.queue.queued() as u32;
-        let is_saturated = state
-            .notices
-            .pacer()
-            .is_some_and(|pacer| pacer.wait(now) > MAX_WAIT);
+        let pacer = state.notices.pacer(warmup, now);
+        let is_saturated = pacer.is_some_and(|pacer| pacer.wait(now) > MAX_WAIT);
         BackendLoad {
             running: state.queue.running() as u32,
             queued: if is_saturated {
@@ -45,6 +51,64 @@
         }
     }
 
+    /// Returns the capacity of the backend server while it is cold, and shows the state in the metrics.
+    pub fn cold_capacity(&self) -> Option<ColdCapacity> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let warmup = self.warmup(&state);
+        let warmup = warmup.filter(|_| state.notices.is_cold(warmup, now));
+        self.metrics.cold.set(warmup.is_some().into());
+        let left = warmup.map_or(Duration::ZERO, |warmup| {
+            state.notices.warmup_left(warmup, now)
+        });
+        self.metrics.warmup_left.set(left.as_secs_f64());
+        let rate = state.notices.pacer(warmup, now).map(|pacer| pacer.rate());
+        Some(ColdCapacity {
+            servers: 1,
+            rate: warmup.and(rate)? as f32,
+            slots: self.usable_slots(&mut state) as f32,
+            left,
+        })
+    }
+
+    /// Returns the warm-up of the backend server's service, or `None` if the rules state none.
+    fn warmup(&self, state: &State) -> Option<Warmup> {
+        let snapshot = self.snapshots.load();
+        let Some(rules) = &snapshot.rules else {
+            return Some(UNKNOWN_WARMUP);
+        };
+        let service = &state.instance.as_ref()?.service;
+        rules.services.get(service)?.warmup
+    }
+
+    /// Returns the slots that the backend server can use at the rate at which its calls are paced.
+    fn usable_slots(&self, state: &mut State) -> u32 {
+        let slots = state.queue.slots() as u32;
+        let warmup = self.warmup(state);
+        let pacer = state.notices.pacer(warmup, self.clock.now());
+        let Some(rate) = pacer.map(|pacer| pacer.rate()) else {
+            return slots;
+        };
+        let Some(seconds) = state.run_seconds.or_else(|| self.fleet_run_seconds(state)) else {
+            return 1;
+        };
+        ((rate * seconds).ceil() as u32).clamp(1, slots)
+    }
+
+    /// Returns the mean run time over the fleet of the routes to the backend server's service; `None`
+    /// if none of them is known.
+    fn fleet_run_seconds(&self, state: &State) -> Option<f64> {
+        let snapshot = self.snapshots.load();
+        let (rules, service) = (snapshot.rules.as_ref()?, &state.instance.as_ref()?.service);
+        let routes = rules.routes().filter(|rule| {
+            let mut targets = rule.targets.iter();
+            targets.any(|target| target.service == *service)
+        });
+        let seconds = routes.filter_map(|rule| snapshot.elapsed.get(&rule.id));
+        let (sum, count) = seconds.fold((0.0, 0), |(sum, count), one| (sum + one, count + 1));
+        (count > 0).then(|| sum / f64::from(count))
+    }
+
     /// Returns what the backend server has stated about itself, for the other nodes.
     pub fn notice(&self) -> Option<InstanceNotice> {
         let now = self.clock.now();
@@ -68,6 +132,23 @@
         self.apply_notices(&mut state);
     }
 
+    /// Records how a call to a life ended on its connection, which may show that it has restarted.
+    pub(super) fn record_connection(
+        &self,
+        life: &Life,
+        attempt: &Attempt,
+        outcome: &Result<Answer, BackendError>,
+    ) {
+        if attempt.time_left(self.clock.now()).is_zero() {
+            return;
+        }
+        match outcome {
+            Err(BackendError::NotSent) => self.lock().notices.mark_unreachable(life),
+            Err(BackendError::Lost) => self.lock().notices.mark_lost(life),
+            _ => {}
+        }
+    }
+
     fn apply_notices(&self, state: &mut State) {
         let limit = state.notices.limit();
         self.metrics.backend_limit.set(limit.unwrap_or_default());
@@ -83,37 +164,42 @@
         }
     }
 
-    /// Waits until a call may be sent within the limit, or refuses it.
+    /// Waits until a call may be sent at the present pace, or refuses it.
     pub(super) async fn pace(&self, attempt: &Attempt) -> Result<(), Failure> {
-        while let Some(reservation) = self.reserve(attempt)? {
-            if reservation.wait.is_zero() {
+        while let Some(send) = self.reserve(attempt)? {
+            if send.wait.is_zero() {
                 break;
             }
-            self.clock.sleep(reservation.wait).await;
-            if self.lock().notices.is_valid(&reservation) {
+            self.clock.sleep(send.wait).await;
+            let now = self.clock.now();
+            let mut state = self.lock();
+            let warmup = self.warmup(&state);
+            if state.notices.is_valid(&send, warmup, now) {
                 break;
             }
         }
         Ok(())
     }
 
-    /// Reserves the send time of a call; `None` if there is no limit.
-    fn reserve(&self, attempt: &Attempt) -> Result<Option<SendReservation>, Failure> {
+    /// Reserves the send time of a call; `None` if the calls aren't paced.
+    fn reserve(&self, attempt: &Attempt) -> Result<Option<PacedSend>, Failure> {
         let now = self.clock.now();
-        let mut state = self.lock();
-        let Some(pacer) = state.notices.pacer() else {
-            return Ok(None);
-        };
         let wait = if attempt.nested {
             NESTED_MAX_WAIT
         } else {
             MAX_WAIT
         };
         let wait = wait.min(attempt.time_left(now) / 2);
-        match pacer.reserve(wait, now) {
-            Ok(reservation) => Ok(Some(reservation)),
+        let mut state = self.lock();
+        let warmup = self.warmup(&state);
+        match state.notices.reserve(wait, warmup, now).transpose() {
+            Ok(send) => Ok(send),
             Err(after) => {
-                self.metrics.over_limit.inc();
+                if state.notices.is_cold(warmup, now) {
+                    self.metrics.held_back.inc();
+                } else {
+                    self.metrics.over_limit.inc();
+                }
                 Err(Refusal::retry_after(RefusalKind::Overloaded, after).into())
             }
         }
@@ -121,16 +207,6 @@
 }
 
 impl State {
-    /// Returns the slots that the backend server can use within its limit.
-    fn usable_slots(&mut self) -> u32 {
-        let slots = self.queue.slots() as u32;
-        let rate = self.notices.pacer().map(|pacer| pacer.rate());
-        match (rate, self.run_seconds) {
-            (Some(rate), Some(seconds)) => ((rate * seconds).ceil() as u32).clamp(1, slots),
-            _ => slots,
-        }
-    }
-
     /// Updates the smoothed run time by a completed run.
     pub(super) fn record_run_time(&mut self, elapsed: Duration) {
         let seconds = elapsed.as_secs_f64();
--- a/crates/engine/src/runner/reports.rs
+++ b/crates/engine/src/runner/reports.rs
@@ -42,6 +42,8 @@
         if report.status >= Status::Draining {
             state.notices.mark_leaving(now);
         }
+        let (left, sequence) = (report.warmup_left, report.sequence);
+        state.notices.report_warmup(left, sequence, now);
         let status = state.status(report.status);
         let state = &mut *state;
         let released = state.queue.resize(report.slots as usize);
--- a/crates/engine/src/snapshots.rs
+++ b/crates/engine/src/snapshots.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use filbertwheel_core::{Member, RouteId, Rules, ServiceId, Version, VmId};
 use filbertwheel_peer::{Link, RulesDocument};
-use filbertwheel_policy::{AdmissionPlan, Distance, RequestCost, StopWindow};
+use filbertwheel_policy::{AdmissionPlan, Distance, RequestCost, StopWindow, WarmupPlan};
 
 /// The latest snapshot, shared by all threads.
 pub(crate) type SharedSnapshot = Arc<ArcSwap<Snapshot>>;
@@ -29,6 +29,8 @@
     pub holder: Option<Holder>,
     /// Which requests are shed for lack of capacity of a service.
     pub admission_plan: Arc<AdmissionPlan>,
+    /// Which requests are refused while services warm up.
+    pub warmup_plan: Arc<WarmupPlan>,
     /// Cost of a request of each route at each service.
     pub costs: Arc<HashMap<RouteId, RequestCost>>,
     /// Mean run time of each route over the fleet, in seconds.
@@ -69,6 +71,7 @@
             nodes: 1,
             holder: None,
             admission_plan: Arc::default(),
+            warmup_plan: Arc::default(),
             costs: Arc::default(),
             elapsed: Arc::default(),
             members_known: false,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 mod budget;
 mod catchup;
 mod child;
+mod coldness;
 mod cutoff;
 mod dedup;
 mod demand;
@@ -44,6 +45,7 @@
 mod sums;
 mod term;
 mod tree;
+mod warmup;
 mod watch;
 
 pub use admission::{
@@ -55,6 +57,7 @@
 pub use buckets::{CLAIM_LIFETIME, OutOfTokens, ShareBuckets};
 pub use budget::{RetryBudget, RetryLimits};
 pub use catchup::RulesCatchup;
+pub use coldness::{Coldness, ReportSequence};
 pub use cutoff::{CUT_OFF_LIFETIME, CutOffs};
 pub use dedup::{DEDUP_WINDOW, DedupDecision, DedupTable, MAX_CLOCK_SKEW};
 pub use demand::DemandMeter;
@@ -86,11 +89,12 @@
 pub use subtree::{REJOIN_TIMEOUT, Subtree};
 pub use succession::{LeaseClaim, LeaseOffer, LeaseView, StatedLease, Succession};
 pub use sums::{
-    Aggregation, FleetReport, FleetSums, HolderNotice, Outgoing, PartReport, ServiceCapacity,
-    SumMessage,
+    Aggregation, ColdCapacity, FleetReport, FleetSums, HolderNotice, Outgoing, PartReport,
+    ServiceCapacity, SumMessage,
 };
 pub use term::{LeaseTerm, OUTAGE_LIMIT, SUPPORT_LIFETIME};
 pub use tree::{MAX_CHILDREN, MAX_CLAIM_HOPS, choose_child};
+pub use warmup::{WarmupPlan, WarmupShare, plan_warmup, return_time};
 pub use watch::WatchDuty;
 
 /// A full rate and burst, in the integer units that shares are counted in.
--- a/crates/policy/src/sums/mod.rs
+++ b/crates/policy/src/sums/mod.rs
@@ -15,7 +15,7 @@
 mod sum;
 
 pub use aggregation::{Aggregation, Outgoing};
-pub use sum::{FleetSums, HolderNotice, ServiceCapacity};
+pub use sum::{ColdCapacity, FleetSums, HolderNotice, ServiceCapacity};
 
 use std::time::Duration;
 
--- a/crates/policy/src/sums/sum.rs
+++ b/crates/policy/src/sums/sum.rs
@@ -39,6 +39,53 @@
     pub slots: f32,
     /// Calls that run or are queued there.
     pub in_flight: f32,
+    /// Number of its serving backend servers.
+    pub servers: u32,
+    /// Those of them that are cold.
+    pub cold: ColdCapacity,
+}
+
+/// Capacity of the cold backend servers of a service.
+#[message]
+#[derive(Default, Copy)]
+pub struct ColdCapacity {
+    /// Number of them.
+    pub servers: u32,
+    /// Requests per second that they take.
+    pub rate: f32,
+    /// Slots that they can use at that rate.
+    pub slots: f32,
+    /// Time until the last of them is warm.
+    pub left: Duration,
+}
+
+impl ServiceCapacity {
+    /// Returns whether most of the service's backend servers are cold.
+    pub fn is_warming_up(&self) -> bool {
+        self.cold.servers * 2 > self.servers
+    }
+
+    /// Adds the capacity of other backend servers of the service.
+    fn add(&mut self, other: &Self, elapsed: Duration) {
+        self.slots += other.slots;
+        self.in_flight += other.in_flight;
+        self.servers += other.servers;
+        self.cold.servers += other.cold.servers;
+        self.cold.rate += other.cold.rate;
+        self.cold.slots += other.cold.slots;
+        let left = other.cold.left.saturating_sub(elapsed);
+        self.cold.left = self.cold.left.max(left);
+    }
+
+    fn none(service: &ServiceId) -> Self {
+        Self {
+            service: service.clone(),
+            slots: 0.0,
+            in_flight: 0.0,
+            servers: 0,
+            cold: ColdCapacity::default(),
+        }
+    }
 }
 
 /// Notice of the lease holder that it holds the lease on the rate limits.
@@ -57,7 +104,7 @@
     pub fn merge<'a>(sums: impl IntoIterator<Item = (&'a Self, Duration)>) -> Self {
         let mut total = Self::default();
         let mut demand: BTreeMap<(&RouteId, Rank), f32> = BTreeMap::new();
-        let mut capacities: BTreeMap<&ServiceId, (f32, f32)> = BTreeMap::new();
+        let mut capacities: BTreeMap<&ServiceId, ServiceCapacity> = BTreeMap::new();
         for (sum, elapsed) in sums {
             total.nodes += sum.nodes;
             total.rules = total.rules.max(sum.rules);
@@ -70,9 +117,9 @@
                 *demand.entry((&one.route, one.rank)).or_default() += one.rate;
             }
             for one in &sum.capacities {
-                let (slots, in_flight) = capacities.entry(&one.service).or_default();
-                *slots += one.slots;
-                *in_flight += one.in_flight;
+                let total = capacities.entry(&one.service);
+                let total = total.or_insert_with(|| ServiceCapacity::none(&one.service));
+                total.add(one, elapsed);
             }
         }
         total.demand = demand
@@ -83,14 +130,7 @@
                 rate,
             })
             .collect();
-        total.capacities = capacities
-            .into_iter()
-            .map(|(service, (slots, in_flight))| ServiceCapacity {
-                service: service.clone(),
-                slots,
-                in_flight,
-            })
-            .collect();
+        total.capacities = capacities.into_values().collect();
         total
     }
 
--- a/crates/policy/tests/sums/network.rs
+++ b/crates/policy/tests/sums/network.rs
@@ -6,8 +6,8 @@
 
 use filbertwheel_core::{DomainId, Rank, VmId};
 use filbertwheel_policy::{
-    Aggregation, FleetSums, Outgoing, RouteDemand, RouteProfile, ServiceCapacity, SumMessage,
-    WatchDuty,
+    Aggregation, ColdCapacity, FleetSums, Outgoing, RouteDemand, RouteProfile, ServiceCapacity,
+    SumMessage, WatchDuty,
 };
 
 /// Interval at which a node's state machine runs.
@@ -389,6 +389,8 @@
             service: "timetables".into(),
             slots: 8.0,
             in_flight: 4.0,
+            servers: 1,
+            cold: ColdCapacity::default(),
         }],
         ..FleetSums::default()
     };
