--- a/crates/engine/src/snapshots.rs
+++ b/crates/engine/src/snapshots.rs
@@ -11,6 +11,7 @@
 use filbertwheel_peer::{Link, RulesDocument};
 use filbertwheel_policy::{
     AdmissionPlan, AllowedRegions, Distance, Evacuation, Evacuations, RequestCost, StopWindow,
+    WarmupPlan,
 };
 
 /// The latest snapshot, shared by all threads.
@@ -33,6 +34,8 @@
     pub holder: Option<Holder>,
     /// Which requests are shed for lack of capacity of a service.
     pub admission_plan: Arc<AdmissionPlan>,
+    /// Which requests are refused while services warm up.
+    pub warmup_plan: Arc<WarmupPlan>,
     /// Cost of a request of each route at each service.
     pub costs: Arc<HashMap<RouteId, RequestCost>>,
     /// Slots of each service that the demand of callers over the fleet occupies on average.
@@ -79,6 +82,7 @@
             nodes: 1,
             holder: None,
             admission_plan: Arc::default(),
+            warmup_plan: Arc::default(),
             costs: Arc::default(),
             demanded_slots: Arc::default(),
             elapsed: Arc::default(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 mod budget;
 mod catchup;
 mod child;
+mod coldness;
 mod cutoff;
 mod dedup;
 mod demand;
@@ -52,6 +53,7 @@
 mod term;
 mod tree;
 mod unlearnt;
+mod warmup;
 mod watch;
 mod work_meter;
 
@@ -64,6 +66,7 @@
 pub use buckets::{CLAIM_LIFETIME, OutOfTokens, ShareBuckets};
 pub use budget::{RetryBudget, RetryLimits};
 pub use catchup::RulesCatchup;
+pub use coldness::{Coldness, ReportSequence};
 pub use cutoff::{CUT_OFF_LIFETIME, CutOffs};
 pub use dedup::{DEDUP_WINDOW, DedupDecision, DedupTable, MAX_CLOCK_SKEW};
 pub use demand::{DemandMeter, DemandTrend};
@@ -104,11 +107,12 @@
 pub use subtree::{REJOIN_TIMEOUT, Subtree};
 pub use succession::{LeaseClaim, LeaseOffer, LeaseView, StatedLease, Succession};
 pub use sums::{
-    Aggregation, FleetReport, FleetSums, HolderNotice, Outgoing, PartReport, ServiceCapacity,
-    SumMessage,
+    Aggregation, ColdCapacity, FleetReport, FleetSums, HolderNotice, Outgoing, PartReport,
+    ServiceCapacity, SumMessage,
 };
 pub use term::{LeaseTerm, OUTAGE_LIMIT, SUPPORT_LIFETIME};
 pub use tree::{MAX_CHILDREN, MAX_CLAIM_HOPS, choose_child};
+pub use warmup::{WarmupPlan, WarmupShare, plan_warmup, return_time};
 pub use watch::WatchDuty;
 pub use work_meter::{CallWork, MeasuredRun, Occupancy, RunTicket, WorkFigures, WorkMeter};
 
