Give a row that is written anew no second notice

An operator who writes the row of an evacuated domain once more would have got calls back there for a second, since the newer record began with an age of 0: found in review, by policy/tests/evacuation.rs a_row_that_is_written_anew_gives_no_second_notice.

--- a/crates/engine/src/control/evacuations.rs
+++ b/crates/engine/src/control/evacuations.rs
@@ -1,6 +1,5 @@
 //! Follows which failure domains operators have evacuated.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -137,6 +136,3 @@
         }
     }
 }
-
-/// Evacuated domains of which it was logged that they are unknown.
-pub(super) type UnknownDomains = BTreeSet<DomainId>;
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -1,14 +1,14 @@
 //! The control state: the local node, its peers and the rules in force.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use filbertwheel_core::{
-    Clock, Epoch, Fence, FleetSecret, Member, RulesStamp, ServiceId, Status, VmId,
+    Clock, DomainId, Epoch, Fence, FleetSecret, Member, RulesStamp, ServiceId, Status, VmId,
 };
 use filbertwheel_peer::{Link, LinkDriver, LinkHandler, NodeReport};
 use filbertwheel_policy::{
@@ -17,7 +17,6 @@
 };
 
 use super::Shared;
-use super::evacuations::UnknownDomains;
 use super::plan::Plan;
 use crate::engine::Engine;
 use crate::epochs::StoreEpoch;
@@ -84,7 +83,7 @@
     /// Which failure domains are evacuated.
     pub(super) evacuations: Evacuations,
     /// Evacuated domains that are of no known node, as logged.
-    pub(super) unknown_domains: UnknownDomains,
+    pub(super) unknown_domains: BTreeSet<DomainId>,
 }
 
 /// The lease on the organisations' rate limits, held by this node.
@@ -160,7 +159,7 @@
         watch_duty,
         watching: false,
         evacuations: Evacuations::default(),
-        unknown_domains: UnknownDomains::default(),
+        unknown_domains: BTreeSet::new(),
     }))
 }
 
--- a/crates/policy/src/evacuation.rs
+++ b/crates/policy/src/evacuation.rs
@@ -12,11 +12,11 @@
 
 /// Maximum number of domains that are evacuated at a time. More rows than that have no effect.
 pub const MAX_EVACUATED: usize = 64;
+/// Maximum number of records of domains that were taken back.
+const MAX_TAKEN_BACK: usize = 64;
 /// Time between the moment at which a node sees a row being written and that at which calls to the domain
 /// end. Meanwhile all nodes plan without its slots, so that what would not fit is shed first.
 const NOTICE_TIME: Duration = Duration::from_secs(1);
-/// Maximum number of records of domains that were taken back.
-const MAX_TAKEN_BACK: usize = 64;
 
 /// Rows of evacuated domains as read from the store.
 #[value]
@@ -52,7 +52,16 @@
     row: Revision,
     /// Whether a node has seen the row being written or removed, so that it can't be part of a copy.
     witnessed: bool,
-    /// Time since a node first learnt of it.
+    /// Time since a node first learnt of the evacuation. A row that was listed may be old already, so it
+    /// begins with the time of the notice.
+    age: Duration,
+}
+
+/// A row that asks for an evacuation in force.
+#[derive(Debug, Clone, Copy)]
+struct HeldEvacuation {
+    position: StorePosition,
+    /// Time since a node first learnt of the evacuation.
     age: Duration,
 }
 
@@ -61,7 +70,7 @@
 pub struct Evacuation {
     /// Position of the row that asks for it.
     pub position: StorePosition,
-    /// When a node first learnt of it.
+    /// When a node first learnt of it, or earlier by the notice if that was from a list.
     pub since: Instant,
     /// From when on the domain gets no calls.
     pub effective: Instant,
@@ -117,13 +126,13 @@
         let elapsed = self.elapsed(now);
         let in_force = self.report.in_force().into_iter();
         in_force
-            .map(|(domain, (epoch, record))| {
-                let age = record.age.saturating_add(elapsed);
+            .map(|(domain, held)| {
+                let age = held.age.saturating_add(elapsed);
                 let since = now.checked_sub(age).unwrap_or(now);
                 let evacuation = Evacuation {
-                    position: record.position(epoch),
+                    position: held.position,
                     since,
-                    effective: since + record.notice(),
+                    effective: since + NOTICE_TIME,
                 };
                 (domain.clone(), evacuation)
             })
@@ -156,7 +165,7 @@
     fn evacuated(&self) -> BTreeMap<DomainId, StorePosition> {
         let in_force = self.report.in_force().into_iter();
         in_force
-            .map(|(domain, (epoch, record))| (domain.clone(), record.position(epoch)))
+            .map(|(domain, held)| (domain.clone(), held.position))
             .collect()
     }
 
@@ -169,9 +178,6 @@
 impl EvacuationReport {
     /// Merges another report, received `elapsed` ago.
     pub(crate) fn merge(&mut self, other: &Self, elapsed: Duration) {
-        if self == other {
-            return;
-        }
         // A row that only one of them has is gone if the other covers its position.
         for (key, own) in &mut self.records {
             if !other.has_row(key) {
@@ -199,10 +205,7 @@
                     }
                 }
                 for (domain, revision) in rows {
-                    self.insert(
-                        (domain, epoch),
-                        EvacuationRecord::evacuated(revision, false),
-                    );
+                    self.insert((domain, epoch), EvacuationRecord::listed(revision));
                 }
             }
             EvacuationRows::Changed(changes) => {
@@ -210,7 +213,7 @@
                 let changes: BTreeMap<DomainId, Option<Revision>> = changes.into_iter().collect();
                 for (domain, revision) in changes {
                     let record = match revision {
-                        Some(revision) => EvacuationRecord::evacuated(revision, true),
+                        Some(revision) => EvacuationRecord::written(revision),
                         None => {
                             EvacuationRecord::removed(position.revision, self.last_row(&domain))
                         }
@@ -245,18 +248,29 @@
         records.filter(move |((_, known), _)| *known == epoch)
     }
 
-    /// Returns the record of each evacuated domain that asks for its evacuation, with its epoch.
-    fn in_force(&self) -> BTreeMap<&DomainId, (Epoch, &EvacuationRecord)> {
+    /// Returns which rows ask for the evacuations that hold.
+    fn in_force(&self) -> BTreeMap<&DomainId, HeldEvacuation> {
+        let mut held: BTreeMap<&DomainId, HeldEvacuation> = BTreeMap::new();
+        let mut removed: BTreeMap<&DomainId, &EvacuationRecord> = BTreeMap::new();
         // In the order of epochs, for each domain.
-        let mut latest: BTreeMap<&DomainId, (Epoch, &EvacuationRecord)> = BTreeMap::new();
         for ((domain, epoch), record) in &self.records {
-            let known = latest.get(domain);
-            if !known.is_some_and(|(_, known)| record.is_copy_of(known)) {
-                latest.insert(domain, (*epoch, record));
+            if !record.evacuated {
+                held.remove(domain);
+                removed.insert(domain, record);
+                continue;
+            }
+            let removed = removed.get(domain).filter(|_| !held.contains_key(domain));
+            if removed.is_some_and(|removed| record.is_copy_of(removed)) {
+                continue;
             }
+            // An evacuation that already holds goes on under a row that is written anew.
+            let age = held
+                .get(domain)
+                .map_or(record.age, |one| one.age.max(record.age));
+            let position = record.position(*epoch);
+            held.insert(domain, HeldEvacuation { position, age });
         }
-        latest.retain(|_, (_, record)| record.evacuated);
-        latest
+        held
     }
 
     fn last_row(&self, domain: &DomainId) -> Revision {
@@ -308,13 +322,23 @@
 }
 
 impl EvacuationRecord {
-    fn evacuated(revision: Revision, witnessed: bool) -> Self {
+    /// Creates the record of a row that was found in a list.
+    fn listed(revision: Revision) -> Self {
         Self {
             evacuated: true,
             revision,
             row: revision,
-            witnessed,
+            witnessed: false,
+            age: NOTICE_TIME,
+        }
+    }
+
+    /// Creates the record of a row that was seen to be written.
+    fn written(revision: Revision) -> Self {
+        Self {
+            witnessed: true,
             age: Duration::ZERO,
+            ..Self::listed(revision)
         }
     }
 
@@ -335,25 +359,21 @@
         }
     }
 
-    /// Returns the time before the evacuation takes effect. A row that was listed may be old already.
-    fn notice(&self) -> Duration {
-        if self.witnessed {
-            NOTICE_TIME
-        } else {
-            Duration::ZERO
-        }
-    }
-
     /// Keeps the newer of two records of the same domain and epoch.
     fn merge(&mut self, other: Self) {
         let row = self.row.max(other.row);
+        // A row that is written anew doesn't begin another evacuation.
+        let goes_on = self.evacuated && other.evacuated;
+        let age = self.age.max(other.age);
         if other.revision > self.revision {
             *self = other;
         } else if other.revision == self.revision {
             self.witnessed |= other.witnessed;
-            self.age = self.age.max(other.age);
         }
         self.row = row;
+        if goes_on {
+            self.age = age;
+        }
     }
 
     /// Takes the domain back if all rows at a position are known, and the row is not among them.
