Bound the memory for large calls from other nodes

What could happen: bodies that other nodes send arrive as frames of their links, up to 72 MiB each, and nothing bounded them together; a node beside a slow backend server could exceed its memory although each sender kept to its own bound.

Change: calls of more than 64 KiB on all links that other nodes have opened share 72 MiB. One that finds no room is refused by its id as not run; its frame is discarded as it arrives and the link goes on. Room for a large body is made at once when a frame is encoded, and a link gives the memory of a large frame back after it (its buffer kept it).

--- a/crates/peer/src/link/accept.rs
+++ b/crates/peer/src/link/accept.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Buf as _, BytesMut};
 use filbertwheel_core::{
     Attempt, Clock, FleetSecret, InstanceNotice, Refusal, RefusalKind, RulesStamp, VmId,
 };
@@ -20,6 +20,7 @@
 use super::fill_buffer;
 use super::frame::{CorrelationId, Frame, MAX_FRAME_BYTES, MAX_HELLO_BYTES, VerdictHead};
 use super::is_valid_signature;
+use super::memory::{CallMemory, HeldMemory};
 use super::outbox::Outbox;
 use super::{LinkEvent, LinkHandler, ReplyHandle};
 
@@ -36,6 +37,7 @@
     secret: FleetSecret,
     clock: Arc<dyn Clock>,
     shutdown: ShutdownSignal,
+    memory: CallMemory,
 }
 
 impl LinkEndpoint {
@@ -53,6 +55,7 @@
             secret,
             clock,
             shutdown,
+            memory: CallMemory::default(),
         })
     }
 
@@ -94,6 +97,15 @@
 /// Running calls of one link, each with its task and whether it is idempotent.
 type RunningCalls = Rc<RefCell<HashMap<CorrelationId, (Task<()>, bool)>>>;
 
+/// The large frame that arrives on a link.
+#[derive(Debug, Default)]
+struct LargeFrame {
+    /// Memory that it holds.
+    held: Option<HeldMemory>,
+    /// Number of bytes that are still to be discarded, because there is no memory for it.
+    skipped: usize,
+}
+
 struct AcceptedLink {
     endpoint: LinkEndpoint,
     outbox: Arc<Outbox>,
@@ -136,16 +148,25 @@
     async fn read(&self, stream: &mut TcpStream) {
         let mut buffer = BytesMut::new();
         let mut sender = None;
+        let mut large = LargeFrame::default();
         let began = self.endpoint.clock.now();
         loop {
             loop {
+                if sender.is_some() && !self.make_room(&mut buffer, &mut large) {
+                    break;
+                }
                 let limit = match sender {
                     Some(_) => MAX_FRAME_BYTES,
                     None => MAX_HELLO_BYTES,
                 };
                 match Frame::decode(&mut buffer, limit) {
                     Ok(Some((frame, notice))) => {
-                        if !self.handle_frame(frame, notice, &mut sender) {
+                        let held = large.held.take();
+                        if held.is_some() {
+                            // Frees the memory of the frame, which the buffer would keep.
+                            buffer = BytesMut::from(&buffer[..]);
+                        }
+                        if !self.handle_frame(frame, notice, &mut sender, held) {
                             return;
                         }
                     }
@@ -172,12 +193,47 @@
         }
     }
 
+    /// Takes memory for the large call that arrives next, or refuses it and discards its frame as it
+    /// arrives. Returns `false` if more bytes are needed for that.
+    fn make_room(&self, buffer: &mut BytesMut, large: &mut LargeFrame) -> bool {
+        let discarded = large.skipped.min(buffer.len());
+        buffer.advance(discarded);
+        large.skipped -= discarded;
+        if large.skipped > 0 {
+            return false;
+        }
+        let Some(size) = Frame::announced_size(buffer) else {
+            return true;
+        };
+        let is_valid = size <= MAX_FRAME_BYTES;
+        if large.held.is_some() || !is_valid || !CallMemory::is_large(size) {
+            return true;
+        }
+        let Some(id) = Frame::announced_call(buffer) else {
+            return true;
+        };
+        let memory = &self.endpoint.memory;
+        large.held = memory.take(size);
+        if large.held.is_some() {
+            return true;
+        }
+        tracing::info!(
+            held = memory.held(),
+            size,
+            "peer: Refused a call for want of memory."
+        );
+        self.refuse(id, RefusalKind::Overloaded);
+        large.skipped = size;
+        self.make_room(buffer, large)
+    }
+
     /// Handles a frame. Returns whether to keep the link open.
     fn handle_frame(
         &self,
         frame: Frame,
         notice: Option<InstanceNotice>,
         sender: &mut Option<VmId>,
+        held: Option<HeldMemory>,
     ) -> bool {
         let handler = &self.endpoint.handler;
         if let Frame::Hello { member, signature } = frame {
@@ -204,8 +260,8 @@
             Frame::Call(id, head, body) => {
                 let now = self.endpoint.clock.now();
                 match head.into_attempt(body, now) {
-                    Some(attempt) => self.start(id, attempt),
-                    None => self.refuse(id),
+                    Some(attempt) => self.start(id, attempt, held),
+                    None => self.refuse(id, RefusalKind::Malformed),
                 }
                 true
             }
@@ -272,13 +328,15 @@
         }
     }
 
-    fn start(&self, id: CorrelationId, attempt: Attempt) {
+    /// Starts a call, which holds its memory until it ends.
+    fn start(&self, id: CorrelationId, attempt: Attempt, held: Option<HeldMemory>) {
         let handler = Arc::clone(&self.endpoint.handler);
         let outbox = Arc::clone(&self.outbox);
         let running = Rc::clone(&self.running);
         let idempotent = attempt.idempotent;
         let task = self.executor.spawn(async move {
             let verdict = handler.run(attempt).await;
+            drop(held);
             let (head, body) = VerdictHead::from_verdict(verdict);
             // If the link is down by now, the verdict is dropped.
             let frame = Frame::Verdict(id, head, handler.load(), body);
@@ -290,8 +348,8 @@
         self.running.borrow_mut().insert(id, (task, idempotent));
     }
 
-    fn refuse(&self, id: CorrelationId) {
-        let refusal = Refusal::new(RefusalKind::Malformed);
+    fn refuse(&self, id: CorrelationId, kind: RefusalKind) {
+        let refusal = Refusal::new(kind);
         let (head, body) = VerdictHead::from_verdict(Err(refusal.into()));
         self.push(&Frame::Verdict(
             id,
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -23,6 +23,13 @@
 /// Maximum size of the first frame, of a node that has not proved that it belongs to the fleet.
 pub(crate) const MAX_HELLO_BYTES: usize = 16 * 1024;
 
+/// Size in bytes from which room for a body is made at once.
+const RESERVED_BODY_BYTES: usize = 64 * 1024;
+/// Room for the parts of a frame other than the body, in bytes. A longer head makes the buffer grow.
+const HEAD_ROOM: usize = 1_024;
+/// Index of `Frame::Call` in the encoding.
+const CALL_INDEX: u32 = 2;
+
 /// Matches a reply to the call or claim on the same link.
 pub(crate) type CorrelationId = u64;
 
@@ -144,6 +151,12 @@
     /// left out.
     pub fn append(&self, notice: Option<&InstanceNotice>, buffer: &mut BytesMut) {
         let start = buffer.len();
+        if let Self::Call(_, _, body) | Self::Verdict(_, _, _, body) = self
+            && body.len() > RESERVED_BODY_BYTES
+        {
+            // A buffer that doubles as it grows would take up to three times the body.
+            buffer.reserve(body.len() + HEAD_ROOM);
+        }
         buffer.put_u32(0);
         if let Err(error) = self.append_message(notice, buffer) {
             tracing::error!("peer: Cannot encode a frame: {error}.");
@@ -166,22 +179,38 @@
         Ok(())
     }
 
+    /// Returns the size of the frame at the start of a buffer, its length field included, as far as
+    /// it is known.
+    pub fn announced_size(buffer: &BytesMut) -> Option<usize> {
+        let length = buffer.get(..LENGTH_BYTES)?;
+        let length = length
+            .iter()
+            .fold(0, |sum, byte| sum << 8 | usize::from(*byte));
+        Some(LENGTH_BYTES + length)
+    }
+
+    /// Returns the id of the call whose frame is at the start of a buffer, if it is a call and as much
+    /// has arrived.
+    pub fn announced_call(buffer: &BytesMut) -> Option<CorrelationId> {
+        let message = buffer.get(LENGTH_BYTES..)?;
+        let ((index, id), _) = postcard::take_from_bytes::<(u32, CorrelationId)>(message).ok()?;
+        (index == CALL_INDEX).then_some(id)
+    }
+
     /// Decodes the next frame, of up to `limit` bytes, with its notice and removes it from the buffer.
     /// Returns `None` if it is incomplete.
     pub fn decode(
         buffer: &mut BytesMut,
         limit: usize,
     ) -> Result<Option<(Self, Option<InstanceNotice>)>, FrameError> {
-        let Some(length) = buffer.get(..LENGTH_BYTES) else {
+        let Some(size) = Self::announced_size(buffer) else {
             return Ok(None);
         };
-        let length = length
-            .iter()
-            .fold(0, |sum, byte| sum << 8 | usize::from(*byte));
+        let length = size - LENGTH_BYTES;
         if length > limit {
             return Err(FrameError::TooLong { length });
         }
-        if buffer.len() < LENGTH_BYTES + length {
+        if buffer.len() < size {
             return Ok(None);
         }
         buffer.advance(LENGTH_BYTES);
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -7,6 +7,7 @@
 mod accept;
 mod dial;
 mod frame;
+mod memory;
 mod outbox;
 
 pub use accept::LinkEndpoint;
--- a/crates/peer/tests/accept.rs
+++ b/crates/peer/tests/accept.rs
@@ -4,12 +4,13 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use filbertwheel_core::{
     Answer, Attempt, Clock, Failure, FleetSecret, InstanceNotice, Member, OrganisationId,
-    RulesStamp, Status, SystemClock, Text, UnknownReason, Verdict,
+    RefusalKind, RulesStamp, Status, SystemClock, Text, UnknownReason, Verdict,
 };
 use filbertwheel_http::{LocalFuture, ShutdownTrigger};
 use filbertwheel_peer::{Link, LinkEndpoint, LinkEvent, LinkHandler, RulesDocument};
@@ -29,9 +30,12 @@
     FleetSecret::new(Text::from_static("a secret of the fleet"))
 }
 
-/// Node that answers each call with the status that the call's path names.
-#[derive(Debug)]
-struct Odd;
+/// Node that answers each call with the status that the call's path names, and other calls never.
+#[derive(Debug, Default)]
+struct Odd {
+    /// Number of calls that have begun and are never answered.
+    held: AtomicUsize,
+}
 
 impl LinkHandler for Odd {
     fn local_member(&self) -> Member {
@@ -67,8 +71,12 @@
 
     fn run(&self, attempt: Attempt) -> LocalFuture<'_, Verdict> {
         let status = attempt.path.as_str().and_then(|path| path.parse().ok());
+        let Some(status) = status else {
+            self.held.fetch_add(1, Ordering::Relaxed);
+            return Box::pin(std::future::pending());
+        };
         let answer = Answer {
-            status: status.expect("the path is a status"),
+            status,
             headers: Vec::new(),
             body: Bytes::new(),
             retries: 0,
@@ -112,7 +120,9 @@
         let executor = Rc::new(LocalExecutor::new());
         filbertwheel_runtime::block_on(executor.run(async {
             let address = "127.0.0.1:0".parse().expect("an address");
-            let links = LinkEndpoint::bind(address, Arc::new(Odd), secret(), clock(), stop).await;
+            let links =
+                LinkEndpoint::bind(address, Arc::new(Odd::default()), secret(), clock(), stop)
+                    .await;
             let links = links.expect("a port is free");
             sender.send(links.address()).expect("the test waits");
             links.run(Rc::clone(&executor)).await;
@@ -149,7 +159,7 @@
     served.join().expect("the endpoint ends");
 }
 
-fn attempt(status: u16) -> Attempt {
+fn attempt(path: &str, body_bytes: usize) -> Attempt {
     Attempt {
         request: "one".into(),
         route: "sheets".into(),
@@ -162,37 +172,105 @@
         deadline: Instant::now() + GIVE_UP_TIME,
         objective: GIVE_UP_TIME,
         method: "GET".into(),
-        path: status.to_string().into(),
+        path: path.into(),
         headers: Vec::new(),
-        body: Bytes::new(),
+        body: vec![b'x'; body_bytes].into(),
     }
 }
 
+/// Opens links to one node.
+async fn open_links<const COUNT: usize>(
+    executor: &Rc<LocalExecutor<'static>>,
+    node: &Arc<Odd>,
+) -> [Link; COUNT] {
+    let (stopper, stop) = ShutdownTrigger::open();
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let handler = Arc::clone(node) as Arc<dyn LinkHandler>;
+    let endpoint = LinkEndpoint::bind(any, handler, secret(), clock(), stop).await;
+    let endpoint = endpoint.expect("a port is free");
+    let address = endpoint.address().expect("the endpoint is bound");
+    let running = endpoint.run(Rc::clone(executor));
+    let running = async move {
+        running.await;
+        drop(stopper);
+    };
+    executor.spawn(running).detach();
+    let links = std::array::from_fn(|_| {
+        let (link, driver) = Link::open(
+            "vm1".into(),
+            address,
+            Arc::new(Odd::default()),
+            secret(),
+            clock(),
+        );
+        executor.spawn(driver.run()).detach();
+        link
+    });
+    while !links.iter().all(Link::is_up) {
+        clock().sleep(Duration::from_millis(5)).await;
+    }
+    links
+}
+
 // Guards against a verdict with a status that no response can have, which the caller would get as its
 // answer.
 #[test]
 fn verdicts_with_odd_statuses_are_broken() {
     let executor = Rc::new(LocalExecutor::new());
     filbertwheel_runtime::block_on(executor.run(async {
-        let (_stopper, stop) = ShutdownTrigger::open();
-        let any = "127.0.0.1:0".parse().expect("an address");
-        let links = LinkEndpoint::bind(any, Arc::new(Odd), secret(), clock(), stop).await;
-        let links = links.expect("a port is free");
-        let address = links.address().expect("the endpoint is bound");
-        executor.spawn(links.run(Rc::clone(&executor))).detach();
-        let (link, driver) = Link::open("vm1".into(), address, Arc::new(Odd), secret(), clock());
-        executor.spawn(driver.run()).detach();
-        while !link.is_up() {
-            clock().sleep(Duration::from_millis(5)).await;
-        }
+        let node = Arc::default();
+        let [link] = open_links(&executor, &node).await;
         for status in [0, 20, 99, 101, 199, 600, 999, 2_000] {
-            let verdict = link.call(&attempt(status)).await.expect("the link is up");
+            let verdict = link.call(&attempt(&status.to_string(), 0)).await;
             let broken = Err(Failure::Unknown(UnknownReason::Broken));
-            assert_eq!(verdict, broken, "status {status}");
+            assert_eq!(verdict.expect("the link is up"), broken, "status {status}");
         }
         for status in [200, 204, 404, 500, 599] {
-            let verdict = link.call(&attempt(status)).await.expect("the link is up");
+            let verdict = link.call(&attempt(&status.to_string(), 0)).await;
+            let verdict = verdict.expect("the link is up");
             assert_eq!(verdict.map(|answer| answer.status), Ok(status));
         }
     }));
 }
+
+// Guards against large calls of several nodes that fill the memory of one while they run.
+#[test]
+fn a_call_beyond_the_memory_is_refused_and_its_link_goes_on() {
+    /// Calls that run at once, and the size of each; one more doesn't fit.
+    const HELD: usize = 8;
+    const LARGE: usize = 8 * 1024 * 1024;
+    let executor = Rc::new(LocalExecutor::new());
+    filbertwheel_runtime::block_on(executor.run(async {
+        let node: Arc<Odd> = Arc::default();
+        // A link queues half of them at most.
+        let [first, second, last] = open_links(&executor, &node).await;
+        let hold = |number| {
+            let link = if number % 2 == 0 { &first } else { &second }.clone();
+            executor.spawn(async move { link.call(&attempt("never", LARGE)).await })
+        };
+        let held: Vec<_> = (0..HELD).map(hold).collect();
+        let refused = Err(Failure::Refused(RefusalKind::Overloaded.into()));
+        let status = async |size| {
+            let verdict = last.call(&attempt("200", size)).await;
+            match verdict.expect("the link is up") {
+                Ok(answer) => Some(answer.status),
+                verdict => {
+                    assert_eq!(verdict, refused);
+                    None
+                }
+            }
+        };
+        while node.held.load(Ordering::Relaxed) < HELD {
+            clock().sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(status(LARGE).await, None);
+        for size in [0, 1_000, 60_000] {
+            assert_eq!(status(size).await, Some(200));
+        }
+        // Dropping the calls cancels them.
+        drop(held);
+        while status(LARGE).await.is_none() {
+            clock().sleep(Duration::from_millis(5)).await;
+        }
+    }));
+}
