--- a/crates/http/tests/slow_reader.rs
+++ b/crates/http/tests/slow_reader.rs
@@ -28,16 +28,9 @@
     }
 }
 
-/// Reads the head of the response, byte by byte.
-fn read_head(stream: &mut TcpStream) {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        let mut byte = [0];
-        stream
-            .read_exact(&mut byte)
-            .expect("the head is sent first");
-        head.push(byte[0]);
-    }
+fn head_len(bytes: &[u8]) -> usize {
+    let end = bytes.windows(4).position(|part| part == b"\r\n\r\n");
+    end.expect("the head is sent first") + 4
 }
 
 /// Requests the large body and returns the number of body bytes received, with a pause before every
@@ -52,7 +45,6 @@
     let request = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
     stream.write_all(request).expect("the listener reads");
     std::thread::sleep(first_pause);
-    read_head(&mut stream);
     let mut bytes = vec![0; BYTES_PER_PAUSE];
     // The head is sent in one write, the large body behind it in others.
     let count = stream.read(&mut bytes).expect("the listener responds");
