Take the slots of a paced backend server from a tested function, and space returns

What callers saw: refused in the last moments of a warm-up, they were told to return at once, while the plan that refused them was still in force. Metrics of the warm-up stood still while the backend server wasn't serving.

Cause: the hint was the rest of the warm-up, however short; the metrics were set with the sums only.

Change: a hint is at least as long as a plan is old, 250 ms, before it is spread. The slots that can be used at a rate are a function of policy with a test: one as long as no run time is known, never all of them. The metrics are set with each measurement.

--- a/crates/engine/src/control/sums.rs
+++ b/crates/engine/src/control/sums.rs
@@ -85,12 +85,13 @@
         let (member, load) = (&self.local_member, self.parts.engine.runner.load());
         let service = member.service.clone();
         let serving = service.filter(|_| member.status == Status::Serving);
+        let cold = self.parts.engine.runner.cold_capacity().unwrap_or_default();
         let capacity = serving.map(|service| ServiceCapacity {
             service,
             slots: usable_slots(member, &load) as f32,
             in_flight: (load.running + load.queued) as f32,
             servers: 1,
-            cold: self.parts.engine.runner.cold_capacity().unwrap_or_default(),
+            cold,
         });
         let lease = self.lease.as_ref();
         FleetSums {
--- a/crates/engine/src/runner/pacing.rs
+++ b/crates/engine/src/runner/pacing.rs
@@ -7,7 +7,7 @@
 use filbertwheel_core::{
     Answer, Attempt, Failure, InstanceNotice, Refusal, RefusalKind, Status, Warmup,
 };
-use filbertwheel_policy::{BackendLoad, ColdCapacity, Departure};
+use filbertwheel_policy::{BackendLoad, ColdCapacity, Departure, usable_slots};
 
 use super::{Runner, State};
 use crate::control::Message;
@@ -89,10 +89,8 @@
         let Some(rate) = pacer.map(|pacer| pacer.rate()) else {
             return slots;
         };
-        let Some(seconds) = state.run_seconds.or_else(|| self.fleet_run_seconds(state)) else {
-            return 1;
-        };
-        ((rate * seconds).ceil() as u32).clamp(1, slots)
+        let run_seconds = state.run_seconds.or_else(|| self.fleet_run_seconds(state));
+        usable_slots(slots, rate, run_seconds)
     }
 
     /// Returns the mean run time over the fleet of the routes to the backend server's service; `None`
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -71,7 +71,7 @@
 pub use longest::LongestTimes;
 pub use owner::{RequestKey, request_owner};
 pub use ownership::OwnershipHistory;
-pub use pacer::{Pacer, SendReservation};
+pub use pacer::{Pacer, SendReservation, usable_slots};
 pub use parent_session::{AttachOutcome, PARENT_TIMEOUT, ParentSession};
 pub use profiler::{PendingCall, Profiler, RouteProfile};
 pub use quarantine::{CRASH_LIMIT, CrashReport, Fingerprint, Quarantine, RunMode};
--- a/crates/policy/src/pacer.rs
+++ b/crates/policy/src/pacer.rs
@@ -16,6 +16,13 @@
 /// Ratio of a new limit to the one before below which calls that wait must reserve again.
 const FALL_RATIO: f64 = 0.9;
 
+/// Returns the slots that a backend server can use at a rate (Little's law). One if it isn't known how
+/// long its runs take, because all of them would stand for far more calls than it gets.
+pub fn usable_slots(slots: u32, rate: RequestRate, run_seconds: Option<f64>) -> u32 {
+    let used = run_seconds.map_or(1.0, |seconds| (rate * seconds).ceil());
+    (used as u32).clamp(1, slots.max(1))
+}
+
 /// Send times of the calls to one backend server.
 #[derive(Debug, Clone)]
 pub struct Pacer {
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -18,6 +18,8 @@
 const MIN_CALLS: f64 = 0.01;
 /// Part of a request below which a service counts as full.
 const MIN_PART: f64 = 1e-9;
+/// Shortest time after which callers return, before it is spread: plans are about as old.
+const MIN_RETURN_TIME: Duration = Duration::from_millis(250);
 /// Time over which callers return after a warm-up, relative to what was left of it when they were
 /// refused.
 const RETURN_SPREAD: f64 = 0.5;
@@ -136,6 +138,7 @@
 /// Returns the time after which a request that is refused while a service warms up may be sent again:
 /// once the service is warm, spread so that callers don't return together. `random` is from 0 to 1.
 pub fn return_time(left: Duration, random: f64) -> Duration {
+    let left = left.max(MIN_RETURN_TIME);
     left.mul_f64(1.0 + random.clamp(0.0, 1.0) * RETURN_SPREAD)
 }
 
--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use filbertwheel_policy::Pacer;
+use filbertwheel_policy::{Pacer, usable_slots};
 use proptest::prelude::*;
 
 /// Window in which sent calls are counted.
@@ -155,3 +155,14 @@
     }
     assert_eq!(long, 200, "{short} others were sent");
 }
+
+// Guards against a backend server that is chosen and planned for by all its slots although it is paced:
+// before the first runs nobody knows how long they take.
+#[test]
+fn a_paced_backend_server_never_offers_all_its_slots() {
+    assert_eq!(usable_slots(88, 12.0, None), 1);
+    assert_eq!(usable_slots(88, 12.0, Some(0.24)), 3);
+    assert_eq!(usable_slots(88, 12.0, Some(0.0)), 1);
+    assert_eq!(usable_slots(2, 1_000.0, Some(0.1)), 2);
+    assert_eq!(usable_slots(0, 12.0, Some(1.0)), 1);
+}
--- a/crates/policy/tests/warmup.rs
+++ b/crates/policy/tests/warmup.rs
@@ -154,6 +154,13 @@
     assert_eq!(permille(&plan, "complaints", 1), 100);
 }
 
+// Guards against callers that are told to come back at once at the end of a warm-up, while the plan that
+// refuses them is still in force.
+#[test]
+fn callers_never_return_at_once() {
+    assert!(return_time(Duration::ZERO, 0.0) >= Duration::from_millis(250));
+}
+
 // Guards against callers that are told to come back while they would be refused again, or all at once.
 #[test]
 fn callers_return_after_the_warmup_and_spread() {
