--- a/crates/engine/src/control/sums.rs
+++ b/crates/engine/src/control/sums.rs
@@ -91,12 +91,13 @@
         let is_evacuated = self.parts.snapshots.load().is_evacuated(&member.domain);
         let is_serving = member.status == Status::Serving && !is_evacuated;
         let serving = service.filter(|_| is_serving);
+        let cold = self.parts.engine.runner.cold_capacity().unwrap_or_default();
         let capacity = serving.map(|service| ServiceCapacity {
             service,
             slots: usable_slots(member, &load) as f32,
             in_flight: (load.running + load.queued) as f32,
             servers: 1,
-            cold: self.parts.engine.runner.cold_capacity().unwrap_or_default(),
+            cold,
         });
         let lease = self.lease.as_ref();
         FleetSums {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -86,7 +86,7 @@
 pub use longest::LongestTimes;
 pub use owner::{RequestKey, request_owner};
 pub use ownership::OwnershipHistory;
-pub use pacer::{Pacer, SendReservation};
+pub use pacer::{Pacer, SendReservation, usable_slots};
 pub use parent_session::{AttachOutcome, PARENT_TIMEOUT, ParentSession};
 pub use peer_load::{PeerLoad, SentCall};
 pub use placement::{LeastExpectedTime, LeastOccupied, Placement};
