Review: bound what servers and other nodes state, and refuse paths that can't be sent on

What could happen, found by the review of the merged parts (by reading): - A request whose path has bytes that can't be sent on was taken, ended as 'not sent' at up to five backend servers, and each was then paced as if it had restarted: a few such requests a second held a service cold. Such a path is rejected with 400, and a message that can't be encoded no longer looks like a lost server. - Requests lost before a report still counted after it, so that one more loss paced a sound server. - An absurd warm-up in a response wrapped into 'warm', or lasted for years; now at most 600 s. - Infinite or negative figures in sums of another node stayed in the demand until the restart; such sums are ignored, with a log line. - An answer of the store that other nodes had overtaken evacuated a domain again that had been taken back.

--- a/crates/engine/src/control/sums.rs
+++ b/crates/engine/src/control/sums.rs
@@ -40,6 +40,10 @@
 
     /// Handles sums of another node.
     pub(super) fn handle_sums(&mut self, message: SumMessage) {
+        if !message.is_plausible() {
+            tracing::warn!("control: Sums of another node are not plausible, so they are ignored.");
+            return;
+        }
         let now = self.parts.clock.now();
         let outgoing = self.sums.receive(message, now);
         self.send_sums(outgoing);
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -43,7 +43,12 @@
     }
     let base = head.as_ptr() as usize;
     let method = span(base, request.method.unwrap_or_default().as_bytes());
-    let path = span(base, request.path.unwrap_or_default().as_bytes());
+    let path = request.path.unwrap_or_default().as_bytes();
+    // It couldn't be sent on.
+    if !path.iter().all(u8::is_ascii_graphic) {
+        return Err(MessageError::Malformed);
+    }
+    let path = span(base, path);
     let spans = spans(base, request.headers);
     let (head, spans) = lowercase_names(head, spans);
     let slice = |(from, to): Span| Text::from(head.slice(from..to));
--- a/crates/http/tests/raw.rs
+++ b/crates/http/tests/raw.rs
@@ -229,7 +229,7 @@
 #[test]
 fn incomplete_or_malformed_requests_are_rejected() {
     let long = format!("GET /{} HTTP/1.1\r\nHost: a\r\n\r\n", "x".repeat(9_000));
-    let requests: [(&[u8], &str); 11] = [
+    let requests: [(&[u8], &str); 12] = [
         (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\none", "408"),
         (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 1\r\n\r\none", "400"),
         (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\none", "400"),
@@ -238,6 +238,7 @@
         (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -3\r\n\r\none", "400"),
         (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n", "413"),
         (b"it's broken glass\r\n\r\n", "400"),
+        (b"GET /\x80 HTTP/1.1\r\nHost: a\r\n\r\n", "400"),
         (b"GET / HTTP/1.0\r\nHost: a\r\n\r\n", "400"),
         (b"GET / HTTP/1.1\r\n\r\n", "400"),
         (long.as_bytes(), "431"),
--- a/crates/policy/src/coldness.rs
+++ b/crates/policy/src/coldness.rs
@@ -10,6 +10,9 @@
 /// may have restarted. A single one is often the loss of its response.
 const RESTART_LOSSES: u32 = 2;
 
+/// Longest time for which a backend server counts as cold by one statement.
+const MAX_WARMUP: Duration = Duration::from_secs(600);
+
 /// Sequence number of a status report, which increases within a life of a backend server.
 pub type ReportSequence = u64;
 
@@ -24,7 +27,7 @@
     sequence: ReportSequence,
     /// Whether it may have restarted since its last report.
     suspected: bool,
-    /// Requests lost since its last response.
+    /// Requests lost since its last response or report.
     losses: u32,
 }
 
@@ -37,6 +40,7 @@
         }
         self.sequence = sequence;
         self.suspected = false;
+        self.losses = 0;
         self.state(left, now);
     }
 
@@ -55,7 +59,7 @@
     pub fn learn(&mut self, sequence: ReportSequence, until: Option<Instant>, heard: Instant) {
         if sequence > self.sequence {
             self.sequence = sequence;
-            self.until = until;
+            self.until = until.map(|until| until.min(heard + MAX_WARMUP));
             self.stated_at = Some(heard);
         }
     }
@@ -102,7 +106,8 @@
     }
 
     fn state(&mut self, left: Duration, now: Instant) {
-        self.until = (!left.is_zero()).then(|| now.checked_add(left)).flatten();
+        let left = left.min(MAX_WARMUP);
+        self.until = (!left.is_zero()).then(|| now + left);
         self.stated_at = Some(now);
     }
 }
--- a/crates/policy/src/evacuation.rs
+++ b/crates/policy/src/evacuation.rs
@@ -205,7 +205,7 @@
                     }
                 }
                 for (domain, revision) in rows {
-                    self.insert((domain, epoch), EvacuationRecord::listed(revision));
+                    self.observe_record((domain, epoch), EvacuationRecord::listed(revision));
                 }
             }
             EvacuationRows::Changed(changes) => {
@@ -218,13 +218,21 @@
                             EvacuationRecord::removed(position.revision, self.last_row(&domain))
                         }
                     };
-                    self.insert((domain, epoch), record);
+                    self.observe_record((domain, epoch), record);
                 }
             }
         }
         self.as_of = self.as_of.max(position);
     }
 
+    /// Inserts what the store has stated. Other nodes may have read more of it already.
+    fn observe_record(&mut self, key: RecordKey, mut record: EvacuationRecord) {
+        if !self.has_row(&key) {
+            record.remove_if_covered(key.1, self.as_of);
+        }
+        self.insert(key, record);
+    }
+
     fn insert(&mut self, key: RecordKey, record: EvacuationRecord) {
         match self.records.get_mut(&key) {
             Some(known) => known.merge(record),
--- a/crates/policy/src/sums/mod.rs
+++ b/crates/policy/src/sums/mod.rs
@@ -35,6 +35,20 @@
     Fleet(FleetReport),
 }
 
+impl SumMessage {
+    /// Returns whether the figures can come from measurements. Others would spoil the sums over all
+    /// nodes.
+    pub fn is_plausible(&self) -> bool {
+        let state = match self {
+            Self::Part(report) => &report.state,
+            Self::Domain(report) => &report.state,
+            Self::Fleet(report) => &report.state,
+        };
+        let mut profiles = state.profiles.iter().flatten();
+        state.sums.is_plausible() && profiles.all(RouteProfile::is_plausible)
+    }
+}
+
 /// Part of the sum of a group: a node or a smaller group.
 #[message]
 pub struct PartReport {
--- a/crates/policy/src/sums/sum.rs
+++ b/crates/policy/src/sums/sum.rs
@@ -1,12 +1,19 @@
 //! Sums over some nodes of the fleet.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use filbertwheel_core::{Epoch, Fence, Rank, RouteId, RulesStamp, ServiceId, VmId, message};
 
 use crate::{EvacuationReport, RouteDemand};
 
+/// Range of plausible demands, slots and rates.
+const FIGURE_RANGE: RangeInclusive<f32> = 0.0..=1e9;
+/// Maximum number of backend servers of a service.
+const MAX_SERVERS: u32 = 1_000_000;
+/// Longest time for which a backend server is plausibly cold.
+const MAX_WARMUP: Duration = Duration::from_secs(86_400);
 /// Maximum number of watchers of the store that a sum names.
 const MAX_WATCHERS: usize = 8;
 
@@ -79,6 +86,10 @@
         self.cold.left = self.cold.left.max(left);
     }
 
+    fn figures(&self) -> [f32; 4] {
+        [self.slots, self.in_flight, self.cold.rate, self.cold.slots]
+    }
+
     fn none(service: &ServiceId) -> Self {
         Self {
             service: service.clone(),
@@ -102,6 +113,19 @@
 }
 
 impl FleetSums {
+    /// Returns whether the figures can come from measurements.
+    pub fn is_plausible(&self) -> bool {
+        let rates = self.demand.iter().map(|one| one.rate);
+        rates
+            .chain(self.capacities.iter().flat_map(ServiceCapacity::figures))
+            .all(|figure| FIGURE_RANGE.contains(&figure))
+            && self.capacities.iter().all(|one| {
+                one.servers <= MAX_SERVERS
+                    && one.cold.servers <= one.servers
+                    && one.cold.left <= MAX_WARMUP
+            })
+    }
+
     /// Adds up sums, each with the time that has passed since it was received.
     pub fn merge<'a>(sums: impl IntoIterator<Item = (&'a Self, Duration)>) -> Self {
         let mut total = Self::default();
--- a/crates/policy/tests/coldness.rs
+++ b/crates/policy/tests/coldness.rs
@@ -90,6 +90,30 @@
     assert!(coldness.is_cold(now + millis(40)));
 }
 
+// Guards against a backend server that is paced again after its report by a single lost request, because
+// those from before the report still count.
+#[test]
+fn requests_lost_before_a_report_show_no_restart_after_it() {
+    let now = Instant::now();
+    let mut coldness = Coldness::default();
+    coldness.report(Duration::ZERO, 1, now);
+    coldness.lose();
+    coldness.lose();
+    coldness.report(Duration::ZERO, 2, now);
+    coldness.lose();
+    assert!(!coldness.is_cold(now));
+}
+
+// Guards against an absurd statement that wraps into a warm backend server, or keeps it cold for years.
+#[test]
+fn an_absurd_warmup_is_bounded() {
+    let now = Instant::now();
+    let mut coldness = Coldness::default();
+    coldness.respond(Some(Duration::MAX), now, now);
+    assert!(coldness.is_cold(now));
+    assert!(coldness.left(WARMUP, now) <= Duration::from_secs(600));
+}
+
 // Guards against a node that has just started and takes a report from before what others know.
 #[test]
 fn a_report_that_others_have_overtaken_is_ignored() {
--- a/crates/policy/tests/evacuation.rs
+++ b/crates/policy/tests/evacuation.rs
@@ -67,6 +67,21 @@
     assert_eq!(domains(&node, now), names(&["east"]));
 }
 
+// Guards against a row that was removed since and evacuates its domain again, because the store's answer
+// is older than what other nodes have told.
+#[test]
+fn an_answer_that_others_have_overtaken_evacuates_nothing() {
+    let now = Instant::now();
+    let mut other = Evacuations::default();
+    other.observe(listed(&[]), at(1, 50), now);
+    for late in [listed(&[("east", 42)]), changed("east", Some(42))] {
+        let mut node = Evacuations::default();
+        node.receive(&other.report(now), now);
+        node.observe(late, at(1, 45), now);
+        assert_eq!(domains(&node, now), names(&[]));
+    }
+}
+
 // Guards against a node that was cut off while a domain was taken back: what it tells afterwards must not
 // evacuate the domain again, also at nodes that have never known of it.
 #[test]
--- a/crates/policy/tests/sums/failures.rs
+++ b/crates/policy/tests/sums/failures.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use filbertwheel_core::Rank;
+use filbertwheel_policy::{ColdCapacity, FleetSums, RouteDemand, ServiceCapacity};
 use proptest::prelude::*;
 
 use crate::network::Fleet;
@@ -34,6 +36,43 @@
     }
 }
 
+fn sums(rate: f32, slots: f32, left: Duration) -> FleetSums {
+    FleetSums {
+        demand: vec![RouteDemand {
+            route: "check".into(),
+            rank: Rank {
+                organisation: 1,
+                route: 1,
+            },
+            rate,
+        }],
+        capacities: vec![ServiceCapacity {
+            service: "desk".into(),
+            slots,
+            in_flight: 1.0,
+            servers: 1,
+            cold: ColdCapacity {
+                left,
+                ..ColdCapacity::default()
+            },
+        }],
+        ..FleetSums::default()
+    }
+}
+
+// Guards against figures of a faulty node that stay in the sums of all nodes, and by which nothing is
+// admitted any more.
+#[test]
+fn figures_that_no_node_can_measure_are_not_plausible() {
+    let second = Duration::from_secs(1);
+    assert!(sums(10.0, 8.0, second).is_plausible());
+    for figure in [f32::INFINITY, f32::NAN, -1.0] {
+        assert!(!sums(figure, 8.0, second).is_plausible());
+        assert!(!sums(10.0, figure, second).is_plausible());
+    }
+    assert!(!sums(10.0, 8.0, Duration::MAX).is_plausible());
+}
+
 #[test]
 fn all_nodes_soon_have_the_sums_over_the_fleet() {
     let mut fleet = Fleet::open(60, 4, 5);
