--- a/crates/engine/src/control/evacuations.rs
+++ b/crates/engine/src/control/evacuations.rs
@@ -43,7 +43,7 @@
         if !self.members_known || self.is_starting(now) {
             return;
         }
-        let evacuated = Arc::clone(&self.parts.snapshots.load().evacuated);
+        let evacuated = Arc::clone(&self.parts.snapshots.load().evacuated_domains);
         self.unknown_domains
             .retain(|domain| evacuated.contains_key(domain));
         for domain in evacuated.keys() {
@@ -62,7 +62,7 @@
     }
 
     fn evacuation_rows(&self, rows: &Rows) -> EvacuationRows {
-        let location = &self.parts.dependencies.rules;
+        let location = &self.parts.dependencies.operators;
         let domain = |key: &Text| {
             let domain = key.as_str()?.strip_prefix(location.evacuation_prefix)?;
             Some(DomainId::from(domain))
@@ -109,7 +109,7 @@
     }
 
     fn published_evacuations(&self) -> StorePosition {
-        self.parts.snapshots.load().evacuations.as_of()
+        self.parts.snapshots.load().known_evacuations.as_of()
     }
 
     fn publish_evacuations(&self) {
@@ -119,8 +119,8 @@
         let is_own = evacuated.contains_key(&self.local_member.domain);
         metrics.own_domain_evacuated.set(is_own.into());
         self.parts.snapshots.store(Arc::new(Snapshot {
-            evacuations: Arc::new(self.evacuations.clone()),
-            evacuated: Arc::new(evacuated),
+            known_evacuations: Arc::new(self.evacuations.clone()),
+            evacuated_domains: Arc::new(evacuated),
             ..Snapshot::clone(&self.parts.snapshots.load())
         }));
     }
--- a/crates/engine/src/control/rules.rs
+++ b/crates/engine/src/control/rules.rs
@@ -26,7 +26,7 @@
     let (mut feed, location, clock) = {
         let control = control.borrow();
         let parts = &control.parts;
-        let location = parts.dependencies.rules;
+        let location = parts.dependencies.operators;
         let feed = Feed::open(parts, location.table);
         (feed, location, Arc::clone(&parts.clock))
     };
@@ -58,7 +58,7 @@
             }
         };
         let own = rows.into_iter();
-        for row in own.filter(|row| row.key.as_bytes() == location.key.as_bytes()) {
+        for row in own.filter(|row| row.key.as_bytes() == location.rules_key.as_bytes()) {
             let revision = row.revision;
             let position = StorePosition { epoch, revision };
             if let Some(stamp) = control.observe_rules(row.value, position, mode) {
@@ -217,17 +217,11 @@
         self.parts.snapshots.store(Arc::new(snapshot));
         stamp
     }
-}
 
-impl Control {
     /// Logs and counts the routes of a kind that this version doesn't know.
     fn note_unknown_kinds(&self, rules: &Rules) {
-        let unknown = &rules.unknown_kinds;
-        self.parts
-            .engine
-            .metrics
-            .unknown_kinds
-            .set(unknown.len() as i64);
+        let (unknown, metrics) = (&rules.unknown_kinds, &self.parts.engine.metrics);
+        metrics.unknown_kinds.set(unknown.len() as i64);
         for route in unknown {
             tracing::warn!(
                 route = %route,
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -8,7 +8,7 @@
     VmId,
 };
 use filbertwheel_peer::ForwardError;
-use filbertwheel_policy::{AllowedRegions, BackendView, Distance, StopWindow, have_room};
+use filbertwheel_policy::{AllowedRegions, BackendView, Distance, StopWindow, has_room};
 
 use crate::control::usable_slots;
 use crate::engine::Engine;
@@ -32,6 +32,18 @@
     pub choice: Option<ChoiceInputs>,
 }
 
+impl DispatchResult {
+    /// Creates the outcome of a request that was refused at the node `vm` without any attempt.
+    pub fn refused(refusal: Refusal, vm: VmId) -> Self {
+        Self {
+            verdict: Err(refusal.into()),
+            vm,
+            attempts: 0,
+            choice: None,
+        }
+    }
+}
+
 /// A chosen backend server.
 struct ChosenTarget {
     target: Target,
@@ -51,13 +63,8 @@
         let mut runs = 0;
         let mut last: Verdict = Err(RefusalKind::Unavailable.into());
         let mut vm = VmId::default();
-        if !self.have_homes_room(snapshot, rule, attempt) {
-            return DispatchResult {
-                verdict: Err(RefusalKind::Overloaded.into()),
-                vm,
-                attempts: 0,
-                choice: None,
-            };
+        if !self.allowed_regions_have_room(snapshot, rule, attempt) {
+            return DispatchResult::refused(RefusalKind::Overloaded.into(), vm);
         }
         let mut choice = None;
         let work = expected_work(snapshot, &attempt.route);
@@ -173,11 +180,17 @@
         self.retry_budget().try_spend(&visits, snapshot.nodes, now)
     }
 
-    /// Returns whether the homes of a request, if it has any, have room for it. The plan counts the slots
-    /// of all regions. A nested call belongs to a request that was let in.
-    fn have_homes_room(&self, snapshot: &Snapshot, rule: &RouteRule, attempt: &Attempt) -> bool {
+    /// Returns whether the regions in which a request may be processed have room for it. The plan can't
+    /// tell, because it counts the slots of all regions together. A nested call always passes: its request
+    /// was admitted.
+    fn allowed_regions_have_room(
+        &self,
+        snapshot: &Snapshot,
+        rule: &RouteRule,
+        attempt: &Attempt,
+    ) -> bool {
         let regions = snapshot.allowed_regions(rule, attempt.organisation.as_ref());
-        if regions.is_any() || attempt.nested {
+        if regions.is_unrestricted() || attempt.nested {
             return true;
         }
         let now = self.clock.now();
@@ -189,7 +202,7 @@
         };
         let views: Vec<BackendView> = servers.map(view).collect();
         // Without any backend server there, the request is refused as unavailable.
-        views.is_empty() || have_room(views)
+        views.is_empty() || has_room(views)
     }
 
     /// Chooses one of a few candidates for a call that is expected to take the time `work`.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -244,7 +244,10 @@
     }
 
     fn evacuations(&self) -> EvacuationReport {
-        self.snapshots.load().evacuations.report(self.clock.now())
+        self.snapshots
+            .load()
+            .known_evacuations
+            .report(self.clock.now())
     }
 
     fn handle_event(&self, event: LinkEvent) {
--- a/crates/engine/src/entry.rs
+++ b/crates/engine/src/entry.rs
@@ -7,7 +7,7 @@
     Attempt, Failure, OrganisationId, Rank, Refusal, RefusalKind, RouteId, RouteRule, Rules,
     Verdict,
 };
-use filbertwheel_policy::{AllowedRegions, TokenReceipt, return_time};
+use filbertwheel_policy::{AllowedRegions, TokenReceipt, retry_time};
 
 use crate::claims::TokenShortage;
 use crate::dispatch::{DispatchResult, with_retry_after};
@@ -64,12 +64,8 @@
             }
             Err(refused) => {
                 shortage = refused.shortage;
-                let result = DispatchResult {
-                    verdict: Err(refused.refusal.into()),
-                    vm: snapshot.local_member.vm.clone(),
-                    attempts: 0,
-                    choice: None,
-                };
+                let vm = snapshot.local_member.vm.clone();
+                let result = DispatchResult::refused(refused.refusal, vm);
                 (refused.route, result)
             }
         };
@@ -153,7 +149,7 @@
         let organisation =
             organisation(rules, &rule, incoming).map_err(|kind| refused(kind.into()))?;
         let regions = AllowedRegions::of(rules, Some(&rule), organisation.as_ref());
-        if regions.is_none() {
+        if regions.is_empty() {
             return Err(refused(RefusalKind::NoHome.into()));
         }
         self.check_stop(snapshot, &rule.id, now + request_timeout(&rule, incoming))
@@ -225,7 +221,7 @@
         let after = match warmup {
             Some(share) => {
                 self.metrics.shed_warming.inc();
-                return_time(share.left, rand::random())
+                retry_time(share.left, rand::random())
             }
             None => with_jitter(OVERLOAD_RETRY_AFTER),
         };
@@ -249,12 +245,8 @@
         let service = self.round_robin().next(&rule, rand::random());
         let Some(service) = service else {
             self.refund(&organisation, receipt);
-            return DispatchResult {
-                verdict: Err(RefusalKind::Unavailable.into()),
-                vm: snapshot.local_member.vm.clone(),
-                attempts: 0,
-                choice: None,
-            };
+            let vm = snapshot.local_member.vm.clone();
+            return DispatchResult::refused(RefusalKind::Unavailable.into(), vm);
         };
         self.retry_budget().record_request(&service, began);
         let attempt = Attempt {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -34,5 +34,5 @@
 pub use metrics::Metrics;
 pub use node::{ListenerFactory, ListenerSpec, Node, NodeError};
 pub use settings::{
-    Dependencies, EngineSettings, ListenAddresses, RulesDecoder, RulesError, RulesLocation,
+    Dependencies, EngineSettings, ListenAddresses, OperatorTable, RulesDecoder, RulesError,
 };
--- a/crates/engine/src/notices.rs
+++ b/crates/engine/src/notices.rs
@@ -224,9 +224,9 @@
         present.map_or(Duration::ZERO, |one| one.coldness.left(warmup.time, now))
     }
 
-    /// Returns the pacer if the calls are paced at present, at the lower of the stated limit and the
-    /// rate of the warm-up.
-    pub fn pacer(&mut self, warmup: Option<Warmup>, now: Instant) -> Option<&mut Pacer> {
+    /// Sets the pace to the lower of the stated limit and the rate of the warm-up. Returns the pacer while
+    /// calls are paced.
+    pub fn update_pacer(&mut self, warmup: Option<Warmup>, now: Instant) -> Option<&mut Pacer> {
         let present = self.present.as_mut()?;
         let cold_rate = present.cold_rate(warmup, now);
         let rate = match (present.limit, cold_rate) {
@@ -252,7 +252,7 @@
         warmup: Option<Warmup>,
         now: Instant,
     ) -> Option<Result<PacedSend, Duration>> {
-        let reserved = self.pacer(warmup, now)?.reserve(max_wait, now);
+        let reserved = self.update_pacer(warmup, now)?.reserve(max_wait, now);
         Some(reserved.map(|reservation| PacedSend {
             wait: reservation.wait,
             reservation,
@@ -263,7 +263,7 @@
     /// Returns whether a call may be sent at the end of its reservation.
     pub fn is_valid(&mut self, send: &PacedSend, warmup: Option<Warmup>, now: Instant) -> bool {
         let paced = self.paced;
-        self.pacer(warmup, now)
+        self.update_pacer(warmup, now)
             .is_none_or(|pacer| paced == send.paced && pacer.is_valid(&send.reservation))
     }
 
--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -169,13 +169,13 @@
     }
 
     async fn verdict(&self, attempt: &Attempt, began: Instant) -> Verdict {
-        self.check_placement(attempt)?;
+        self.check_location(attempt)?;
         self.instance_for(attempt)?;
         let mut slot = self.admit(attempt, began).await?;
         self.pace(attempt).await?;
         // The instance may have left while the call waited, its failure domain may be evacuated, or this
         // node may be about to end.
-        self.check_placement(attempt)?;
+        self.check_location(attempt)?;
         let instance = self.instance_for(attempt)?;
         let stopping = self.check_stop(attempt)?;
         let permit = RunPermit::obtain(&self.crashes, attempt, self.clock.as_ref())?;
@@ -208,7 +208,7 @@
 
     /// Refuses a call that may not be processed here: the failure domain is evacuated, or the region is
     /// no home of the request.
-    fn check_placement(&self, attempt: &Attempt) -> Result<(), Failure> {
+    fn check_location(&self, attempt: &Attempt) -> Result<(), Failure> {
         let snapshot = self.snapshots.load();
         let member = &snapshot.local_member;
         if !snapshot.gets_calls(&member.domain, self.clock.now()) {
@@ -306,7 +306,7 @@
                 return Ok(self.slot(&self.lock(), attempt));
             }
             // A call that can't run here is told at once, so that it can run elsewhere.
-            self.check_placement(attempt)?;
+            self.check_location(attempt)?;
             let now = self.clock.now();
             if now >= queue_request.expires {
                 let kind = if now >= attempt.deadline {
--- a/crates/engine/src/runner/pacing.rs
+++ b/crates/engine/src/runner/pacing.rs
@@ -36,10 +36,10 @@
         let mut state = self.lock();
         let (slowness, failing) = state.health.read(now);
         let warmup = self.warmup(&state);
-        let slots = self.usable_slots(&mut state);
+        let slots = self.paced_slots(&mut state);
         let queued = state.queue.queued() as u32;
         let work = state.work_figures(slots, now);
-        let pacer = state.notices.pacer(warmup, now);
+        let pacer = state.notices.update_pacer(warmup, now);
         let is_saturated = pacer.is_some_and(|pacer| pacer.wait(now) > MAX_WAIT);
         BackendLoad {
             running: state.queue.running() as u32,
@@ -69,16 +69,20 @@
             state.notices.warmup_left(warmup, now)
         });
         self.metrics.warmup_left.set(left.as_secs_f64());
-        let rate = state.notices.pacer(warmup, now).map(|pacer| pacer.rate());
+        let rate = state
+            .notices
+            .update_pacer(warmup, now)
+            .map(|pacer| pacer.rate());
         Some(ColdCapacity {
             servers: 1,
             rate: warmup.and(rate)? as f32,
-            slots: self.usable_slots(&mut state) as f32,
+            slots: self.paced_slots(&mut state) as f32,
             left,
         })
     }
 
-    /// Returns the warm-up of the backend server's service, or `None` if the rules state none.
+    /// Returns the warm-up of the backend server's service: `UNKNOWN_WARMUP` as long as no rules are
+    /// known, `None` if the rules state none.
     fn warmup(&self, state: &State) -> Option<Warmup> {
         let snapshot = self.snapshots.load();
         let Some(rules) = &snapshot.rules else {
@@ -89,10 +93,10 @@
     }
 
     /// Returns the slots that the backend server can use at the rate at which its calls are paced.
-    fn usable_slots(&self, state: &mut State) -> u32 {
+    fn paced_slots(&self, state: &mut State) -> u32 {
         let slots = state.queue.slots() as u32;
         let warmup = self.warmup(state);
-        let pacer = state.notices.pacer(warmup, self.clock.now());
+        let pacer = state.notices.update_pacer(warmup, self.clock.now());
         let Some(rate) = pacer.map(|pacer| pacer.rate()) else {
             return slots;
         };
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -54,7 +54,7 @@
     /// The transactional table store.
     pub store: Arc<dyn Store>,
     /// Location of the rules in the store.
-    pub rules: RulesLocation,
+    pub operators: OperatorTable,
     /// Decoder of the rules.
     pub decoder: Arc<dyn RulesDecoder>,
     /// Connector to instances of the backend server.
@@ -64,11 +64,11 @@
 /// Location of what operators write in the store: the rules, and which failure domains are evacuated.
 #[value]
 #[derive(Copy)]
-pub struct RulesLocation {
-    /// Table of the rules.
+pub struct OperatorTable {
+    /// Name of the table.
     pub table: &'static str,
-    /// Key of the rules in that table.
-    pub key: &'static str,
+    /// Key of the row with the rules.
+    pub rules_key: &'static str,
     /// Beginning of the keys of rows that evacuate a failure domain, whose name follows.
     pub evacuation_prefix: &'static str,
 }
--- a/crates/engine/src/snapshots.rs
+++ b/crates/engine/src/snapshots.rs
@@ -47,9 +47,9 @@
     /// Times of the node's stop, if it is shutting down.
     pub stopping: Option<StopWindow>,
     /// What this node knows of evacuations.
-    pub evacuations: Arc<Evacuations>,
+    pub known_evacuations: Arc<Evacuations>,
     /// Evacuated failure domains.
-    pub evacuated: Arc<BTreeMap<DomainId, Evacuation>>,
+    pub evacuated_domains: Arc<BTreeMap<DomainId, Evacuation>>,
 }
 
 /// A node whose backend server is serving: a peer or the local node.
@@ -88,8 +88,8 @@
             elapsed: Arc::default(),
             members_known: false,
             stopping: None,
-            evacuations: Arc::default(),
-            evacuated: Arc::default(),
+            known_evacuations: Arc::default(),
+            evacuated_domains: Arc::default(),
         }
     }
 
@@ -116,12 +116,12 @@
 
     /// Returns whether a failure domain is evacuated, so that its slots don't count.
     pub fn is_evacuated(&self, domain: &DomainId) -> bool {
-        self.evacuated.contains_key(domain)
+        self.evacuated_domains.contains_key(domain)
     }
 
     /// Returns whether the backend servers of a failure domain get calls.
     pub fn gets_calls(&self, domain: &DomainId, now: Instant) -> bool {
-        let evacuation = self.evacuated.get(domain);
+        let evacuation = self.evacuated_domains.get(domain);
         evacuation.is_none_or(|evacuation| now < evacuation.effective)
     }
 
--- a/crates/engine/src/status.rs
+++ b/crates/engine/src/status.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use filbertwheel_core::{DomainId, StorePosition};
-use filbertwheel_policy::{Headroom, ServerCapacity, headroom};
+use filbertwheel_policy::{BackendCapacity, Headroom, headroom};
 use serde::Serialize;
 
 use crate::control::usable_slots;
@@ -70,12 +70,12 @@
 
     fn status_document(&self, snapshot: &Snapshot, now: Instant) -> StatusDocument {
         let servers = self.server_capacities(snapshot);
-        let evacuated: BTreeSet<DomainId> = snapshot.evacuated.keys().cloned().collect();
-        let in_force = snapshot.evacuated.iter();
+        let evacuated: BTreeSet<DomainId> = snapshot.evacuated_domains.keys().cloned().collect();
+        let in_force = snapshot.evacuated_domains.iter();
         let remaining = headroom(&servers, &evacuated, &snapshot.demanded_slots);
         StatusDocument {
             domain: snapshot.local_member.domain.to_string(),
-            store: snapshot.evacuations.as_of(),
+            store: snapshot.known_evacuations.as_of(),
             evacuated: in_force
                 .map(|(domain, evacuation)| EvacuatedDomain {
                     domain: domain.to_string(),
@@ -92,7 +92,7 @@
     }
 
     /// Returns the capacities of all serving backend servers, as this node knows them.
-    fn server_capacities(&self, snapshot: &Snapshot) -> Vec<ServerCapacity> {
+    fn server_capacities(&self, snapshot: &Snapshot) -> Vec<BackendCapacity> {
         let services = snapshot.services.iter();
         let servers = services
             .flat_map(|(service, targets)| targets.iter().map(move |target| (service, target)));
@@ -107,7 +107,7 @@
         servers
             .map(|(service, target)| {
                 let (slots, in_flight) = capacity(target);
-                ServerCapacity {
+                BackendCapacity {
                     domain: target.member.domain.clone(),
                     service: service.clone(),
                     slots,
--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -53,7 +53,7 @@
     }
 
     /// Checks that a body of a stated length may be received now.
-    pub fn expect(&self, bytes: usize) -> Result<(), MessageError> {
+    pub fn check_length(&self, bytes: usize) -> Result<(), MessageError> {
         if !self.allows(bytes) {
             return Err(MessageError::BodyTooLarge);
         }
--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -19,9 +19,9 @@
 const MAX_WAITING_BYTES: usize = 4 * 1024 * 1024;
 
 /// A request that has begun, and what its response depends on.
-pub(crate) struct Exchange<'a> {
+pub(crate) struct PendingRequest<'a> {
     /// Source of the response.
-    pub answer: Answer<'a>,
+    pub response: ResponseSource<'a>,
     /// Whether the connection can be reused after the response.
     pub keep_alive: bool,
     /// Whether the response has no body.
@@ -35,7 +35,7 @@
 }
 
 /// Source of a response.
-pub(crate) enum Answer<'a> {
+pub(crate) enum ResponseSource<'a> {
     /// A request that runs as part of the connection's task.
     Inline(LocalFuture<'a, Response>),
     /// A request that runs as a task of its own behind others. It has no response if the response is
@@ -45,7 +45,7 @@
     Rejected(Response),
 }
 
-impl Answer<'_> {
+impl ResponseSource<'_> {
     /// Waits for the response.
     pub async fn wait(self) -> Option<Response> {
         match self {
@@ -93,7 +93,7 @@
 /// Requests of one connection that have begun. Its reader and its writer are parts of one task,
 /// which polls both again after each change.
 pub(crate) struct Pipeline<'a> {
-    queue: RefCell<VecDeque<Exchange<'a>>>,
+    queue: RefCell<VecDeque<PendingRequest<'a>>>,
     /// Size of the request whose response is awaited or sent, in bytes.
     current: Cell<Option<usize>>,
     /// Number of the next request.
@@ -159,26 +159,28 @@
         (self.next.get(), Rc::clone(&self.waiting))
     }
 
-    /// Appends a request that has begun.
-    pub fn push(&self, exchange: Exchange<'a>) {
+    /// Appends a request that has begun. One that may not overlap begins only when none is unanswered,
+    /// so the last one speaks for all.
+    pub fn push(&self, request: PendingRequest<'a>) {
         self.next.set(self.next.get() + 1);
-        self.overlaps.set(exchange.overlaps);
-        self.closing.set(!exchange.keep_alive);
+        self.overlaps.set(request.overlaps);
+        self.closing.set(!request.keep_alive);
         self.request_bytes
-            .set(self.request_bytes.get() + exchange.bytes);
-        self.queue.borrow_mut().push_back(exchange);
+            .set(self.request_bytes.get() + request.bytes);
+        self.queue.borrow_mut().push_back(request);
         self.changed.set(true);
     }
 
-    /// Waits for the next request to answer.
-    pub async fn next(&self) -> Exchange<'a> {
-        let exchange = poll_fn(|_| match self.queue.borrow_mut().pop_front() {
-            Some(exchange) => Poll::Ready(exchange),
+    /// Waits for the next request to answer. Registers no waker: the session polls again after each
+    /// change.
+    pub async fn next(&self) -> PendingRequest<'a> {
+        let request = poll_fn(|_| match self.queue.borrow_mut().pop_front() {
+            Some(request) => Poll::Ready(request),
             None => Poll::Pending,
         });
-        let exchange = exchange.await;
-        self.current.set(Some(exchange.bytes));
-        exchange
+        let request = request.await;
+        self.current.set(Some(request.bytes));
+        request
     }
 
     /// Notes that a response is about to be sent. Returns whether the connection stays open after
@@ -207,7 +209,8 @@
         self.changed.set(true);
     }
 
-    /// Waits until a condition on the pipeline holds.
+    /// Waits until a condition on the pipeline holds. Registers no waker: the session polls again after
+    /// each change.
     pub async fn wait_until(&self, mut holds: impl FnMut(&Self) -> bool) {
         poll_fn(|_| {
             if holds(self) {
--- a/crates/http/src/reader.rs
+++ b/crates/http/src/reader.rs
@@ -14,7 +14,7 @@
 use crate::budget::{BodyLimit, ReceiveBudget};
 use crate::connection::Connection;
 use crate::head::{Framing, closes_connection, framing, parse_request};
-use crate::pipeline::{Answer, Exchange, Pipeline};
+use crate::pipeline::{PendingRequest, Pipeline, ResponseSource};
 use crate::{Handler, Limits, MessageError, Request, ServerEvent, ShutdownSignal};
 
 /// Maximum number of bytes that are read ahead of requests that wait for their turn.
@@ -125,7 +125,7 @@
         let framing = framing(&head.headers)?;
         let mut body =
             BodyLimit::open(limits.body_bytes).with_budget(self.bodies, limits.total_bytes);
-        body.expect(known_length(framing))?;
+        body.check_length(known_length(framing))?;
         let expects_continue = has(b"expect");
         let keep_alive = !closes_connection(&head.headers);
         let bodiless = head.line.method.as_bytes() == b"HEAD";
@@ -207,16 +207,16 @@
     fn begin(&mut self, received: ReceivedRequest<'h>) -> bool {
         let (request, sender) = (received.request, self.sender);
         let answer = if self.pipeline.is_empty() {
-            Answer::Inline(self.handler.handle_from(request, sender))
+            ResponseSource::Inline(self.handler.handle_from(request, sender))
         } else {
             self.handler.record(ServerEvent::Overlapped);
             let handler = Arc::clone(self.handler);
             let handled = async move { handler.handle_from(request, sender).await };
             let (number, waiting) = self.pipeline.next_place();
-            Answer::Task(self.executor.spawn(waiting.keep(number, handled)))
+            ResponseSource::Task(self.executor.spawn(waiting.keep(number, handled)))
         };
-        self.pipeline.push(Exchange {
-            answer,
+        self.pipeline.push(PendingRequest {
+            response: answer,
             keep_alive: received.keep_alive,
             bodiless: received.bodiless,
             overlaps: received.overlaps,
@@ -236,8 +236,8 @@
             );
             self.handler.record(ServerEvent::BodyRefused);
         }
-        self.pipeline.push(Exchange {
-            answer: Answer::Rejected(self.handler.reject(error)),
+        self.pipeline.push(PendingRequest {
+            response: ResponseSource::Rejected(self.handler.reject(error)),
             keep_alive: false,
             bodiless: false,
             overlaps: false,
--- a/crates/http/src/session.rs
+++ b/crates/http/src/session.rs
@@ -18,7 +18,7 @@
 use crate::budget::ReceiveBudget;
 use crate::connection::{Connection, Progress, write_all};
 use crate::encode::encode_response;
-use crate::pipeline::{Answer, Exchange, Pipeline};
+use crate::pipeline::{PendingRequest, Pipeline, ResponseSource};
 use crate::reader::Reader;
 use crate::{Handler, Limits, Response, ShutdownSignal};
 
@@ -177,17 +177,17 @@
     /// Sends responses until the connection closes.
     async fn run(self) -> End {
         loop {
-            let Exchange {
-                answer,
+            let PendingRequest {
+                response: source,
                 keep_alive,
                 bodiless,
                 body: _held_until_sent,
                 ..
             } = self.pipeline.next().await;
-            let waited = matches!(answer, Answer::Task(_));
-            let rejected = matches!(answer, Answer::Rejected(_));
+            let waited = matches!(source, ResponseSource::Task(_));
+            let rejected = matches!(source, ResponseSource::Rejected(_));
             let progress = report_progress(&self.stream, self.limits.get(), self.clock);
-            let Some(response) = answer.wait().or(progress).await else {
+            let Some(response) = source.wait().or(progress).await else {
                 return End::Closed;
             };
             let stop = self.shutdown.is_triggered();
--- a/crates/policy/src/evacuation.rs
+++ b/crates/policy/src/evacuation.rs
@@ -16,7 +16,7 @@
 const MAX_TAKEN_BACK: usize = 64;
 /// Time between the moment at which a node sees a row being written and that at which calls to the domain
 /// end. Meanwhile all nodes plan without its slots, so that what would not fit is shed first.
-const NOTICE_TIME: Duration = Duration::from_secs(1);
+const EFFECT_DELAY: Duration = Duration::from_secs(1);
 
 /// Rows of evacuated domains as read from the store.
 #[value]
@@ -132,7 +132,7 @@
                 let evacuation = Evacuation {
                     position: held.position,
                     since,
-                    effective: since + NOTICE_TIME,
+                    effective: since + EFFECT_DELAY,
                 };
                 (domain.clone(), evacuation)
             })
@@ -337,7 +337,7 @@
             revision,
             row: revision,
             witnessed: false,
-            age: NOTICE_TIME,
+            age: EFFECT_DELAY,
         }
     }
 
--- a/crates/policy/src/headroom.rs
+++ b/crates/policy/src/headroom.rs
@@ -8,7 +8,7 @@
 
 /// Capacity of one backend server and its present use.
 #[derive(Debug, Clone, PartialEq)]
-pub struct ServerCapacity {
+pub struct BackendCapacity {
     /// Failure domain.
     pub domain: DomainId,
     /// Service.
@@ -51,7 +51,7 @@
 
 /// Returns for each failure domain that isn't evacuated what is left of the services there without it.
 pub fn headroom(
-    servers: &[ServerCapacity],
+    servers: &[BackendCapacity],
     evacuated: &BTreeSet<DomainId>,
     demand: &BTreeMap<ServiceId, f64>,
 ) -> BTreeMap<DomainId, Vec<Headroom>> {
@@ -74,7 +74,7 @@
 fn headroom_of(
     service: &ServiceId,
     domain: &DomainId,
-    servers: &[ServerCapacity],
+    servers: &[BackendCapacity],
     evacuated: &BTreeSet<DomainId>,
     demand: &BTreeMap<ServiceId, f64>,
 ) -> Headroom {
--- a/crates/policy/src/homes.rs
+++ b/crates/policy/src/homes.rs
@@ -31,18 +31,18 @@
     }
 
     /// Returns whether all regions are allowed.
-    pub fn is_any(&self) -> bool {
+    pub fn is_unrestricted(&self) -> bool {
         self.route.is_empty() && self.organisation.is_empty()
     }
 
     /// Returns whether no region is allowed: route and organisation have no home in common.
-    pub fn is_none(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         let homes = if self.route.is_empty() {
             self.organisation
         } else {
             self.route
         };
-        !self.is_any() && !homes.iter().any(|region| self.contains(region))
+        !self.is_unrestricted() && !homes.iter().any(|region| self.contains(region))
     }
 
     /// Returns whether a request may be processed in a region.
@@ -54,7 +54,7 @@
 
 /// Returns whether backend servers, to which alone a request may be sent, have room for one more. Free
 /// slots elsewhere don't count.
-pub fn have_room(servers: impl IntoIterator<Item = BackendView>) -> bool {
+pub fn has_room(servers: impl IntoIterator<Item = BackendView>) -> bool {
     let (mut slots, mut in_flight) = (0, 0);
     for BackendView { load, pending, .. } in servers {
         slots += load.slots;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -77,8 +77,8 @@
 pub use expected_work::{Expectation, ExpectedWork, WorkSeconds};
 pub use gate::{Gate, GateOutcome, GateRequest, GateTicket, WaitOutcome};
 pub use graph::{CallGraph, RequestCost, ServiceCost};
-pub use headroom::{Headroom, ServerCapacity, demanded_slots, headroom};
-pub use homes::{AllowedRegions, have_room};
+pub use headroom::{BackendCapacity, Headroom, demanded_slots, headroom};
+pub use homes::{AllowedRegions, has_room};
 pub use lease::{LEASE_TIME, LeaseRow, LeaseStep, LeaseWatch, Voter};
 pub use ledger::{SHARE_LIFETIME, ShareLedger, ShareLedgerError};
 pub use limit::{ConcurrencyLimit, FixedLimit, LatencyLimit, LimitAlgorithm, RunTime};
@@ -112,7 +112,7 @@
 };
 pub use term::{LeaseTerm, OUTAGE_LIMIT, SUPPORT_LIFETIME};
 pub use tree::{MAX_CHILDREN, MAX_CLAIM_HOPS, choose_child};
-pub use warmup::{WarmupPlan, WarmupShare, plan_warmup, return_time};
+pub use warmup::{WarmupPlan, WarmupShare, plan_warmup, retry_time};
 pub use watch::WatchDuty;
 pub use work_meter::{CallWork, MeasuredRun, Occupancy, RunTicket, WorkFigures, WorkMeter};
 
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -137,7 +137,7 @@
 
 /// Returns the time after which a request that is refused while a service warms up may be sent again:
 /// once the service is warm, spread so that callers don't return together. `random` is from 0 to 1.
-pub fn return_time(left: Duration, random: f64) -> Duration {
+pub fn retry_time(left: Duration, random: f64) -> Duration {
     let left = left.max(MIN_RETURN_TIME);
     left.mul_f64(1.0 + random.clamp(0.0, 1.0) * RETURN_SPREAD)
 }
--- a/crates/policy/tests/headroom.rs
+++ b/crates/policy/tests/headroom.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use filbertwheel_core::DomainId;
-use filbertwheel_policy::{ServerCapacity, headroom};
+use filbertwheel_policy::{BackendCapacity, headroom};
 
-fn server(domain: &'static str, service: &'static str, in_flight: f64) -> ServerCapacity {
-    ServerCapacity {
+fn server(domain: &'static str, service: &'static str, in_flight: f64) -> BackendCapacity {
+    BackendCapacity {
         domain: domain.into(),
         service: service.into(),
         slots: 10.0,
--- a/crates/policy/tests/homes.rs
+++ b/crates/policy/tests/homes.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use filbertwheel_core::{OrganisationPolicy, RegionId, RouteRule, Rules, Target};
-use filbertwheel_policy::{AllowedRegions, BackendLoad, BackendView, have_room};
+use filbertwheel_policy::{AllowedRegions, BackendLoad, BackendView, has_room};
 
 fn regions(names: &[&'static str]) -> Vec<RegionId> {
     names.iter().map(|name| (*name).into()).collect()
@@ -43,9 +43,9 @@
         .into_iter()
         .filter(|region| allowed.contains(&(*region).into()))
         .collect();
-    assert_eq!(allowed.is_none(), contained.is_empty());
+    assert_eq!(allowed.is_empty(), contained.is_empty());
     assert_eq!(
-        allowed.is_any(),
+        allowed.is_unrestricted(),
         of_route.is_empty() && of_organisation.is_empty()
     );
     contained
@@ -70,7 +70,7 @@
 #[test]
 fn what_the_rules_lack_has_no_homes() {
     let rules = Rules::with_routes(1, []);
-    assert!(AllowedRegions::of(&rules, None, Some(&"ward".into())).is_any());
+    assert!(AllowedRegions::of(&rules, None, Some(&"ward".into())).is_unrestricted());
 }
 
 fn view(running: u32, queued: u32, pending: u32) -> BackendView {
@@ -90,9 +90,9 @@
 // refusals while a slot there is free or about to be.
 #[test]
 fn homes_without_room_take_no_further_requests() {
-    assert!(have_room([view(8, 0, 0), view(3, 0, 0)]));
-    assert!(have_room([view(8, 1, 0), view(8, 1, 0)]));
-    assert!(!have_room([view(8, 2, 0), view(8, 2, 0)]));
-    assert!(!have_room([view(8, 0, 4), view(8, 0, 0)]));
-    assert!(!have_room([]));
+    assert!(has_room([view(8, 0, 0), view(3, 0, 0)]));
+    assert!(has_room([view(8, 1, 0), view(8, 1, 0)]));
+    assert!(!has_room([view(8, 2, 0), view(8, 2, 0)]));
+    assert!(!has_room([view(8, 0, 4), view(8, 0, 0)]));
+    assert!(!has_room([]));
 }
--- a/crates/policy/tests/start_of_load.rs
+++ b/crates/policy/tests/start_of_load.rs
@@ -1,7 +1,4 @@
 //! Start of an overload: a burst with nothing learnt, and a wave that rises within seconds.
-//!
-//! Guards against requests that are all let in until the first of them have ended. Their calls then
-//! wait at the deepest service, and most of them end at their deadline.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -56,6 +53,8 @@
     [demand("publish", 0, 100.0), demand("read", 2, 300.0)]
 }
 
+// Guards against requests that are all let in until the first of them have ended: their calls wait at
+// the deepest service, and most of them end at their deadline.
 #[test]
 fn a_burst_is_shed_in_order_of_rank_before_its_costs_are_learnt() {
     let mut planner = AdmissionPlanner::default();
@@ -72,6 +71,7 @@
     assert!((400..950).contains(&admitted("read", 2)));
 }
 
+// Guards against the opposite: requests that are refused while nothing is learnt, though they fit.
 #[test]
 fn a_load_that_will_fit_is_not_shed_at_its_start() {
     let mut planner = AdmissionPlanner::default();
@@ -81,6 +81,7 @@
     }
 }
 
+// Guards against refusals for all routes because a backend server hangs, long after the costs are learnt.
 #[test]
 fn calls_that_pile_up_later_are_not_taken_for_an_unknown_load() {
     let mut planner = AdmissionPlanner::default();
@@ -97,12 +98,13 @@
     );
 }
 
+// Guards against a wave that has filled the queues before its demand counts.
 #[test]
 fn a_rising_wave_counts_at_once_and_a_falling_one_slowly() {
     let mut trend = DemandTrend::default();
     let mut rate = 0.0;
     for step in 0..60 {
-        // From 0.45 to 1.55 of 1,000 requests per second within 7.5 s.
+        // The demand more than triples within 7.5 s.
         let present = 450.0 + 1_100.0 * step as f32 / 30.0;
         let present = present.min(1_550.0);
         let smoothed = trend.update(&[demand("read", 2, present)], INTERVAL);
@@ -113,6 +115,7 @@
     assert!(smoothed[0].rate > 1_000.0 && smoothed[0].rate < rate);
 }
 
+// Guards against refusals by the chance differences of a small demand.
 #[test]
 fn chance_differences_of_a_small_demand_are_smoothed() {
     let mut trend = DemandTrend::default();
--- a/crates/policy/tests/warmup.rs
+++ b/crates/policy/tests/warmup.rs
@@ -6,7 +6,7 @@
 use filbertwheel_core::{Priority, Rank, RouteId, ServiceId};
 use filbertwheel_policy::{
     ColdCapacity, RequestCost, RouteDemand, ServiceCapacity, ServiceCost, WarmupPlan, plan_warmup,
-    return_time,
+    retry_time,
 };
 use proptest::prelude::*;
 
@@ -158,14 +158,14 @@
 // refuses them is still in force.
 #[test]
 fn callers_never_return_at_once() {
-    assert!(return_time(Duration::ZERO, 0.0) >= Duration::from_millis(250));
+    assert!(retry_time(Duration::ZERO, 0.0) >= Duration::from_millis(250));
 }
 
 // Guards against callers that are told to come back while they would be refused again, or all at once.
 #[test]
 fn callers_return_after_the_warmup_and_spread() {
     let times: Vec<Duration> = (0..=10)
-        .map(|one| return_time(LEFT, f64::from(one) / 10.0))
+        .map(|one| retry_time(LEFT, f64::from(one) / 10.0))
         .collect();
     assert!(
         times
