--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -178,6 +178,13 @@
         self.by_id.values()
     }
 
+    /// Returns all routes by host and descending length of the prefix, also those whose name another one
+    /// has. Of equal prefixes, the first one matches.
+    pub fn all_routes(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
+        let hosts: BTreeMap<&Text, &Vec<Arc<RouteRule>>> = self.by_host.iter().collect();
+        hosts.into_values().flatten()
+    }
+
     /// Returns the rank of an organisation's requests on a route.
     pub fn rank(&self, route: &RouteRule, organisation: Option<&OrganisationId>) -> Rank {
         let policy = organisation.and_then(|name| self.organisations.get(name));
