Reserve again after a pause of the process, before a paced call is sent

What could happen, found by the review: calls that wait for their send time while the process is frozen were all sent at once when it went on, beside a new burst: 1.75 times the paced rate in a second, over what a cold backend server bears at rates above 28 a second.

A reservation is valid until 100 ms after its time. Test: calls_that_are_late_reserve_again (policy/tests/pacer.rs).

--- a/crates/engine/src/notices.rs
+++ b/crates/engine/src/notices.rs
@@ -264,7 +264,7 @@
     pub fn is_valid(&mut self, send: &PacedSend, warmup: Option<Warmup>, now: Instant) -> bool {
         let paced = self.paced;
         self.update_pacer(warmup, now)
-            .is_none_or(|pacer| paced == send.paced && pacer.is_valid(&send.reservation))
+            .is_none_or(|pacer| paced == send.paced && pacer.is_valid(&send.reservation, now))
     }
 
     /// Returns what other nodes are told; `None` as long as nothing was stated.
--- a/crates/policy/src/pacer.rs
+++ b/crates/policy/src/pacer.rs
@@ -13,6 +13,8 @@
 /// Lowest rate that is paced, in requests per second. A backend server that accepts fewer, or none,
 /// still gets this many, because only a response shows that the limit has ended.
 const MIN_RATE: RequestRate = 0.5;
+/// Longest time after its send time at which a call may still be sent without another reservation.
+const MAX_LATENESS: Duration = Duration::from_millis(100);
 /// Ratio of a new limit to the one before below which calls that wait must reserve again.
 const FALL_RATIO: f64 = 0.9;
 
@@ -39,6 +41,8 @@
 pub struct SendReservation {
     /// Time until the call may be sent.
     pub wait: Duration,
+    /// When it may be sent.
+    at: Instant,
     falls: u64,
 }
 
@@ -88,14 +92,16 @@
         self.due = self.due.max(now) + Duration::from_secs_f64(self.rate.recip());
         Ok(SendReservation {
             wait,
+            at: now + wait,
             falls: self.falls,
         })
     }
 
-    /// Returns whether a reservation is still valid. After the limit has fallen, a waiting call must
-    /// reserve again.
-    pub fn is_valid(&self, reservation: &SendReservation) -> bool {
-        reservation.falls == self.falls
+    /// Returns whether a call may be sent now by its reservation. After the limit has fallen, or if it
+    /// is late because the process stood still, it must reserve again: calls whose times have passed
+    /// together would be sent together.
+    pub fn is_valid(&self, reservation: &SendReservation, now: Instant) -> bool {
+        reservation.falls == self.falls && now <= reservation.at + MAX_LATENESS
     }
 
     /// Returns how long a call would wait.
--- a/crates/policy/tests/pacer.rs
+++ b/crates/policy/tests/pacer.rs
@@ -54,6 +54,19 @@
     }
 }
 
+// Guards against calls that wait while the process stands still, and are sent together when it goes on.
+#[test]
+fn calls_that_are_late_reserve_again() {
+    let now = Instant::now();
+    let mut pacer = Pacer::open(100.0, now);
+    let waiting: Vec<_> = std::iter::from_fn(|| pacer.reserve(MAX_WAIT, now).ok()).collect();
+    let resumed = now + Duration::from_secs(1);
+    let sent = waiting.iter().filter(|one| pacer.is_valid(one, resumed));
+    assert_eq!(sent.count(), 0);
+    let last = waiting.last().expect("some calls wait");
+    assert!(pacer.is_valid(last, now + last.wait + Duration::from_millis(20)));
+}
+
 // Guards against a limit that is lowered while calls wait, which would be sent at the old pace.
 #[test]
 fn waiting_calls_reserve_again_after_a_fall() {
@@ -62,9 +75,9 @@
     let waiting: Vec<_> = std::iter::from_fn(|| pacer.reserve(MAX_WAIT, now).ok()).collect();
     assert!(waiting.len() >= 49, "{} reserved", waiting.len());
     pacer.set_limit(99.0, now);
-    assert!(waiting.iter().all(|one| pacer.is_valid(one)));
+    assert!(waiting.iter().all(|one| pacer.is_valid(one, now)));
     pacer.set_limit(10.0, now);
-    assert!(waiting.iter().all(|one| !pacer.is_valid(one)));
+    assert!(waiting.iter().all(|one| !pacer.is_valid(one, now)));
     let waits = std::iter::from_fn(|| pacer.reserve(MAX_WAIT, now).ok());
     let waits: Vec<u128> = waits.map(|one| one.wait.as_millis()).collect();
     assert_eq!(waits, [100, 200, 300, 400, 500]);
