--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -12,8 +12,6 @@
 use crate::http::{Message, Reply, once, serve};
 use crate::store::Store;
 
-/// Memory of a machine in bytes, by `memory_mb` of the site file.
-pub const MEMORY_BYTES: u64 = 260 * 1024 * 1024;
 /// Time from the end of a process until the platform has started it again.
 const RESTART_DELAY: Duration = Duration::from_millis(600);
 /// Interval between status reports of a backend server, as in the site file.
@@ -264,7 +262,7 @@
     /// Starts a store, and a node and a backend server at each place.
     pub fn start(places: &[Place], work: Work, manifest: &str) -> Self {
         let dir = PathBuf::from(std::env::var("CASE_DIR").expect("CASE_DIR"));
-        let store = Store::start(listener(200));
+        let store = Store::start();
         store.put("op", "config", manifest);
         let mut nodes = Vec::new();
         for (index, place) in places.iter().enumerate() {
@@ -275,6 +273,9 @@
                 .map(|one| one.local_addr().expect("an address"))
                 .collect();
             drop(ports);
+            let stored = listener(200);
+            let store_address = stored.local_addr().expect("an address");
+            store.listen(stored, index);
             let vm = format!("sidecar-{}-{host}", place.domain);
             let settings = dir.join(format!("{vm}.toml"));
             let text = format!(
@@ -282,7 +283,7 @@
                  [listen]\ncallers = \"{}\"\nreadiness = \"{}\"\nreports = \"{}\"\npeers = \"{}\"\nmetrics = \"{}\"\n\n\
                  [store]\naddress = \"{}\"\n\n[retries]\nratio = 0.2\nslack = 50\nwindow_s = 10\n\n\
                  [placement]\nby_cost = false\n\n[timing]\nbeat_ms = 1500\ngrace_s = 6\n",
-                place.domain, place.service, at[0], at[1], at[2], at[3], at[4], store.address
+                place.domain, place.service, at[0], at[1], at[2], at[3], at[4], store_address
             );
             std::fs::write(&settings, text).expect("the settings");
             let node = Node {
