--- a/review/standins-2/src/pipeline.rs
+++ b/review/standins-2/src/pipeline.rs
@@ -28,6 +28,7 @@
     let work = Work {
         time: WORK,
         body_bytes: BODY_BYTES,
+        slots: 64,
     };
     let places = [
         place("ionian-a", "sharing"),
--- a/review/standins-2/src/readers.rs
+++ b/review/standins-2/src/readers.rs
@@ -79,6 +79,7 @@
     let work = Work {
         time: Duration::from_millis(65),
         body_bytes: plan.body_bytes,
+        slots: 64,
     };
     let places = [
         place("majori", "availability"),
