--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -101,6 +101,11 @@
         Ok(Some(message))
     }
 
+    /// Returns another handle of the connection.
+    pub fn clone_stream(&self) -> io::Result<TcpStream> {
+        self.stream.try_clone()
+    }
+
     /// Takes what has been read behind a head.
     pub fn take_buffered(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.buffered)
--- a/review/standins-2/src/readers.rs
+++ b/review/standins-2/src/readers.rs
@@ -28,6 +28,8 @@
     /// Pause between the starts of two clients.
     gap: Duration,
     deadline: Duration,
+    /// Whether a small request goes before the download on the same connection.
+    is_kept: bool,
 }
 
 /// Pause between two reads of a slow client.
@@ -66,6 +68,7 @@
             pace: 200 * 1024,
             gap: Duration::from_millis(300),
             deadline: Duration::from_secs(60),
+            is_kept: true,
         },
         Case::Memory => Plan {
             clients: 48,
@@ -73,6 +76,7 @@
             pace: 600 * 1024,
             gap: Duration::from_millis(100),
             deadline: Duration::from_secs(30),
+            is_kept: false,
         },
     };
     let place = |domain, service| Place { domain, service };
@@ -144,18 +148,29 @@
     };
     let began = Instant::now();
     let _set = stream.set_read_timeout(Some(plan.deadline));
+    let mut reader = Reader::open(stream);
+    let Ok(mut socket) = reader.clone_stream() else {
+        return Got::NoConnection;
+    };
+    if plan.is_kept {
+        let before = format!(
+            "POST /charges/cabin HTTP/1.1\r\nHost: charges.example\r\nAttempt-Id: before-{number}\r\nDeadline-Ms: 6000\r\nContent-Length: 4\r\n\r\nbook"
+        );
+        let answered = socket
+            .write_all(before.as_bytes())
+            .and_then(|()| reader.message());
+        if !answered.is_ok_and(|answer| answer.is_some_and(|one| one.status() == 200)) {
+            return Got::NoConnection;
+        }
+    }
     let head = format!(
         "GET /batches/guests HTTP/1.1\r\nHost: documents.example\r\nAttempt-Id: d{number}-{}\r\nDeadline-Ms: {}\r\n\r\n",
         crate::fleet::wall_ms(),
         plan.deadline.as_millis()
     );
-    if (&stream).write_all(head.as_bytes()).is_err() {
+    if socket.write_all(head.as_bytes()).is_err() {
         return Got::Cut(0);
     }
-    let Ok(mut socket) = stream.try_clone() else {
-        return Got::NoConnection;
-    };
-    let mut reader = Reader::open(stream);
     let head = match reader.head() {
         Ok(Some(head)) => head,
         _ => return Got::Cut(0),
