--- a/crates/http/tests/raw.rs
+++ b/crates/http/tests/raw.rs
@@ -316,3 +316,25 @@
         }
     });
 }
+
+/// Whether a byte may be part of a header's name (RFC 9110, section 5.6.2).
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+// Guards against a head whose broken lines are passed on to the caller, or change where its body ends.
+#[test]
+fn responses_with_a_broken_header_name_are_broken() {
+    let name = "a-name-that-fills-more-than-a-vector-register";
+    for byte in (0..=u8::MAX).filter(|byte| !is_token(*byte) && !b":\n".contains(byte)) {
+        for at in [0, 1, 7, 15, 16, 31, 32, name.len()] {
+            let mut answer = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n".to_vec();
+            answer.extend_from_slice(&name.as_bytes()[..at]);
+            answer.push(byte);
+            answer.extend_from_slice(&name.as_bytes()[at..]);
+            answer.extend_from_slice(b": 1\r\n\r\none");
+            let outcome = outcome(answer.leak());
+            assert_eq!(outcome, Err(SendError::Broken), "{byte:#x} at {at}");
+        }
+    }
+}
