Answers of other nodes: a header that no answer can have is broken

What callers would see: a line with a blank or a control byte in its name, or a value with a control byte, if another node sent it in a verdict, for example one that runs another version.

Cause: the status of an answer in a frame was checked, its headers were not; the node at which the request came in wrote them out as they were (only values with a line break or a null byte were left out).

Not seen on real nodes, since a node refuses such an answer of its own backend server.

Change: Answer::is_valid covers status and headers, and both encodings between nodes (links, HTTP) share one check of what they received. The outcome is "broken", a 502.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -14,6 +14,9 @@
 /// HTTP method of a call, as received from the caller.
 pub type Method = Text;
 
+/// Bytes of a token other than letters and digits.
+const TOKEN_MARKS: &[u8] = b"!#$%&'*+-.^_`|~";
+
 /// A header that is forwarded unchanged.
 #[value]
 pub struct Header {
@@ -23,6 +26,18 @@
     pub value: Text,
 }
 
+impl Header {
+    /// Returns whether the name is a token (RFC 9110, section 5.6.2) and the value holds no control
+    /// byte other than a tab.
+    pub fn is_valid(&self) -> bool {
+        let is_token = |byte: &u8| byte.is_ascii_alphanumeric() || TOKEN_MARKS.contains(byte);
+        let is_control = |byte: &u8| byte.is_ascii_control() && *byte != b'\t';
+        let name = self.name.as_bytes();
+        let value = self.value.as_bytes();
+        !name.is_empty() && name.iter().all(is_token) && !value.iter().any(is_control)
+    }
+}
+
 /// Importance of a request. Load shedding starts with the first variant.
 #[copy_value]
 #[derive(Default, serde::Serialize, serde::Deserialize)]
@@ -138,6 +153,13 @@
     pub retries: u32,
 }
 
+impl Answer {
+    /// Returns whether a complete response can have this status and these headers.
+    pub fn is_valid(&self) -> bool {
+        is_final_status(self.status) && self.headers.iter().all(Header::is_valid)
+    }
+}
+
 /// Why a call has no response.
 #[value]
 #[derive(Display, Error, derive_more::From)]
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -11,12 +11,14 @@
 use filbertwheel_core::{
     Answer, Attempt, Failure, Fence, Header, InstanceNotice, Member, Method, OrganisationId,
     Priority, Refusal, RefusalKind, RequestId, RouteId, RulesStamp, ServiceId, StorePosition, Text,
-    UnknownReason, Verdict, is_final_status, message, value,
+    UnknownReason, Verdict, message, value,
 };
 use filbertwheel_policy::{
     BackendLoad, CrashReport, EvacuationReport, PortionGrant, PortionRequest, SumMessage,
 };
 
+use crate::received_answer;
+
 /// Size of the length field, in bytes.
 const LENGTH_BYTES: usize = 4;
 /// Maximum size of a frame: the largest body that operators can allow, plus its head.
@@ -297,10 +299,7 @@
 
     pub fn into_verdict(self, body: Bytes) -> Verdict {
         match self {
-            Self::Answer(status, _) if !is_final_status(status) => {
-                Err(Failure::Unknown(UnknownReason::Broken))
-            }
-            Self::Answer(status, headers) => Ok(Answer {
+            Self::Answer(status, headers) => received_answer(Answer {
                 status,
                 headers: to_headers(headers),
                 body,
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -9,11 +9,13 @@
 use filbertwheel_core::{
     Answer, Call, CallId, Criticality, CutOff, Deduplication, Failure, Header, KeyHash, Method,
     OrganisationId, Refusal, RefusalKind, RequestId, ServiceId, Text, UnknownReason, Verdict,
-    is_final_status, message, value,
+    message, value,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::received_answer;
+
 /// Size of the length field, in bytes.
 const LENGTH_BYTES: usize = 4;
 
@@ -169,14 +171,11 @@
 pub(crate) fn decode_verdict(frame: &Bytes, now: Instant) -> Option<(Verdict, LoadReport)> {
     let (head, body) = split::<VerdictHead>(frame)?;
     let verdict = match head.outcome {
-        OutcomeHead::Answer { status, .. } if !is_final_status(status) => {
-            Err(Failure::Unknown(UnknownReason::Broken))
-        }
         OutcomeHead::Answer {
             status,
             headers,
             retries,
-        } => Ok(Answer {
+        } => received_answer(Answer {
             status,
             headers: to_headers(headers),
             body,
--- a/crates/peer/tests/accept.rs
+++ b/crates/peer/tests/accept.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use filbertwheel_core::{
-    Answer, Attempt, Clock, Failure, FleetSecret, InstanceNotice, Member, OrganisationId,
+    Answer, Attempt, Clock, Failure, FleetSecret, Header, InstanceNotice, Member, OrganisationId,
     RefusalKind, RulesStamp, Status, SystemClock, Text, UnknownReason, Verdict,
 };
 use filbertwheel_http::{LocalFuture, ShutdownTrigger};
@@ -30,7 +30,7 @@
     FleetSecret::new(Text::from_static("a secret of the fleet"))
 }
 
-/// Node that answers each call with the status that the call's path names, and other calls never.
+/// Node that answers each call with its headers and the status that its path names, and other calls never.
 #[derive(Debug, Default)]
 struct Odd {
     /// Number of calls that have begun and are never answered.
@@ -77,7 +77,7 @@
         };
         let answer = Answer {
             status,
-            headers: Vec::new(),
+            headers: attempt.headers,
             body: Bytes::new(),
             retries: 0,
         };
@@ -241,6 +241,47 @@
     }));
 }
 
+// Guards against a verdict with a header that no response can have, which the caller would get.
+#[test]
+fn verdicts_with_broken_headers_are_broken() {
+    let headers = [
+        ("x odd", "1"),
+        ("x-odd ", "1"),
+        (" x-odd", "1"),
+        ("x\todd", "1"),
+        ("x\u{1}odd", "1"),
+        ("x\u{7f}odd", "1"),
+        ("x\r\nodd", "1"),
+        ("x:odd", "1"),
+        ("x\u{e9}", "1"),
+        ("", "1"),
+        ("x-odd", "1\r\nx: 2"),
+        ("x-odd", "1\u{1}"),
+    ];
+    let executor = Rc::new(LocalExecutor::new());
+    filbertwheel_runtime::block_on(executor.run(async {
+        let node = Arc::default();
+        let [link] = open_links(&executor, &node).await;
+        let call = async |name: &str, value: &str| {
+            let mut attempt = attempt("200", 0);
+            attempt.headers.push(Header {
+                name: name.into(),
+                value: value.into(),
+            });
+            let verdict = link.call(&attempt, Duration::ZERO).await;
+            verdict.expect("the link is up")
+        };
+        for (name, value) in headers {
+            let broken = Err(Failure::Unknown(UnknownReason::Broken));
+            assert_eq!(call(name, value).await, broken, "{name:?}: {value:?}");
+        }
+        for (name, value) in [("x-odd_1.!", "1\t2 \u{e9}"), ("x", "")] {
+            let answer = call(name, value).await.expect("the header is valid");
+            assert_eq!(answer.headers.len(), 1, "{name:?}: {value:?}");
+        }
+    }));
+}
+
 // Guards against large calls of several nodes that fill the memory of one while they run.
 #[test]
 fn a_call_beyond_the_memory_is_refused_and_its_link_goes_on() {
