Lines of a chunked body and lengths are held to HTTP's grammar

What callers would see: a 200 whose framing was not HTTP: with a trailer like "it's broken glass" or "X Odd: 1", with a control byte or a bare carriage return in the line of a chunk, or with another blank than space and tab (such as U+00A0) beside a size or a Content-Length.

Cause: found by looking for broken names wherever lines are read. Heads go through the parser; the lines of a trailer were skipped unread, chunk extensions too, and blanks were trimmed by Unicode's rules.

Change: each line of a trailer has to be a header, a chunk's line holds no control byte but the tab, and only space and tab are trimmed. Valid extensions and trailers are ignored as before.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -11,6 +11,7 @@
 
 use crate::MessageError;
 use crate::budget::BodyLimit;
+use crate::head::{BLANKS, is_header_line};
 
 /// Maximum number of bytes per read.
 const READ_SIZE: usize = 8 * 1024;
@@ -232,6 +233,9 @@
             if line.is_empty() {
                 return Ok(body.freeze());
             }
+            if !is_header_line(&line) {
+                return Err(MessageError::Malformed);
+            }
             left = left.saturating_sub(line.len());
         }
     }
@@ -316,9 +320,13 @@
 
 /// Parses the size of a chunk from its first line. Chunk extensions are ignored.
 fn chunk_size(line: &[u8]) -> Result<usize, MessageError> {
+    let is_control = |byte: &u8| byte.is_ascii_control() && *byte != b'\t';
+    if line.iter().any(is_control) {
+        return Err(MessageError::Malformed);
+    }
     let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
     let digits = std::str::from_utf8(size).map_err(|_| MessageError::Malformed)?;
-    let digits = digits.trim_end();
+    let digits = digits.trim_end_matches(BLANKS);
     if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_hexdigit()) {
         return Err(MessageError::Malformed);
     }
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -7,6 +7,8 @@
 
 /// Maximum number of headers in a head.
 const MAX_HEADERS: usize = 100;
+/// Blanks that may stand beside the parts of a line (RFC 9110, section 5.6.3).
+pub(crate) const BLANKS: [char; 2] = [' ', '\t'];
 
 /// Start line and headers of a message.
 #[value]
@@ -104,6 +106,13 @@
     }
 }
 
+/// Whether a line, without its line ending, is a valid header.
+pub(crate) fn is_header_line(line: &[u8]) -> bool {
+    let lines = [line, b"\r\n\r\n"].concat();
+    let mut parsed = [httparse::EMPTY_HEADER];
+    httparse::parse_headers(&lines, &mut parsed).is_ok_and(|status| status.is_complete())
+}
+
 /// Whether a message asks to close the connection after it (`Connection: close`).
 pub(crate) fn closes_connection(headers: &[Header]) -> bool {
     let values = headers
@@ -186,7 +195,7 @@
 fn parse_length(earlier: Option<usize>, value: &Text) -> Result<usize, MessageError> {
     let text = value.as_str().ok_or(MessageError::Malformed)?;
     let mut found = earlier;
-    for digits in text.split(',').map(str::trim) {
+    for digits in text.split(',').map(|part| part.trim_matches(BLANKS)) {
         if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
             return Err(MessageError::Malformed);
         }
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -169,6 +169,49 @@
     assert_eq!(outcome, Err(SendError::Broken));
 }
 
+// Guards against a chunked body whose framing isn't valid HTTP, and that passes for complete.
+#[test]
+fn a_chunked_response_with_a_broken_line_is_broken() {
+    let bodies = [
+        "3\r\none\r\n0\r\nX Odd: 1\r\n\r\n",
+        "3\r\none\r\n0\r\nX-Odd : 1\r\n\r\n",
+        "3\r\none\r\n0\r\nX: 1\r\n X: 1\r\n\r\n",
+        "3\r\none\r\n0\r\nX\u{1}: 1\r\n\r\n",
+        "3\r\none\r\n0\r\nit's broken glass\r\n\r\n",
+        "3\r\r\none\r\n0\r\n\r\n",
+        "3\u{b}\r\none\r\n0\r\n\r\n",
+        "3\u{a0}\r\none\r\n0\r\n\r\n",
+        "3;\0\r\none\r\n0\r\n\r\n",
+        "3\r\none\r\r\n0\r\n\r\n",
+    ];
+    for body in bodies {
+        let answer = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{body}");
+        let outcomes = exchanged(vec![answer.leak().as_bytes()], &until());
+        assert_eq!(outcomes, [Err(SendError::Broken)], "{body:?}");
+    }
+}
+
+#[test]
+fn a_length_with_other_blanks_than_space_and_tab_is_broken() {
+    for length in ["3\u{a0}", "\u{2003}3", "3\u{85}", "3, \u{a0}3"] {
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\none");
+        let outcomes = exchanged(vec![answer.leak().as_bytes()], &until());
+        assert_eq!(outcomes, [Err(SendError::Broken)], "{length:?}");
+    }
+}
+
+#[test]
+fn extensions_and_trailers_of_a_chunked_response_are_ignored() {
+    let body = "3 ; name=\"a\tvalue\"\r\none\r\n0\r\nX-Odd: 1\r\nEmpty:\r\n\r\n";
+    let answer = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{body}");
+    let outcomes = exchanged(vec![answer.leak().as_bytes()], &until());
+    let response = outcomes[0].as_ref().expect("the response is complete");
+    assert_eq!(
+        (&response.body[..], &response.headers[..]),
+        (&b"one"[..], &[][..])
+    );
+}
+
 #[test]
 fn a_response_to_another_request_is_discarded() {
     let both: &[u8] = b"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nodd\
