Peer: the check of received answers in a module of its own

Cause: it stood in the table of contents of the crate, and both encodings use it. No change of behaviour.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,6 +7,7 @@
 //! - Links: one persistent connection from each node to each other node, which multiplexes calls,
 //!   reports, rules and token claims as binary frames. The first frame of a link is signed.
 
+mod answer;
 mod client;
 mod link;
 mod server;
@@ -20,20 +21,9 @@
 pub use server::{CallHandler, ControlError, ControlHandler, PeerEndpoint};
 pub use wire::LoadReport;
 
-use filbertwheel_core::{Answer, UnknownReason, Verdict};
-
 /// Request path of forwarded calls.
 const CALL_PATH: &str = "/call";
 /// JSON-RPC method of a heartbeat.
 const HEARTBEAT_METHOD: &str = "beat";
 /// JSON-RPC method of a token claim.
 const CLAIM_METHOD: &str = "claim";
-
-/// Returns the verdict for an answer from another node. An answer that no caller can be sent is broken.
-fn received_answer(answer: Answer) -> Verdict {
-    if answer.is_valid() {
-        Ok(answer)
-    } else {
-        Err(UnknownReason::Broken.into())
-    }
-}
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -17,7 +17,7 @@
     BackendLoad, CrashReport, EvacuationReport, PortionGrant, PortionRequest, SumMessage,
 };
 
-use crate::received_answer;
+use crate::answer::received_answer;
 
 /// Size of the length field, in bytes.
 const LENGTH_BYTES: usize = 4;
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -14,7 +14,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::received_answer;
+use crate::answer::received_answer;
 
 /// Size of the length field, in bytes.
 const LENGTH_BYTES: usize = 4;
