--- a/crates/http/tests/early_responses.rs
+++ b/crates/http/tests/early_responses.rs
@@ -13,7 +13,8 @@
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// Size of the request, which exceeds what the sockets of a connection hold.
 const UPLOAD_BYTES: usize = 24 * 1024 * 1024;
-/// Number of responses of each kind, since it's left to chance which end notices a reset first.
+/// Number of responses of each kind, since it's left to chance whether the client's read or
+/// its write meets a reset first.
 const ROUNDS: usize = 30;
 /// Time in which the client reads the response and its socket fills up.
 const PAUSE: Duration = Duration::from_millis(20);
