Fix: waiting calls are judged by the stop of every node that they pass through

Cause: a call travels with the deadline that holds when it is sent. The stop of its sender came later, and no message told the other node. There a waiting call was checked for its location and its expiry only, so it stayed in the queue until its slot or its own deadline, both after the end of the sender.

The same cause stands beside the backend server: a call that waits there was judged again only when a slot became free. With both slots held by long requests, the callers of the stopping node lost their connections, and those of other nodes got 502.

Change: a stopping node announces on each link when its callers know of the stop and when it closes (`Frame::Stopping`, one frame a link and stop). A call keeps to the stop of its sender and of the node beside the backend server, at each check while it waits, before it begins, and in the deadline that the backend server is handed. What can't end in time is refused as not run, at once: the sender tries another server or refuses it to its caller.

Random test of the rule: `what_waits_at_another_node_ends_before_either_closes`.

--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -201,14 +201,25 @@
         }
     }
 
-    /// Begins the shutdown: publishes and reports that the node is draining.
+    /// Begins the shutdown: publishes and reports that the node is draining, and bounds the calls that
+    /// other nodes run or hold for it.
     pub fn begin_shutdown(&mut self, window: StopWindow) {
         self.stopping = Some(window);
         self.local_member.status = Status::Draining;
         self.publish();
+        self.announce_stop(window);
         self.send_reports();
     }
 
+    fn announce_stop(&self, window: StopWindow) {
+        let now = self.parts.clock.now();
+        let noticed = window.noticed.saturating_duration_since(now);
+        let closes = window.left(now);
+        for peer in self.peers.values() {
+            peer.link.announce_stop(noticed, closes);
+        }
+    }
+
     /// Adds or updates a peer. Opens a link if the peer or its address is new.
     pub(super) fn upsert_peer(&mut self, member: Member) {
         if member.vm == self.local_member.vm {
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -7,7 +7,7 @@
     Attempt, Failure, Refusal, RefusalKind, RouteId, RouteRule, ServiceId, UnknownReason, Verdict,
     VmId,
 };
-use filbertwheel_peer::ForwardError;
+use filbertwheel_peer::{CallState, ForwardError};
 use filbertwheel_policy::{AllowedRegions, BackendView, Distance, StopWindow, has_room};
 
 use crate::control::usable_slots;
@@ -122,7 +122,7 @@
     /// Sends a request, which is expected to take the time `work`, to one backend server.
     async fn send(&self, target: &Target, attempt: &Attempt, work: Duration) -> Verdict {
         let Some(link) = &target.link else {
-            return self.runner.run(attempt).await;
+            return self.runner.run(attempt, &CallState::default()).await;
         };
         match link.call(attempt, work).await {
             Ok(verdict) => verdict,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -10,7 +10,7 @@
     RulesStamp, ServiceId, Verdict,
 };
 use filbertwheel_http::LocalFuture;
-use filbertwheel_peer::{LinkEvent, LinkHandler, NodeReport, RulesDocument};
+use filbertwheel_peer::{CallState, LinkEvent, LinkHandler, NodeReport, RulesDocument};
 use filbertwheel_policy::{
     BackendLoad, EvacuationReport, FairShedder, LongestTimes, Placement, PortionBuckets,
     RetryBudget, RetryLimits, RulesCatchup, WeightedRoundRobin,
@@ -212,8 +212,8 @@
         lock(&self.rules_catchup).should_pull(own, stamp, watching, now)
     }
 
-    fn run(&self, attempt: Attempt) -> LocalFuture<'_, Verdict> {
-        Box::pin(async move { self.runner.run(&attempt).await })
+    fn run(&self, attempt: Attempt, state: CallState) -> LocalFuture<'_, Verdict> {
+        Box::pin(async move { self.runner.run(&attempt, &state).await })
     }
 
     fn claim_tokens(&self, organisation: &OrganisationId, count: u32) -> (u32, u32) {
--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -14,6 +14,7 @@
 use filbertwheel_core::{
     Attempt, Clock, Failure, Refusal, RefusalKind, RouteId, Status, UnknownReason, Verdict, VmId,
 };
+use filbertwheel_peer::CallState;
 use filbertwheel_policy::{
     AdmissionQueue, AllowedRegions, CallWork, CrashReport, Health, LongestTimes, Profiler,
     QueueOutcome, QueueRequest, QueueTicket, RouteProfile, StopWindow, WorkMeter,
@@ -150,9 +151,9 @@
     }
 
     /// Runs a call as soon as a slot is free.
-    pub async fn run(&self, attempt: &Attempt) -> Verdict {
+    pub async fn run(&self, attempt: &Attempt, call: &CallState) -> Verdict {
         let began = self.clock.now();
-        let verdict = self.verdict(attempt, began).await;
+        let verdict = self.verdict(attempt, call, began).await;
         if let Err(failure) = &verdict {
             let (running, queued, limit) = {
                 let state = self.lock();
@@ -168,19 +169,20 @@
         verdict
     }
 
-    async fn verdict(&self, attempt: &Attempt, began: Instant) -> Verdict {
+    async fn verdict(&self, attempt: &Attempt, call: &CallState, began: Instant) -> Verdict {
         self.check_location(attempt)?;
         self.instance_for(attempt)?;
-        let mut slot = self.admit(attempt, began).await?;
+        let mut slot = self.admit(attempt, call, began).await?;
         self.pace(attempt).await?;
-        // The instance may have left while the call waited, its failure domain may be evacuated, or this
-        // node may be about to end.
+        // The instance may have left while the call waited, its failure domain may be evacuated, or a
+        // node that it passes through may be about to end.
         self.check_location(attempt)?;
         let instance = self.instance_for(attempt)?;
-        let stopping = self.check_stop(attempt)?;
+        let stopping = self.check_stop(attempt, call)?;
         let permit = RunPermit::obtain(&self.crashes, attempt, self.clock.as_ref())?;
         let started = self.clock.now();
         slot.start(attempt);
+        call.begin();
         self.metrics.sent.inc();
         let attempt = bounded(attempt, stopping);
         let reply = instance.server.run(&attempt, &instance.instance).await;
@@ -241,11 +243,18 @@
         }
     }
 
-    /// Refuses a call that may not end before this node does, so that it can run elsewhere. Returns the
-    /// times of the stop, if there is one.
-    fn check_stop(&self, attempt: &Attempt) -> Result<Option<StopWindow>, Failure> {
-        let Some(window) = self.snapshots.load().stopping else {
-            return Ok(None);
+    /// Refuses a call that may not end before this node or the one that sent it does, so that it can run
+    /// elsewhere or be refused by its sender. Returns the times of the stop, if there is one.
+    fn check_stop(
+        &self,
+        attempt: &Attempt,
+        call: &CallState,
+    ) -> Result<Option<StopWindow>, Failure> {
+        let own = self.snapshots.load().stopping;
+        let window = match (own, call.sender_stop()) {
+            (Some(own), Some(sender)) => own.both(sender),
+            (Some(window), None) | (None, Some(window)) => window,
+            (None, None) => return Ok(None),
         };
         let longest = self.lock().longest_runs.get(&attempt.route);
         if window.takes(longest, attempt.deadline, self.clock.now()) {
@@ -254,7 +263,12 @@
         Err(RefusalKind::Draining.into())
     }
 
-    async fn admit(&self, attempt: &Attempt, now: Instant) -> Result<Slot<'_>, Failure> {
+    async fn admit(
+        &self,
+        attempt: &Attempt,
+        call: &CallState,
+        now: Instant,
+    ) -> Result<Slot<'_>, Failure> {
         let queue_request = {
             let fleet_mean = self.fleet_mean(&attempt.route);
             let state = self.lock();
@@ -307,6 +321,7 @@
             }
             // A call that can't run here is told at once, so that it can run elsewhere.
             self.check_location(attempt)?;
+            self.check_stop(attempt, call)?;
             let now = self.clock.now();
             if now >= queue_request.expires {
                 let kind = if now >= attempt.deadline {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -15,8 +15,8 @@
 
 pub use client::{CallForwarder, ControlClient, ForwardError, PeerClient};
 pub use link::{
-    FrameError, Link, LinkDriver, LinkEndpoint, LinkEvent, LinkHandler, Links, NodeReport,
-    ReplyHandle, RulesDocument,
+    CallState, FrameError, Link, LinkDriver, LinkEndpoint, LinkEvent, LinkHandler, Links,
+    NodeReport, ReplyHandle, RulesDocument,
 };
 pub use server::{CallHandler, ControlError, ControlHandler, PeerEndpoint};
 pub use wire::LoadReport;
--- a/crates/peer/src/link/accept.rs
+++ b/crates/peer/src/link/accept.rs
@@ -1,7 +1,5 @@
 //! Accepting side of a link.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,10 +11,12 @@
     Attempt, Clock, FleetSecret, InstanceNotice, Refusal, RefusalKind, RulesStamp, VmId,
 };
 use filbertwheel_http::{ShutdownSignal, configure_socket};
+use filbertwheel_policy::StopWindow;
 use filbertwheel_runtime::{TcpListener, TcpStream};
 use futures_lite::FutureExt as _;
 use smol::{LocalExecutor, Task};
 
+use super::calls::ReceivedCalls;
 use super::fill_buffer;
 use super::frame::{CorrelationId, Frame, MAX_FRAME_BYTES, MAX_HELLO_BYTES, VerdictHead};
 use super::is_valid_signature;
@@ -94,9 +94,6 @@
     }
 }
 
-/// Running calls of one link, each with its task and whether it is idempotent.
-type RunningCalls = Rc<RefCell<HashMap<CorrelationId, (Task<()>, bool)>>>;
-
 /// The large frame that arrives on a link.
 #[derive(Debug, Default)]
 struct LargeFrame {
@@ -109,7 +106,7 @@
 struct AcceptedLink {
     endpoint: LinkEndpoint,
     outbox: Arc<Outbox>,
-    running: RunningCalls,
+    calls: ReceivedCalls,
     executor: Rc<LocalExecutor<'static>>,
 }
 
@@ -124,7 +121,7 @@
     let link = AcceptedLink {
         endpoint,
         outbox: Arc::clone(&outbox),
-        running: RunningCalls::default(),
+        calls: ReceivedCalls::default(),
         executor,
     };
     let writer = stream.clone();
@@ -135,13 +132,7 @@
     };
     link.read(&mut stream).or(write).await;
     outbox.close();
-    // Calls that are not idempotent run to completion. Idempotent calls are cancelled, because
-    // nobody waits for their verdicts.
-    for (_, (task, idempotent)) in link.running.take() {
-        if !idempotent {
-            task.detach();
-        }
-    }
+    link.calls.close();
 }
 
 impl AcceptedLink {
@@ -266,7 +257,7 @@
                 true
             }
             Frame::Cancel(id) => {
-                self.running.borrow_mut().remove(&id);
+                self.calls.cancel(id);
                 true
             }
             Frame::Report(report) => {
@@ -310,6 +301,10 @@
                 handler.handle_event(LinkEvent::LeaseOffer(vm.clone(), fence, left));
                 true
             }
+            Frame::Stopping { noticed, closes } => {
+                self.bound_calls(vm, noticed, closes);
+                true
+            }
             Frame::PortionRequest(request) => {
                 let reply = ReplyHandle(Arc::clone(&self.outbox));
                 handler.handle_event(LinkEvent::PortionRequest(request, reply));
@@ -334,24 +329,40 @@
         }
     }
 
+    /// Makes the calls of a node that is stopping end before it closes its connections.
+    fn bound_calls(&self, sender: &VmId, noticed: Duration, closes: Duration) {
+        let now = self.endpoint.clock.now();
+        let Some(window) = StopWindow::ahead(now, noticed, closes) else {
+            tracing::warn!("peer: Ignored the stop of {sender}, whose times can't be represented.");
+            return;
+        };
+        tracing::info!(
+            vm = %sender,
+            closes_ms = closes.as_millis() as u64,
+            waiting = self.calls.waiting(),
+            "peer: The sender of calls is stopping."
+        );
+        self.calls.set_sender_stop(window);
+    }
+
     /// Starts a call, which holds its memory until it ends.
     fn start(&self, id: CorrelationId, attempt: Attempt, held: Option<HeldMemory>) {
         let handler = Arc::clone(&self.endpoint.handler);
         let outbox = Arc::clone(&self.outbox);
-        let running = Rc::clone(&self.running);
+        let calls = self.calls.clone();
         let idempotent = attempt.idempotent;
+        let state = calls.new_state();
+        let running = state.clone();
         let task = self.executor.spawn(async move {
-            let verdict = handler.run(attempt).await;
+            let verdict = handler.run(attempt, running).await;
             drop(held);
             let (head, body) = VerdictHead::from_verdict(verdict);
             // If the link is down by now, the verdict is dropped.
             let frame = Frame::Verdict(id, head, handler.load(), body);
             let _down = outbox.push_with(&frame, handler.notice());
-            if let Some((task, _)) = running.borrow_mut().remove(&id) {
-                task.detach();
-            }
+            calls.finish(id);
         });
-        self.running.borrow_mut().insert(id, (task, idempotent));
+        self.calls.insert(id, task, idempotent, state);
     }
 
     fn refuse(&self, id: CorrelationId, kind: RefusalKind) {
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -227,6 +227,12 @@
         self.push(&Frame::LeaseOffer(fence, left));
     }
 
+    /// Announces that this node is stopping: after `noticed` its callers know it, after `closes` it
+    /// closes their connections. What waits at the other node then is refused in time.
+    pub fn announce_stop(&self, noticed: Duration, closes: Duration) {
+        self.push(&Frame::Stopping { noticed, closes });
+    }
+
     /// Sends sums over a part of the fleet or all of it.
     pub fn send_sums(&self, message: SumMessage) {
         self.push(&Frame::Sums(Box::new(message)));
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -81,6 +81,9 @@
     LeaseOffer(Fence, Duration),
     /// What the sender knows of evacuated failure domains.
     Evacuations(EvacuationReport),
+    /// The sender is stopping: after `noticed` its callers know it, after `closes` it closes their
+    /// connections. Its calls on this link end before that, or are refused.
+    Stopping { noticed: Duration, closes: Duration },
 }
 
 /// The rules in force at a node.
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -5,12 +5,14 @@
 //! connection.
 
 mod accept;
+mod calls;
 mod dial;
 mod frame;
 mod memory;
 mod outbox;
 
 pub use accept::LinkEndpoint;
+pub use calls::CallState;
 pub use dial::{Link, LinkDriver, Links};
 pub use frame::{FrameError, NodeReport, RulesDocument};
 
@@ -48,8 +50,9 @@
     /// Whether to request the rules from a node whose rules have this stamp.
     fn wants_rules(&self, stamp: RulesStamp) -> bool;
 
-    /// Runs a call at this node's backend server.
-    fn run(&self, attempt: Attempt) -> LocalFuture<'_, Verdict>;
+    /// Runs a call at this node's backend server. The future may be dropped at any time; it records in
+    /// `state` when the call begins.
+    fn run(&self, attempt: Attempt, state: CallState) -> LocalFuture<'_, Verdict>;
 
     /// Spends tokens of an organisation on behalf of another node. Returns the number of tokens
     /// granted and the time in milliseconds after which more may be available.
--- a/crates/peer/tests/accept.rs
+++ b/crates/peer/tests/accept.rs
@@ -13,7 +13,7 @@
     RefusalKind, RulesStamp, Status, SystemClock, Text, UnknownReason, Verdict,
 };
 use filbertwheel_http::{LocalFuture, ShutdownTrigger};
-use filbertwheel_peer::{Link, LinkEndpoint, LinkEvent, LinkHandler, RulesDocument};
+use filbertwheel_peer::{CallState, Link, LinkEndpoint, LinkEvent, LinkHandler, RulesDocument};
 use filbertwheel_policy::{BackendLoad, EvacuationReport};
 use smol::LocalExecutor;
 
@@ -69,7 +69,7 @@
         false
     }
 
-    fn run(&self, attempt: Attempt) -> LocalFuture<'_, Verdict> {
+    fn run(&self, attempt: Attempt, _state: CallState) -> LocalFuture<'_, Verdict> {
         let status = attempt.path.as_str().and_then(|path| path.parse().ok());
         let Some(status) = status else {
             self.held.fetch_add(1, Ordering::Relaxed);
--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -17,6 +17,23 @@
 }
 
 impl StopWindow {
+    /// Creates the window of a stop whose times are that far ahead. Returns `None` if they are not
+    /// representable as an `Instant` on this VM.
+    pub fn ahead(now: Instant, noticed: Duration, closes: Duration) -> Option<Self> {
+        Some(Self {
+            noticed: now.checked_add(noticed)?,
+            closes: now.checked_add(closes)?,
+        })
+    }
+
+    /// Returns the window of a request that passes through two nodes that are stopping.
+    pub fn both(self, other: Self) -> Self {
+        Self {
+            noticed: self.noticed.min(other.noticed),
+            closes: self.closes.min(other.closes),
+        }
+    }
+
     /// Returns whether a request is taken that arrives at `now`, has to be answered by `deadline`, and
     /// whose route has taken at most the time `longest` of late, if that is known. What may not end
     /// before the connections close is refused, so that it can run elsewhere. As long as callers
--- a/crates/policy/tests/stop.rs
+++ b/crates/policy/tests/stop.rs
@@ -113,4 +113,30 @@
             times.record(&route, ends - arrives, ends);
         }
     }
+
+    // Guards against a request that waits at another node, or here for another one, and begins although
+    // one of the two ends before it: the other node learns of the stop somewhat later.
+    #[test]
+    fn what_waits_at_another_node_ends_before_either_closes(
+        own_ms in 0..8_000_u64,
+        sender_ms in 0..8_000_u64,
+        delay_ms in 0..90_u64,
+        longest_ms in prop::option::of(0..3_000_u64),
+        timeout_ms in 1..9_000_u64,
+        begins_ms in 0..9_000_u64,
+    ) {
+        let began = Instant::now();
+        let at = |ms| began + Duration::from_millis(ms);
+        let sender = window(at(sender_ms));
+        let heard = at(sender_ms + delay_ms);
+        let known = StopWindow::ahead(heard, SECOND * 2, SECOND * 6).expect("a near time");
+        let both = window(at(own_ms)).both(known);
+        let (begins, deadline) = (at(begins_ms), at(timeout_ms));
+        let longest = longest_ms.map(Duration::from_millis);
+        if begins < deadline && both.takes(longest, deadline, begins) {
+            let runs = longest.unwrap_or(SECOND * 9);
+            let ends = (begins + runs).min(both.bounded(deadline));
+            prop_assert!(ends < sender.closes && ends < window(at(own_ms)).closes);
+        }
+    }
 }
