Fix: calls that wait when their link is lost don't run

Cause: when a link is lost, calls that are not idempotent run to completion, so that work isn't broken off whose effect can't be undone. That held also for calls that hadn't begun: the link didn't know the difference.

The sender's verdict is the same as before (lost, may have run), which promises nothing.

Ruled out: a new verdict "not run" for them. The link that could carry it is gone.

--- a/crates/peer/src/link/calls.rs
+++ b/crates/peer/src/link/calls.rs
@@ -94,11 +94,11 @@
         waiting.count()
     }
 
-    /// Ends the calls of a lost link. Calls that are not idempotent run to completion. Idempotent calls
-    /// are cancelled, because nobody waits for their verdicts.
+    /// Ends the calls of a lost link, because nobody waits for their verdicts. Only calls that have begun
+    /// and are not idempotent run to completion.
     pub fn close(self) {
         for (_, call) in self.calls.take() {
-            if !call.idempotent {
+            if call.state.has_begun() && !call.idempotent {
                 call.task.detach();
             }
         }
