Fix: a request that still runs when its node ends is answered

What callers saw: requests taken before the SIGTERM, whose backend server was at work at the end of the grace period, were closed without an answer.

Cause: the end of the grace period ends the threads whatever is open. Only what was sent after the signal has a deadline before it.

Change: 60 ms before the connections close, requests that were passed on and have no answer are answered as unknown: 504, `UnknownReason::Stopped`, never retried. The variant is the last one and isn't sent on links. Work that may be repeated is cancelled at the other node by that, as when a caller leaves.

Weighed: the same at the bounded deadline of late requests, 100 ms before the end: it would break off answers that the other nodes are still sending. Nothing: what callers saw until now.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -330,4 +330,7 @@
     /// A request with this id was already admitted.
     #[display("a request with this id is running or has run")]
     Repeated,
+    /// The node that took the request ended while it ran.
+    #[display("the node ended while the request ran")]
+    Stopped,
 }
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -9,6 +9,7 @@
 };
 use filbertwheel_peer::{CallState, ForwardError};
 use filbertwheel_policy::{AllowedRegions, BackendView, Distance, StopWindow, has_room};
+use futures_lite::FutureExt as _;
 
 use crate::control::usable_slots;
 use crate::engine::Engine;
@@ -119,8 +120,17 @@
         }
     }
 
-    /// Sends a request, which is expected to take the time `work`, to one backend server.
+    /// Sends a request, which is expected to take the time `work`, to one backend server. If it is still
+    /// unanswered when this node ends, its outcome is unknown.
     async fn send(&self, target: &Target, attempt: &Attempt, work: Duration) -> Verdict {
+        let ended = async {
+            self.ending.wait().await;
+            Err(UnknownReason::Stopped.into())
+        };
+        self.exchange(target, attempt, work).or(ended).await
+    }
+
+    async fn exchange(&self, target: &Target, attempt: &Attempt, work: Duration) -> Verdict {
         let Some(link) = &target.link else {
             return self.runner.run(attempt, &CallState::default()).await;
         };
@@ -155,7 +165,7 @@
                 return self.spend_retry(snapshot, attempt, now);
             }
             Err(Failure::Refused(refusal)) => return refusal.kind.is_retryable(),
-            Err(Failure::Unknown(UnknownReason::Late)) => return false,
+            Err(Failure::Unknown(UnknownReason::Late | UnknownReason::Stopped)) => return false,
             Ok(_) | Err(Failure::Unknown(_)) => {}
         }
         if !may_have_run {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -9,7 +9,7 @@
     Attempt, Clock, InstanceNotice, Member, OrganisationId, Rank, RouteId, RouteRule, Rules,
     RulesStamp, ServiceId, Verdict,
 };
-use filbertwheel_http::LocalFuture;
+use filbertwheel_http::{LocalFuture, ShutdownSignal};
 use filbertwheel_peer::{CallState, LinkEvent, LinkHandler, NodeReport, RulesDocument};
 use filbertwheel_policy::{
     BackendLoad, EvacuationReport, FairShedder, LongestTimes, Placement, PortionBuckets,
@@ -42,6 +42,8 @@
     pub(crate) inbox: Arc<Inbox>,
     /// How the backend server of a call is chosen.
     pub(crate) placement: Arc<dyn Placement>,
+    /// Triggered shortly before this node closes its connections.
+    pub(crate) ending: ShutdownSignal,
     portions: Mutex<PortionBuckets>,
     retry_budget: Mutex<RetryBudget>,
     shedder: Mutex<FairShedder>,
@@ -72,6 +74,7 @@
     pub service: ServiceId,
     pub retries: RetryLimits,
     pub placement: Arc<dyn Placement>,
+    pub ending: ShutdownSignal,
 }
 
 impl Engine {
@@ -85,6 +88,7 @@
             metrics: parts.metrics,
             service: parts.service,
             placement: parts.placement,
+            ending: parts.ending,
             inbox: parts.inbox,
             portions: Mutex::default(),
             retry_budget: Mutex::new(RetryBudget::open(parts.retries)),
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -39,6 +39,8 @@
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
 /// Interval at which the shutdown checks for calls in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time before the connections close in which requests that still run are answered.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(60);
 /// Time for the last messages to be sent.
 const FLUSH_TIME: Duration = Duration::from_millis(30);
 /// Percentage of the grace period after which a stopping node closes its connections. The rest of
@@ -86,6 +88,8 @@
     engine: Arc<Engine>,
     threads: Vec<TrafficThread>,
     shutdown: ShutdownTrigger,
+    /// Answers the requests that are still unanswered when the node ends.
+    ending: ShutdownTrigger,
     clock: Arc<dyn Clock>,
     grace: Duration,
 }
@@ -100,6 +104,7 @@
         clock: Arc<dyn Clock>,
     ) -> Result<Self, NodeError> {
         let (shutdown, shutdown_signal) = ShutdownTrigger::open();
+        let (ending, ending_signal) = ShutdownTrigger::open();
         let local_member = member(settings, clock.as_ref());
         let snapshots: SharedSnapshot =
             Arc::new(ArcSwap::from_pointee(Snapshot::open(local_member.clone())));
@@ -135,6 +140,7 @@
             service: settings.service.clone(),
             retries: settings.retries,
             placement: placement(settings),
+            ending: ending_signal,
         }));
         let mut specs = open_listeners(&engine);
         specs.push(ListenerSpec {
@@ -185,6 +191,7 @@
             engine,
             threads,
             shutdown,
+            ending,
             clock,
             grace: settings.shutdown_grace,
         })
@@ -220,7 +227,7 @@
     }
 
     /// Shuts down: announces that the node is draining, waits for the calls in flight, then closes
-    /// the listeners.
+    /// the listeners. Requests that run until then are answered as unknown.
     async fn shut_down(self) {
         let began = self.clock.now();
         tracing::info!("node: Stopping.");
@@ -230,6 +237,13 @@
             noticed: began + notice,
             closes: until,
         });
+        let clock = Arc::clone(&self.clock);
+        let ending = self.ending;
+        let end_requests = self.executor.spawn(async move {
+            let left = until.saturating_duration_since(clock.now());
+            clock.sleep(left.saturating_sub(LAST_ANSWER_TIME)).await;
+            ending.trigger();
+        });
         self.clock.sleep(notice).await;
         while self.engine.in_flight() > 0 && self.clock.now() < until {
             self.clock.sleep(DRAIN_POLL_INTERVAL).await;
@@ -249,6 +263,7 @@
             tracing::warn!("node: Connections were still open at the end of the grace period.");
         };
         smol::future::or(ended, late).await;
+        drop(end_requests);
         self.control.borrow_mut().return_portions();
         self.clock.sleep(FLUSH_TIME).await;
         tracing::info!("node: Stopped.");
--- a/crates/http/src/verdict.rs
+++ b/crates/http/src/verdict.rs
@@ -59,7 +59,7 @@
 
 fn unknown(reason: UnknownReason) -> Response {
     let status = match reason {
-        UnknownReason::Late => 504,
+        UnknownReason::Late | UnknownReason::Stopped => 504,
         UnknownReason::Repeated | UnknownReason::Forgotten => 409,
         UnknownReason::Lost | UnknownReason::Broken => 502,
     };
