Fix: calls that wait beside a leaving backend server are told at once

What callers saw: a backend server reports that it is draining while its slots are held by long requests. Calls that wait for it stayed in its queue until their deadline and ended with 503 or 504, although another server of the service had room.

A call refused as draining is sent to another server. A server that is only away, or has restarted, keeps its queue as before: its calls may still run there.

--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -243,6 +243,16 @@
         }
     }
 
+    /// Refuses a waiting call that can't run here any more, so that it can run elsewhere at once.
+    fn check_waiting(&self, attempt: &Attempt, call: &CallState) -> Result<(), Failure> {
+        self.check_location(attempt)?;
+        if self.lock().is_leaving() {
+            return Err(RefusalKind::Draining.into());
+        }
+        self.check_stop(attempt, call)?;
+        Ok(())
+    }
+
     /// Refuses a call that may not end before this node or the one that sent it does, so that it can run
     /// elsewhere or be refused by its sender. Returns the times of the stop, if there is one.
     fn check_stop(
@@ -319,9 +329,7 @@
                 waiting.done = true;
                 return Ok(self.slot(&self.lock(), attempt));
             }
-            // A call that can't run here is told at once, so that it can run elsewhere.
-            self.check_location(attempt)?;
-            self.check_stop(attempt, call)?;
+            self.check_waiting(attempt, call)?;
             let now = self.clock.now();
             if now >= queue_request.expires {
                 let kind = if now >= attempt.deadline {
--- a/crates/engine/src/runner/reports.rs
+++ b/crates/engine/src/runner/reports.rs
@@ -142,6 +142,12 @@
 }
 
 impl State {
+    /// Returns whether the present life of the backend server is leaving or has left.
+    pub(super) fn is_leaving(&self) -> bool {
+        let instance = self.instance.as_ref();
+        instance.is_some_and(|instance| instance.status >= Status::Draining)
+    }
+
     /// Returns the status of the present life after a report.
     fn status(&self, reported: Status) -> Status {
         if self.notices.is_leaving() {
