Engine: a node's listeners and its shutdown in modules of their own

`Node::spawn` was over a screen long, and the shutdown had grown by the end of requests. Its steps are functions now; nothing else changes.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,12 +18,14 @@
 mod inbox;
 mod incoming;
 mod journal;
+mod listeners;
 mod metrics;
 mod node;
 mod notices;
 mod reports;
 mod runner;
 mod settings;
+mod shutdown;
 mod snapshots;
 mod status;
 mod traffic;
@@ -31,8 +33,9 @@
 pub use engine::Engine;
 pub use filbertwheel_policy::RetryLimits;
 pub use incoming::IncomingRequest;
+pub use listeners::{ListenerFactory, ListenerSpec};
 pub use metrics::Metrics;
-pub use node::{ListenerFactory, ListenerSpec, Node, NodeError};
+pub use node::{Node, NodeError};
 pub use settings::{
     Dependencies, EngineSettings, ListenAddresses, OperatorTable, RulesDecoder, RulesError,
 };
--- a/crates/engine/src/traffic.rs
+++ b/crates/engine/src/traffic.rs
@@ -18,7 +18,7 @@
 }
 
 /// Listeners and links that a traffic thread serves.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct ThreadTasks {
     pub listeners: Vec<BoundListener>,
     pub links: LinkEndpoint,
