HTTP: idle connections and the options of a request out of the client's module

Which connections are reused is one job (`idle.rs`), what a caller states and gets back when there is no response another (`options.rs`). Tests of the package pass (arm64).

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -3,11 +3,10 @@
 use std::fmt::Debug;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use derive_more::{Display, Error};
-use filbertwheel_core::{Clock, Text, copy_value, is_final_status, value};
+use filbertwheel_core::{Clock, Text, is_final_status};
 use filbertwheel_runtime::TcpStream;
 use futures_lite::{AsyncWriteExt as _, FutureExt as _};
 
@@ -17,14 +16,10 @@
 use crate::head::{
     Framing, closes_connection, framing, is_connection_header, parse_response, push_header,
 };
+use crate::idle::IdleConnections;
+use crate::options::{SendError, SendOptions, StallPolicy};
 use crate::{Limits, MessageError, Request, Response, configure_socket};
 
-/// Maximum number of idle connections to one address.
-const MAX_IDLE_CONNECTIONS: usize = 256;
-
-/// Time for which no connection to a server is reused after one had bytes that belong to no response.
-const STRAY_PAUSE: Duration = Duration::from_secs(5);
-
 /// Number of progress intervals without a byte after which a connection counts as stalled.
 const STALL_INTERVALS: u32 = 4;
 /// Interim status of a server that waits for the body.
@@ -37,92 +32,16 @@
 /// The margin avoids sending a request while the server closes the connection.
 const ANNOUNCED_IDLE_TENTHS: u32 = 7;
 
-/// What to do with a request whose connection is stalled while new connections succeed.
-#[copy_value]
-pub enum StallPolicy {
-    /// Wait until the deadline, for requests that are not safe to retry.
-    Wait,
-    /// Close the connection and leave a retry to the caller.
-    Abort,
-    /// Do not probe; rely on the TCP keepalive of the operating system.
-    Ignore,
-}
-
-/// Options for sending one request.
-#[value]
-pub struct SendOptions {
-    /// Deadline for the response.
-    pub deadline: Instant,
-    /// What to do when the connection stalls.
-    pub on_stall: StallPolicy,
-    /// Maximum idle time of a reused connection.
-    pub idle: Duration,
-    /// Name and value of a header that the response must echo. A response with another value
-    /// belongs to another request and is discarded. One without the header is taken for the
-    /// response only on a new connection: on a reused one it may belong to an earlier request.
-    pub echo: Option<(&'static str, Text)>,
-}
-
-impl SendOptions {
-    /// Default options, with a deadline.
-    pub fn until(deadline: Instant) -> Self {
-        Self {
-            deadline,
-            on_stall: StallPolicy::Wait,
-            idle: Duration::MAX,
-            echo: None,
-        }
-    }
-}
-
-/// Error of a request that has no complete response.
-#[copy_value]
-#[derive(Display, Error)]
-pub enum SendError {
-    /// No byte of the request was sent.
-    #[display("the server is unreachable")]
-    NotSent,
-    /// The request cannot be represented in HTTP.
-    #[display("the request cannot be encoded")]
-    Unencodable,
-    /// The connection was lost after the request was sent.
-    #[display("the connection was lost")]
-    Lost,
-    /// The deadline passed after the request was sent.
-    #[display("the response did not arrive before the deadline")]
-    Late,
-    /// The response was truncated or malformed.
-    #[display("the response was truncated or malformed")]
-    Broken,
-}
-
-impl SendError {
-    /// Whether the server cannot have received the request.
-    pub fn is_unsent(self) -> bool {
-        matches!(self, Self::NotSent | Self::Unencodable)
-    }
-}
-
 /// Pool of connections to one address. A connection carries one exchange at a time.
 #[derive(Debug)]
 pub struct Pool {
     address: SocketAddr,
     limits: Limits,
     clock: Arc<dyn Clock>,
-    idle: Mutex<Vec<IdleConnection>>,
-    /// Until when no connection is reused, because the server sends bytes that belong to no response.
-    unused_until: Mutex<Option<Instant>>,
+    idle: IdleConnections,
     receiving: ReceiveBudget,
 }
 
-#[derive(Debug)]
-struct IdleConnection {
-    connection: Connection,
-    since: Instant,
-    /// Maximum idle time, derived from the server's `Keep-Alive` header.
-    limit: Duration,
-}
-
 /// A complete response, and whether and how long its connection can be reused.
 struct ReceivedResponse {
     response: Response,
@@ -166,9 +85,8 @@
         Self {
             address,
             limits,
+            idle: IdleConnections::open(limits.idle_timeout, Arc::clone(&clock)),
             clock,
-            idle: Mutex::default(),
-            unused_until: Mutex::default(),
             receiving: ReceiveBudget::default(),
         }
     }
@@ -233,11 +151,11 @@
             Err(error) => used && *error == SendError::Broken,
         };
         if has_strays {
-            self.pause_reuse();
+            self.idle.pause(self.address);
         }
         let received = received?;
         if received.keep_alive && !connection.has_buffered() {
-            self.return_connection(connection, received.limit);
+            self.idle.put(connection, received.limit);
         }
         Ok(received.response)
     }
@@ -249,7 +167,7 @@
 
     /// Closes the idle connections, because a connection of the pool has stalled.
     pub fn discard_idle(&self) {
-        self.lock().clear();
+        self.idle.discard();
     }
 
     /// Waits for half of the time until the deadline, then checks whether a new connection can be
@@ -298,7 +216,7 @@
 
     /// Returns an open connection, and whether it has been used before.
     async fn checkout(&self, options: &SendOptions) -> Result<(Connection, bool), SendError> {
-        while let Some(connection) = self.take_idle(options.idle) {
+        while let Some(connection) = self.idle.take(options.idle) {
             if connection.stream().is_idle() {
                 return Ok((connection, true));
             }
@@ -452,60 +370,6 @@
             .sleep(deadline.saturating_duration_since(self.clock.now()))
             .await;
     }
-
-    fn take_idle(&self, max_idle: Duration) -> Option<Connection> {
-        let now = self.clock.now();
-        let mut idle = self.lock();
-        // Half of the server's idle timeout, so that a connection is never reused while the server
-        // closes it.
-        let bound = self.limits.idle_timeout / 2;
-        let age = |entry: &IdleConnection| now.saturating_duration_since(entry.since);
-        idle.retain(|entry| age(entry) < bound.min(entry.limit));
-        let fresh = idle.last().is_some_and(|entry| age(entry) <= max_idle);
-        if !fresh {
-            return None;
-        }
-        idle.pop().map(|entry| entry.connection)
-    }
-
-    /// Closes the idle connections and reuses none for a while: bytes that belong to no response may
-    /// arrive on any of them after the next request was sent.
-    fn pause_reuse(&self) {
-        let now = self.clock.now();
-        let before = self.unused_until().replace(now + STRAY_PAUSE);
-        if before.is_none_or(|until| until <= now) {
-            tracing::warn!(
-                server = %self.address,
-                "http: The server sends bytes that belong to no response, so its connections are not reused."
-            );
-        }
-        self.discard_idle();
-    }
-
-    fn unused_until(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
-        self.unused_until
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn return_connection(&self, connection: Connection, limit: Duration) {
-        let since = self.clock.now();
-        if self.unused_until().is_some_and(|until| since < until) {
-            return;
-        }
-        let mut idle = self.lock();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(IdleConnection {
-                connection,
-                since,
-                limit,
-            });
-        }
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<IdleConnection>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 /// Idle timeout announced by the server in seconds (`Keep-Alive: timeout=5`), less a margin.
