--- a/crates/peer/tests/accept.rs
+++ b/crates/peer/tests/accept.rs
@@ -1,5 +1,7 @@
 //! The listener for links against raw bytes.
 
+mod common;
+
 use std::io::Write as _;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -8,13 +10,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use filbertwheel_core::{
-    Answer, Attempt, Clock, Failure, FleetSecret, Header, InstanceNotice, Member, OrganisationId,
-    RefusalKind, RulesStamp, Status, SystemClock, Text, UnknownReason, Verdict,
-};
+use common::{Calls, Node, attempt, clock, open_link, secret, serve_links};
+use filbertwheel_core::{Answer, Attempt, Failure, Header, RefusalKind, UnknownReason, Verdict};
 use filbertwheel_http::{LocalFuture, ShutdownTrigger};
-use filbertwheel_peer::{CallState, Link, LinkEndpoint, LinkEvent, LinkHandler, RulesDocument};
-use filbertwheel_policy::{BackendLoad, EvacuationReport};
+use filbertwheel_peer::{CallState, LinkEndpoint};
 use smol::LocalExecutor;
 
 /// Time in which a link is cut off that sends no hello.
@@ -22,14 +21,6 @@
 /// What the sockets of a loopback connection may hold.
 const SOCKET_BYTES: usize = 16 * 1024 * 1024;
 
-fn clock() -> Arc<dyn Clock> {
-    Arc::new(SystemClock)
-}
-
-fn secret() -> FleetSecret {
-    FleetSecret::new(Text::from_static("a secret of the fleet"))
-}
-
 /// Node that answers each call with its headers and the status that its path names, and other calls never.
 #[derive(Debug, Default)]
 struct Odd {
@@ -37,38 +28,7 @@
     held: AtomicUsize,
 }
 
-impl LinkHandler for Odd {
-    fn local_member(&self) -> Member {
-        Member {
-            vm: "vm1".into(),
-            incarnation: 1,
-            region: "lahore".into(),
-            domain: "domain1".into(),
-            service: None,
-            address: "127.0.0.1:1".parse().expect("an address"),
-            slots: 0,
-            status: Status::Joining,
-        }
-    }
-
-    fn load(&self) -> BackendLoad {
-        BackendLoad::default()
-    }
-
-    fn notice(&self) -> Option<InstanceNotice> {
-        None
-    }
-
-    fn learn_notice(&self, _notice: InstanceNotice) {}
-
-    fn rules_stamp(&self) -> RulesStamp {
-        RulesStamp::default()
-    }
-
-    fn wants_rules(&self, _stamp: RulesStamp) -> bool {
-        false
-    }
-
+impl Calls for Odd {
     fn run(&self, attempt: Attempt, _state: CallState) -> LocalFuture<'_, Verdict> {
         let status = attempt.path.as_str().and_then(|path| path.parse().ok());
         let Some(status) = status else {
@@ -83,20 +43,6 @@
         };
         Box::pin(async { Ok(answer) })
     }
-
-    fn claim_tokens(&self, _organisation: &OrganisationId, _count: u32) -> (u32, u32) {
-        (0, 0)
-    }
-
-    fn rules(&self) -> Option<RulesDocument> {
-        None
-    }
-
-    fn evacuations(&self) -> EvacuationReport {
-        EvacuationReport::default()
-    }
-
-    fn handle_event(&self, _event: LinkEvent) {}
 }
 
 /// Sends `begin` and then `block` until the other end closes. Returns the number of bytes.
@@ -124,9 +70,14 @@
         let executor = Rc::new(LocalExecutor::new());
         filbertwheel_runtime::block_on(executor.run(async {
             let address = "127.0.0.1:0".parse().expect("an address");
-            let links =
-                LinkEndpoint::bind(address, Arc::new(Odd::default()), secret(), clock(), stop)
-                    .await;
+            let links = LinkEndpoint::bind(
+                address,
+                Arc::new(Node::<Odd>::default()),
+                secret(),
+                clock(),
+                stop,
+            )
+            .await;
             let links = links.expect("a port is free");
             sender.send(links.address()).expect("the test waits");
             links.run(Rc::clone(&executor)).await;
@@ -163,67 +114,15 @@
     served.join().expect("the endpoint ends");
 }
 
-fn attempt(path: &str, body_bytes: usize) -> Attempt {
-    Attempt {
-        request: "one".into(),
-        route: "sheets".into(),
-        service: "rounds".into(),
-        organisation: None,
-        caller: "desk".into(),
-        priority: 0,
-        idempotent: true,
-        nested: false,
-        deadline: Instant::now() + GIVE_UP_TIME,
-        objective: GIVE_UP_TIME,
-        method: "GET".into(),
-        path: path.into(),
-        headers: Vec::new(),
-        body: vec![b'x'; body_bytes].into(),
-    }
-}
-
-/// Opens links to one node.
-async fn open_links<const COUNT: usize>(
-    executor: &Rc<LocalExecutor<'static>>,
-    node: &Arc<Odd>,
-) -> [Link; COUNT] {
-    let (stopper, stop) = ShutdownTrigger::open();
-    let any = "127.0.0.1:0".parse().expect("an address");
-    let handler = Arc::clone(node) as Arc<dyn LinkHandler>;
-    let endpoint = LinkEndpoint::bind(any, handler, secret(), clock(), stop).await;
-    let endpoint = endpoint.expect("a port is free");
-    let address = endpoint.address().expect("the endpoint is bound");
-    let running = endpoint.run(Rc::clone(executor));
-    let running = async move {
-        running.await;
-        drop(stopper);
-    };
-    executor.spawn(running).detach();
-    let links = std::array::from_fn(|_| {
-        let (link, driver) = Link::open(
-            "vm1".into(),
-            address,
-            Arc::new(Odd::default()),
-            secret(),
-            clock(),
-        );
-        executor.spawn(driver.run()).detach();
-        link
-    });
-    while !links.iter().all(Link::is_up) {
-        clock().sleep(Duration::from_millis(5)).await;
-    }
-    links
-}
-
 // Guards against a verdict with a status that no response can have, which the caller would get as its
 // answer.
 #[test]
 fn verdicts_with_odd_statuses_are_broken() {
     let executor = Rc::new(LocalExecutor::new());
     filbertwheel_runtime::block_on(executor.run(async {
-        let node = Arc::default();
-        let [link] = open_links(&executor, &node).await;
+        let node: Arc<Node<Odd>> = Arc::default();
+        let address = serve_links(&executor, node).await;
+        let (link, _driver) = open_link(&executor, address).await;
         for status in [0, 20, 99, 101, 199, 600, 999, 2_000] {
             let verdict = link
                 .call(&attempt(&status.to_string(), 0), Duration::ZERO)
@@ -260,8 +159,9 @@
     ];
     let executor = Rc::new(LocalExecutor::new());
     filbertwheel_runtime::block_on(executor.run(async {
-        let node = Arc::default();
-        let [link] = open_links(&executor, &node).await;
+        let node: Arc<Node<Odd>> = Arc::default();
+        let address = serve_links(&executor, node).await;
+        let (link, _driver) = open_link(&executor, address).await;
         let call = async |name: &str, value: &str| {
             let mut attempt = attempt("200", 0);
             attempt.headers.push(Header {
@@ -290,9 +190,12 @@
     const LARGE: usize = 8 * 1024 * 1024;
     let executor = Rc::new(LocalExecutor::new());
     filbertwheel_runtime::block_on(executor.run(async {
-        let node: Arc<Odd> = Arc::default();
+        let node: Arc<Node<Odd>> = Arc::default();
         // A link queues half of them at most.
-        let [first, second, last] = open_links(&executor, &node).await;
+        let address = serve_links(&executor, node.clone()).await;
+        let (first, _driver) = open_link(&executor, address).await;
+        let (second, _driver) = open_link(&executor, address).await;
+        let (last, _driver) = open_link(&executor, address).await;
         let hold = |number| {
             let link = if number % 2 == 0 { &first } else { &second }.clone();
             executor.spawn(async move { link.call(&attempt("never", LARGE), Duration::ZERO).await })
@@ -309,7 +212,7 @@
                 }
             }
         };
-        while node.held.load(Ordering::Relaxed) < HELD {
+        while node.0.held.load(Ordering::Relaxed) < HELD {
             clock().sleep(Duration::from_millis(5)).await;
         }
         assert_eq!(status(LARGE).await, None);
