--- a/crates/engine/src/runner/mod.rs
+++ b/crates/engine/src/runner/mod.rs
@@ -262,7 +262,7 @@
     ) -> Result<Option<StopWindow>, Failure> {
         let own = self.snapshots.load().stopping;
         let window = match (own, call.sender_stop()) {
-            (Some(own), Some(sender)) => own.both(sender),
+            (Some(own), Some(sender)) => own.stricter(sender),
             (Some(window), None) | (None, Some(window)) => window,
             (None, None) => return Ok(None),
         };
--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -26,8 +26,8 @@
         })
     }
 
-    /// Returns the window of a request that passes through two nodes that are stopping.
-    pub fn both(self, other: Self) -> Self {
+    /// Returns the window of a request that passes through this stopping node and another one.
+    pub fn stricter(self, other: Self) -> Self {
         Self {
             noticed: self.noticed.min(other.noticed),
             closes: self.closes.min(other.closes),
--- a/crates/policy/tests/stop.rs
+++ b/crates/policy/tests/stop.rs
@@ -127,16 +127,16 @@
     ) {
         let began = Instant::now();
         let at = |ms| began + Duration::from_millis(ms);
-        let sender = window(at(sender_ms));
+        let (sender, own) = (window(at(sender_ms)), window(at(own_ms)));
         let heard = at(sender_ms + delay_ms);
         let known = StopWindow::ahead(heard, SECOND * 2, SECOND * 6).expect("a near time");
-        let both = window(at(own_ms)).both(known);
+        let stricter = own.stricter(known);
         let (begins, deadline) = (at(begins_ms), at(timeout_ms));
         let longest = longest_ms.map(Duration::from_millis);
-        if begins < deadline && both.takes(longest, deadline, begins) {
+        if begins < deadline && stricter.takes(longest, deadline, begins) {
             let runs = longest.unwrap_or(SECOND * 9);
-            let ends = (begins + runs).min(both.bounded(deadline));
-            prop_assert!(ends < sender.closes && ends < window(at(own_ms)).closes);
+            let ends = (begins + runs).min(stricter.bounded(deadline));
+            prop_assert!(ends < sender.closes && ends < own.closes);
         }
     }
 }
