--- /dev/null
+++ b/review/standins-3/src/backend.rs
@@ -0,0 +1,150 @@
+//! A backend that follows the users' pages: it reports each half second, runs a request for the time
+//! that its case sets, and answers with its seal and whole body.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
+
+use crate::fleet::{beat, post};
+use crate::http::{Head, Wire};
+
+/// How a request is run.
+pub struct Work {
+    pub time: Duration,
+    pub bytes: usize,
+}
+
+/// A run of a request.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub id: String,
+    /// When the last byte of the answer was handed over, if it was.
+    pub answered: Option<Instant>,
+}
+
+pub struct Backend {
+    pub id: String,
+    service: String,
+    address: SocketAddr,
+    reports: SocketAddr,
+    slots: u32,
+    work: Box<dyn Fn(&str) -> Work + Send + Sync>,
+    pub runs: Mutex<Vec<Run>>,
+    sequence: AtomicU64,
+}
+
+impl Backend {
+    /// Starts a backend and its status reports.
+    pub fn start(
+        name: &str,
+        service: &str,
+        reports: SocketAddr,
+        slots: u32,
+        work: impl Fn(&str) -> Work + Send + Sync + 'static,
+    ) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let backend = Arc::new(Self {
+            id: format!("i-{name}"),
+            service: service.to_owned(),
+            address: listener.local_addr()?,
+            reports,
+            slots,
+            work: Box::new(work),
+            runs: Mutex::default(),
+            sequence: AtomicU64::new(0),
+        });
+        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let born = born.unwrap_or_default().as_millis();
+        let reporter = Arc::clone(&backend);
+        thread::spawn(move || {
+            loop {
+                reporter.report(born);
+                thread::sleep(beat());
+            }
+        });
+        let server = Arc::clone(&backend);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = Arc::clone(&server);
+                thread::spawn(move || server.serve(Wire::open(stream)));
+            }
+        });
+        Ok(backend)
+    }
+
+    fn report(&self, born: u128) {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let body = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"zone-0\",\"version\":\"v1\",\
+             \"slots\":{},\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":{sequence},\"born\":{born}}}",
+            self.service, self.address, self.slots
+        );
+        // Without an answer the next report follows.
+        let _status = post(
+            self.reports,
+            &format!("/filbertwheel/Instances.Heartbeat/{}", self.id),
+            &body,
+        );
+    }
+
+    fn serve(&self, mut wire: Wire) {
+        while let Ok(Some(head)) = wire.head() {
+            let length = head.length();
+            if wire.body(length, None) < length {
+                return;
+            }
+            if self.answer(&mut wire, &head).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, wire: &mut Wire, head: &Head) -> std::io::Result<()> {
+        let id = head.get("attempt-id").unwrap_or_default().to_owned();
+        if head
+            .get("expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
+            let refusal = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+            );
+            return wire.write(refusal.as_bytes());
+        }
+        let index = {
+            let mut runs = self.runs.lock().unwrap();
+            runs.push(Run {
+                id: id.clone(),
+                answered: None,
+            });
+            runs.len() - 1
+        };
+        let work = (self.work)(head.path());
+        thread::sleep(work.time);
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: {}.{id}\r\nContent-Length: {}\r\n\r\n",
+            self.id, work.bytes
+        );
+        wire.write(answer.as_bytes())?;
+        let part = [b'x'; 64 * 1024];
+        let mut left = work.bytes;
+        while left > 0 {
+            let count = left.min(part.len());
+            wire.write(&part[..count])?;
+            left -= count;
+        }
+        self.runs.lock().unwrap()[index].answered = Some(Instant::now());
+        Ok(())
+    }
+
+    /// The run of a request here, if there was one.
+    pub fn run_of(&self, id: &str) -> Option<Run> {
+        self.runs
+            .lock()
+            .unwrap()
+            .iter()
+            .find(|run| run.id == id)
+            .cloned()
+    }
+}
--- /dev/null
+++ b/review/standins-3/src/client.rs
@@ -0,0 +1,120 @@
+//! A client on a kept connection.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use crate::http::{Wire, connect_with_buffer};
+
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+/// Receive buffer of a client on a slow line.
+const SLOW_BUFFER: i32 = 64 * 1024;
+
+/// What became of a request.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    pub id: String,
+    pub sent: Instant,
+    pub ended: Instant,
+    /// Status of the answer, if its head arrived.
+    pub status: Option<u16>,
+    /// Bytes of the body that arrived, and how many its head states.
+    pub got: usize,
+    pub stated: usize,
+    /// Whether its head says that the connection closes after it.
+    pub closes: bool,
+}
+
+impl Outcome {
+    pub fn is_whole(&self) -> bool {
+        self.status.is_some() && self.got == self.stated
+    }
+
+    pub fn text(&self) -> String {
+        let took = self.ended.saturating_duration_since(self.sent).as_millis();
+        match self.status {
+            None => format!(
+                "{}: connection closed without an answer after {took} ms",
+                self.id
+            ),
+            Some(status) if self.is_whole() => {
+                format!(
+                    "{}: {status}, {} bytes, whole, after {took} ms",
+                    self.id, self.got
+                )
+            }
+            Some(status) => format!(
+                "{}: {status}, connection closed after {} of {} bytes, after {took} ms",
+                self.id, self.got, self.stated
+            ),
+        }
+    }
+}
+
+pub fn next_id() -> String {
+    format!(
+        "{:016x}",
+        0x5eed_0000_0000 + NEXT.fetch_add(1, Ordering::Relaxed)
+    )
+}
+
+/// Encodes a request without a body.
+pub fn request(id: &str, path: &str, budget: Duration) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nHost: lido.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\n\r\n",
+        budget.as_millis()
+    )
+}
+
+pub struct Client {
+    pub wire: Wire,
+    budget: Duration,
+}
+
+impl Client {
+    /// Opens a connection that the client keeps. `budget` is the time budget of its requests.
+    pub fn open(to: SocketAddr, budget: Duration) -> io::Result<Self> {
+        let stream = connect_with_buffer(to, SLOW_BUFFER)?;
+        stream.set_read_timeout(Some(budget + Duration::from_millis(500)))?;
+        Ok(Self {
+            wire: Wire::open(stream),
+            budget,
+        })
+    }
+
+    /// Sends a request and reads its answer, at `bytes_per_s` if that is set.
+    pub fn get(&mut self, path: &str, bytes_per_s: Option<usize>) -> Outcome {
+        let id = next_id();
+        let sent = Instant::now();
+        let message = request(&id, path, self.budget);
+        let mut outcome = Outcome {
+            id,
+            sent,
+            ended: sent,
+            status: None,
+            got: 0,
+            stated: 0,
+            closes: false,
+        };
+        if self.wire.write(message.as_bytes()).is_ok() {
+            self.read(&mut outcome, bytes_per_s);
+        }
+        outcome.ended = Instant::now();
+        outcome
+    }
+
+    /// Reads the next answer.
+    pub fn read(&mut self, outcome: &mut Outcome, bytes_per_s: Option<usize>) {
+        if let Ok(Some(head)) = self.wire.head() {
+            outcome.status = Some(head.status());
+            outcome.stated = head.length();
+            outcome.closes = head
+                .get("connection")
+                .is_some_and(|value| value.contains("close"));
+            outcome.got = self.wire.body(outcome.stated, bytes_per_s);
+        }
+        outcome.ended = Instant::now();
+    }
+}
--- /dev/null
+++ b/review/standins-3/src/fleet.rs
@@ -0,0 +1,305 @@
+//! Starts the project's own programs as separate processes, and ends them.
+
+use std::fs::File;
+use std::io::{self, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Figures of a small deployment, as the users' site file has them.
+pub const GRACE_S: u64 = 6;
+/// Memory of a machine.
+pub const MEMORY_MB: u64 = 260;
+const BEAT_MS: u64 = 500;
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+const SIGKILL: i32 = 9;
+/// Signal of a planned stop.
+pub const SIGTERM: i32 = 15;
+
+/// Processes that run. The watchdog ends them if a run takes too long.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn note_start(child: &Child) {
+    RUNNING.lock().unwrap().push(child.id());
+}
+
+/// Ends a process and waits until it has ended.
+fn end(mut child: Child) {
+    RUNNING.lock().unwrap().retain(|id| *id != child.id());
+    let _ended = child.kill();
+    let _status = child.wait();
+}
+
+/// Ends all processes that still run.
+pub fn end_all() {
+    for id in RUNNING.lock().unwrap().drain(..) {
+        unsafe { kill(id as i32, SIGKILL) };
+    }
+}
+
+/// A loopback address with a port that is free now.
+pub fn free_address() -> SocketAddr {
+    let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+    let listener = TcpListener::bind(any).expect("a free port");
+    listener.local_addr().expect("a bound port")
+}
+
+/// Addresses of a node.
+#[derive(Debug, Clone, Copy)]
+pub struct Listen {
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub reports: SocketAddr,
+    pub peers: SocketAddr,
+    pub metrics: SocketAddr,
+}
+
+/// A node process.
+pub struct Node {
+    pub name: String,
+    pub listen: Listen,
+    settings: PathBuf,
+    log: PathBuf,
+    process: Mutex<Option<Child>>,
+}
+
+/// All processes of one run. Dropping it ends them.
+pub struct Fleet {
+    dir: PathBuf,
+    pub store: SocketAddr,
+    store_process: Mutex<Option<Child>>,
+    pub nodes: Vec<Arc<Node>>,
+}
+
+fn program(name: &str) -> Option<PathBuf> {
+    let path = PathBuf::from("target/release").join(name);
+    path.is_file().then_some(path)
+}
+
+impl Fleet {
+    /// Starts the store and one node for each service named.
+    pub fn start(services: &[&str]) -> io::Result<Self> {
+        let missing = || io::Error::other("a program is not built");
+        let node_program = program("filbertwheel").ok_or_else(missing)?;
+        let standin = program("filbertwheel-platform-standin").ok_or_else(missing)?;
+        let dir = std::env::temp_dir().join(format!("review3-{}", std::process::id()));
+        std::fs::create_dir_all(&dir)?;
+        let store = free_address();
+        let store_process = Command::new(standin)
+            .args(["store", "--listen", &store.to_string()])
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()?;
+        note_start(&store_process);
+        let mut fleet = Self {
+            dir: dir.clone(),
+            store,
+            store_process: Mutex::new(Some(store_process)),
+            nodes: Vec::new(),
+        };
+        wait_for(Duration::from_secs(5), || TcpStream::connect(store).is_ok())?;
+        for (index, service) in services.iter().enumerate() {
+            let listen = Listen {
+                callers: free_address(),
+                readiness: free_address(),
+                reports: free_address(),
+                peers: free_address(),
+                metrics: free_address(),
+            };
+            let name = format!("machine-{}", index + 1);
+            let settings = dir.join(format!("{name}.toml"));
+            std::fs::write(
+                &settings,
+                settings_text(&name, index, service, listen, store),
+            )?;
+            let node = Node {
+                log: dir.join(format!("{name}.log")),
+                name,
+                listen,
+                settings,
+                process: Mutex::new(None),
+            };
+            node.start(&node_program)?;
+            fleet.nodes.push(Arc::new(node));
+        }
+        Ok(fleet)
+    }
+
+    /// Writes a manifest as the operator.
+    pub fn write_manifest(&self, text: &str) -> io::Result<()> {
+        let status = post(self.store, "/operator/config", text)?;
+        if status == 200 {
+            Ok(())
+        } else {
+            Err(io::Error::other("the store refused"))
+        }
+    }
+
+    /// Waits until all nodes are ready.
+    pub fn wait_ready(&self) -> io::Result<()> {
+        for node in &self.nodes {
+            wait_for(Duration::from_secs(10), || node.is_ready())?;
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for node in &self.nodes {
+            node.end();
+        }
+        if let Some(store) = self.store_process.lock().unwrap().take() {
+            end(store);
+        }
+        let _removed = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Node {
+    fn start(&self, program: &PathBuf) -> io::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(program)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn()?;
+        note_start(&child);
+        *self.process.lock().unwrap() = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: i32) {
+        if let Some(child) = self.process.lock().unwrap().as_ref() {
+            unsafe { kill(child.id() as i32, signal) };
+        }
+    }
+
+    /// Ends the process at once.
+    pub fn end(&self) {
+        if let Some(child) = self.process.lock().unwrap().take() {
+            end(child);
+        }
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&self) -> bool {
+        match self.process.lock().unwrap().as_mut() {
+            Some(child) => matches!(child.try_wait(), Ok(Some(_))),
+            None => true,
+        }
+    }
+
+    /// Asks as the platform does whether the node accepts clients.
+    pub fn is_ready(&self) -> bool {
+        get_status(self.listen.readiness, "/filbertwheel/readiness")
+            .is_ok_and(|status| status == 200)
+    }
+
+    /// Memory that the process holds, in kilobytes.
+    pub fn memory_kb(&self) -> Option<u64> {
+        let id = self.process.lock().unwrap().as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
+    /// Lines of the node's log that hold a text.
+    pub fn log_lines(&self, text: &str) -> Vec<String> {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        log.lines()
+            .filter(|line| line.contains(text))
+            .map(str::to_owned)
+            .collect()
+    }
+}
+
+/// Settings as `deploy/settings.toml` renders them.
+fn settings_text(
+    name: &str,
+    index: usize,
+    service: &str,
+    listen: Listen,
+    store: SocketAddr,
+) -> String {
+    let Listen {
+        callers,
+        readiness,
+        reports,
+        peers,
+        metrics,
+    } = listen;
+    format!(
+        "vm = \"{name}\"\nregion = \"lahore\"\ndomain = \"zone-{}\"\nservice = \"{service}\"\n\
+         [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\nreports = \"{reports}\"\n\
+         peers = \"{peers}\"\nmetrics = \"{metrics}\"\n[store]\naddress = \"{store}\"\n\
+         [retries]\nratio = 0.2\nslack = 50\nwindow_s = 10\n[placement]\nby_cost = false\n\
+         [timing]\nbeat_ms = {BEAT_MS}\ngrace_s = {GRACE_S}\n",
+        index % 2
+    )
+}
+
+/// Time between status reports of a backend.
+pub fn beat() -> Duration {
+    Duration::from_millis(BEAT_MS)
+}
+
+/// Waits until a condition holds.
+pub fn wait_for(limit: Duration, mut holds: impl FnMut() -> bool) -> io::Result<()> {
+    let until = Instant::now() + limit;
+    while !holds() {
+        if Instant::now() >= until {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    Ok(())
+}
+
+/// Sends a request without a key to one of the system's or the store's own calls. Returns the status.
+pub fn post(to: SocketAddr, path: &str, body: &str) -> io::Result<u16> {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: store\r\nContent-Type: application/json\r\n\
+         Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    exchange(to, &head)
+}
+
+fn get_status(to: SocketAddr, path: &str) -> io::Result<u16> {
+    exchange(
+        to,
+        &format!("GET {path} HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n"),
+    )
+}
+
+fn exchange(to: SocketAddr, message: &str) -> io::Result<u16> {
+    let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+    stream.write_all(message.as_bytes())?;
+    let mut answer = Vec::new();
+    let mut part = [0; 4096];
+    while !answer.windows(4).any(|four| four == b"\r\n\r\n") {
+        match stream.read(&mut part)? {
+            0 => break,
+            count => answer.extend_from_slice(&part[..count]),
+        }
+    }
+    let text = String::from_utf8_lossy(&answer);
+    let status = text
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    status.ok_or_else(|| io::Error::other("no status"))
+}
