--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -44,11 +45,29 @@
     }
 }
 
-/// A loopback address with a port that is free now.
+/// Ports below those that the system gives to outgoing connections, one of which could take a port between
+/// the choice and the start of its program.
+const PORTS: std::ops::Range<u16> = 15_000..32_000;
+
+/// A loopback address with a port that is free now and was not chosen before in this run.
 pub fn free_address() -> SocketAddr {
-    let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
-    let listener = TcpListener::bind(any).expect("a free port");
-    listener.local_addr().expect("a bound port")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    if NEXT.load(Ordering::Relaxed) == 0 {
+        let count = u32::from(PORTS.end - PORTS.start);
+        let first = std::process::id().wrapping_mul(97) % count;
+        NEXT.store(PORTS.start + first as u16, Ordering::Relaxed);
+    }
+    loop {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        if port >= PORTS.end {
+            NEXT.store(PORTS.start, Ordering::Relaxed);
+            continue;
+        }
+        let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+        if TcpListener::bind(address).is_ok() {
+            return address.into();
+        }
+    }
 }
 
 /// Addresses of a node.
