--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 judge=target/review-3/release/review3
 [ -x "$judge" ] || { echo "run review/build-3.sh first" >&2; exit 2; }
-exec "$judge" pipeline review/13/record.txt
+exec "$judge" late review/13/record.txt
--- a/review/standins-3/src/backend.rs
+++ b/review/standins-3/src/backend.rs
@@ -10,6 +10,9 @@
 use crate::fleet::{beat, post};
 use crate::http::{Head, Wire};
 
+/// Time from the end of a backend's time budget until its answer is sent.
+const ANSWER_TIME: Duration = Duration::from_millis(8);
+
 /// How a request is run.
 pub struct Work {
     pub time: Duration,
@@ -20,6 +23,8 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub id: String,
+    /// The time budget at which it stopped work, if it was too short for the work.
+    pub stopped: Option<Duration>,
     /// When the last byte of the answer was handed over, if it was.
     pub answered: Option<Instant>,
 }
@@ -116,11 +121,24 @@
             let mut runs = self.runs.lock().unwrap();
             runs.push(Run {
                 id: id.clone(),
+                stopped: None,
                 answered: None,
             });
             runs.len() - 1
         };
         let work = (self.work)(head.path());
+        let budget = head.get("deadline-ms").and_then(|text| text.parse().ok());
+        let budget = budget.map_or(Duration::MAX, Duration::from_millis);
+        if work.time > budget {
+            // It stops work at the value that it receives, and says so.
+            thread::sleep(budget + ANSWER_TIME);
+            self.runs.lock().unwrap()[index].stopped = Some(budget);
+            let answer = format!(
+                "HTTP/1.1 504 Gateway Timeout\r\nAttempt-Id: {id}\r\nServer-Seal: {}.{id}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            );
+            return wire.write(answer.as_bytes());
+        }
         thread::sleep(work.time);
         let answer = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: {}.{id}\r\nContent-Length: {}\r\n\r\n",
--- a/review/standins-3/src/client.rs
+++ b/review/standins-3/src/client.rs
@@ -23,11 +23,27 @@
     /// Bytes of the body that arrived, and how many its head states.
     pub got: usize,
     pub stated: usize,
+    /// Whether it has the backend's seal.
+    pub sealed: bool,
     /// Whether its head says that the connection closes after it.
     pub closes: bool,
 }
 
 impl Outcome {
+    /// A request that has no answer yet.
+    fn sent(id: String, sent: Instant) -> Self {
+        Self {
+            id,
+            sent,
+            ended: sent,
+            status: None,
+            got: 0,
+            stated: 0,
+            sealed: false,
+            closes: false,
+        }
+    }
+
     pub fn is_whole(&self) -> bool {
         self.status.is_some() && self.got == self.stated
     }
@@ -89,15 +105,7 @@
         let id = next_id();
         let sent = Instant::now();
         let message = request(&id, path, self.budget);
-        let mut outcome = Outcome {
-            id,
-            sent,
-            ended: sent,
-            status: None,
-            got: 0,
-            stated: 0,
-            closes: false,
-        };
+        let mut outcome = Outcome::sent(id, sent);
         if self.wire.write(message.as_bytes()).is_ok() {
             self.read(&mut outcome, bytes_per_s);
         }
@@ -105,11 +113,34 @@
         outcome
     }
 
+    /// Sends a request with a body and reads its answer.
+    pub fn post(&mut self, path: &str, bytes: usize) -> Outcome {
+        let id = next_id();
+        let sent = Instant::now();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: lido.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\nContent-Length: {bytes}\r\n\r\n",
+            self.budget.as_millis()
+        );
+        let mut outcome = Outcome::sent(id, sent);
+        // A node may refuse a body before it has read it, so its answer is read in any case.
+        let part = [b'u'; 64 * 1024];
+        let mut left = bytes;
+        let mut open = self.wire.write(head.as_bytes()).is_ok();
+        while open && left > 0 {
+            let count = left.min(part.len());
+            open = self.wire.write(&part[..count]).is_ok();
+            left -= count;
+        }
+        self.read(&mut outcome, None);
+        outcome
+    }
+
     /// Reads the next answer.
     pub fn read(&mut self, outcome: &mut Outcome, bytes_per_s: Option<usize>) {
         if let Ok(Some(head)) = self.wire.head() {
             outcome.status = Some(head.status());
             outcome.stated = head.length();
+            outcome.sealed = head.get("server-seal").is_some();
             outcome.closes = head
                 .get("connection")
                 .is_some_and(|value| value.contains("close"));
--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -233,15 +233,6 @@
         let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
         line.split_whitespace().nth(1)?.parse().ok()
     }
-
-    /// Lines of the node's log that hold a text.
-    pub fn log_lines(&self, text: &str) -> Vec<String> {
-        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines()
-            .filter(|line| line.contains(text))
-            .map(str::to_owned)
-            .collect()
-    }
 }
 
 /// Settings as `deploy/settings.toml` renders them.
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -7,11 +7,10 @@
 mod client;
 mod fleet;
 mod http;
-mod memory;
-mod pipeline;
+mod late;
 mod record;
-mod steady;
 mod stop;
+mod uploads;
 
 use std::process::exit;
 use std::sync::Arc;
@@ -43,9 +42,8 @@
     // A panic unwinds through the fleet, which ends its processes.
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "stop" => stop::run(&record, trouble),
-        "memory" => memory::run(&record, trouble),
-        "pipeline" => pipeline::run(&record, trouble),
-        "steady" => steady::run(&record, trouble),
+        "uploads" => uploads::run(&record, trouble),
+        "late" => late::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     });
     let result = result.unwrap_or_else(|_| Err(std::io::Error::other("the test panicked")));
