--- a/review/standins-3/src/backend.rs
+++ b/review/standins-3/src/backend.rs
@@ -1,8 +1,8 @@
 //! A backend that follows the users' pages: it reports each half second, runs a request for the time
 //! that its case sets, and answers with its seal and whole body.
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
@@ -38,6 +38,12 @@
     work: Box<dyn Fn(&str) -> Work + Send + Sync>,
     pub runs: Mutex<Vec<Run>>,
     sequence: AtomicU64,
+    born: u128,
+    /// Whether it sends no more reports.
+    is_silent: AtomicBool,
+    /// Whether it has exited.
+    has_exited: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
 }
 
 impl Backend {
@@ -50,6 +56,7 @@
         work: impl Fn(&str) -> Work + Send + Sync + 'static,
     ) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
+        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let backend = Arc::new(Self {
             id: format!("i-{name}"),
             service: service.to_owned(),
@@ -59,19 +66,29 @@
             work: Box::new(work),
             runs: Mutex::default(),
             sequence: AtomicU64::new(0),
+            born: born.unwrap_or_default().as_millis(),
+            is_silent: AtomicBool::new(false),
+            has_exited: AtomicBool::new(false),
+            open: Mutex::default(),
         });
-        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        let born = born.unwrap_or_default().as_millis();
         let reporter = Arc::clone(&backend);
         thread::spawn(move || {
             loop {
-                reporter.report(born);
+                if !reporter.is_silent.load(Ordering::SeqCst) {
+                    let (path, body) = reporter.next_report();
+                    // Without an answer the next report follows.
+                    let _status = post(reporter.reports, &path, &body);
+                }
                 thread::sleep(beat());
             }
         });
         let server = Arc::clone(&backend);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if server.has_exited.load(Ordering::SeqCst) {
+                    continue;
+                }
+                server.open.lock().unwrap().extend(stream.try_clone());
                 let server = Arc::clone(&server);
                 thread::spawn(move || server.serve(Wire::open(stream)));
             }
@@ -79,19 +96,36 @@
         Ok(backend)
     }
 
-    fn report(&self, born: u128) {
+    fn next_report(&self) -> (String, String) {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let body = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"zone-0\",\"version\":\"v1\",\
-             \"slots\":{},\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":{sequence},\"born\":{born}}}",
-            self.service, self.address, self.slots
-        );
-        // Without an answer the next report follows.
-        let _status = post(
-            self.reports,
-            &format!("/filbertwheel/Instances.Heartbeat/{}", self.id),
-            &body,
+             \"slots\":{},\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
+            self.service, self.address, self.slots, self.born
         );
+        (
+            format!("/filbertwheel/Instances.Heartbeat/{}", self.id),
+            body,
+        )
+    }
+
+    /// Sends no more reports. Returns the path and the body of one that is under way.
+    pub fn hold_reports(&self) -> (String, String) {
+        self.is_silent.store(true, Ordering::SeqCst);
+        self.next_report()
+    }
+
+    /// The body of its deregistration.
+    pub fn departure(&self) -> String {
+        format!("{{\"born\":{}}}", self.born)
+    }
+
+    /// Ends all connections and takes no more.
+    pub fn exit(&self) {
+        self.has_exited.store(true, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _closed = stream.shutdown(Shutdown::Both);
+        }
     }
 
     fn serve(&self, mut wire: Wire) {
--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -10,6 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::proxy::Proxy;
+
 /// Figures of a small deployment, as the users' site file has them.
 pub const GRACE_S: u64 = 6;
 /// Memory of a machine.
@@ -86,6 +88,7 @@
     pub listen: Listen,
     settings: PathBuf,
     log: PathBuf,
+    program: PathBuf,
     process: Mutex<Option<Child>>,
 }
 
@@ -95,6 +98,8 @@
     pub store: SocketAddr,
     store_process: Mutex<Option<Child>>,
     pub nodes: Vec<Arc<Node>>,
+    /// Proxies between the nodes and the store, if they are asked for.
+    pub proxies: Vec<Arc<Proxy>>,
 }
 
 fn program(name: &str) -> Option<PathBuf> {
@@ -105,6 +110,15 @@
 impl Fleet {
     /// Starts the store and one node for each service named.
     pub fn start(services: &[&str]) -> io::Result<Self> {
+        Self::open(services, false)
+    }
+
+    /// The same, with a proxy between each node and the store.
+    pub fn start_behind_proxies(services: &[&str]) -> io::Result<Self> {
+        Self::open(services, true)
+    }
+
+    fn open(services: &[&str], behind_proxies: bool) -> io::Result<Self> {
         let missing = || io::Error::other("a program is not built");
         let node_program = program("filbertwheel").ok_or_else(missing)?;
         let standin = program("filbertwheel-platform-standin").ok_or_else(missing)?;
@@ -123,6 +137,7 @@
             store,
             store_process: Mutex::new(Some(store_process)),
             nodes: Vec::new(),
+            proxies: Vec::new(),
         };
         wait_for(Duration::from_secs(5), || TcpStream::connect(store).is_ok())?;
         for (index, service) in services.iter().enumerate() {
@@ -133,6 +148,12 @@
                 peers: free_address(),
                 metrics: free_address(),
             };
+            let mut store = store;
+            if behind_proxies {
+                let proxy = Proxy::start(store)?;
+                store = proxy.address;
+                fleet.proxies.push(proxy);
+            }
             let name = format!("machine-{}", index + 1);
             let settings = dir.join(format!("{name}.toml"));
             std::fs::write(
@@ -144,9 +165,10 @@
                 name,
                 listen,
                 settings,
+                program: node_program.clone(),
                 process: Mutex::new(None),
             };
-            node.start(&node_program)?;
+            node.restart()?;
             fleet.nodes.push(Arc::new(node));
         }
         Ok(fleet)
@@ -184,9 +206,10 @@
 }
 
 impl Node {
-    fn start(&self, program: &PathBuf) -> io::Result<()> {
+    /// Starts the process, which is not running.
+    pub fn restart(&self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(program)
+        let child = Command::new(&self.program)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -5,9 +5,11 @@
 
 mod backend;
 mod client;
+mod departure;
 mod fleet;
 mod http;
 mod late;
+mod proxy;
 mod record;
 mod stop;
 mod uploads;
@@ -43,6 +45,7 @@
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "stop" => stop::run(&record, trouble),
         "uploads" => uploads::run(&record, trouble),
+        "departure" => departure::run(&record, trouble),
         "late" => late::run(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     });
