--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,6 +22,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn signal(signal: i32, handler: extern "C" fn(i32)) -> usize;
 }
 
 const SIGKILL: i32 = 9;
@@ -42,11 +43,39 @@
     let _status = child.wait();
 }
 
+/// Whether the run itself was told to stop.
+static STOPPED: AtomicBool = AtomicBool::new(false);
+
+extern "C" fn note_stop(_signal: i32) {
+    STOPPED.store(true, Ordering::SeqCst);
+}
+
+/// Notes signals that end the run, which then ends its processes first.
+pub fn watch_signals() {
+    const SIGHUP: i32 = 1;
+    const SIGINT: i32 = 2;
+    for number in [SIGHUP, SIGINT, SIGTERM] {
+        unsafe { signal(number, note_stop) };
+    }
+}
+
+/// Whether such a signal has come.
+pub fn is_stopped() -> bool {
+    STOPPED.load(Ordering::SeqCst)
+}
+
 /// Ends all processes that still run.
 pub fn end_all() {
+    STOPPED.store(true, Ordering::SeqCst);
     for id in RUNNING.lock().unwrap().drain(..) {
         unsafe { kill(id as i32, SIGKILL) };
     }
+    let _removed = std::fs::remove_dir_all(folder());
+}
+
+/// Folder of this run for settings and logs.
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("review3-{}", std::process::id()))
 }
 
 /// Ports below those that the system gives to outgoing connections, one of which could take a port between
@@ -124,7 +153,7 @@
         let missing = || io::Error::other("a program is not built");
         let node_program = program("filbertwheel").ok_or_else(missing)?;
         let standin = program("filbertwheel-platform-standin").ok_or_else(missing)?;
-        let dir = std::env::temp_dir().join(format!("review3-{}", std::process::id()));
+        let dir = folder();
         std::fs::create_dir_all(&dir)?;
         let store = free_address();
         let store_process = Command::new(standin)
@@ -210,6 +239,9 @@
 impl Node {
     /// Starts the process, which is not running.
     pub fn restart(&self) -> io::Result<()> {
+        if is_stopped() {
+            return Err(io::ErrorKind::Interrupted.into());
+        }
         let log = File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new(&self.program)
             .arg("--settings")
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -16,7 +16,7 @@
 
 use std::process::exit;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::record::Record;
 
@@ -32,12 +32,16 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Arc::new(Record::open());
     record.add(format!("case {case}, disruption: {trouble}"));
+    fleet::watch_signals();
     let watched = Arc::clone(&record);
     let file = path.clone();
     std::thread::spawn(move || {
-        std::thread::sleep(LONGEST_RUN);
+        let began = Instant::now();
+        while began.elapsed() < LONGEST_RUN && !fleet::is_stopped() {
+            std::thread::sleep(Duration::from_millis(50));
+        }
         fleet::end_all();
-        watched.add("the case took too long, exit 2");
+        watched.add("the case took too long or was stopped, exit 2");
         let _written = watched.write(&file);
         exit(2);
     });
