--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -1,4 +1,4 @@
-//! Starts the project's own programs as separate processes, and ends them.
+//! Starts the nodes as separate processes, and ends them.
 
 use std::fs::File;
 use std::io::{self, Read, Write};
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use crate::proxy::Proxy;
+use crate::store::Store;
 
 /// Figures of a small deployment, as the users' site file has them.
 pub const GRACE_S: u64 = 6;
@@ -126,8 +127,7 @@
 /// All processes of one run. Dropping it ends them.
 pub struct Fleet {
     dir: PathBuf,
-    pub store: SocketAddr,
-    store_process: Mutex<Option<Child>>,
+    store: Arc<Store>,
     pub nodes: Vec<Arc<Node>>,
     /// Proxies between the nodes and the store, if they are asked for.
     pub proxies: Vec<Arc<Proxy>>,
@@ -152,25 +152,15 @@
     fn open(services: &[&str], behind_proxies: bool) -> io::Result<Self> {
         let missing = || io::Error::other("a program is not built");
         let node_program = program("filbertwheel").ok_or_else(missing)?;
-        let standin = program("filbertwheel-platform-standin").ok_or_else(missing)?;
         let dir = folder();
         std::fs::create_dir_all(&dir)?;
-        let store = free_address();
-        let store_process = Command::new(standin)
-            .args(["store", "--listen", &store.to_string()])
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()?;
-        note_start(&store_process);
+        let store = Store::start()?;
         let mut fleet = Self {
             dir: dir.clone(),
-            store,
-            store_process: Mutex::new(Some(store_process)),
+            store: Arc::clone(&store),
             nodes: Vec::new(),
             proxies: Vec::new(),
         };
-        wait_for(Duration::from_secs(5), || TcpStream::connect(store).is_ok())?;
         for (index, service) in services.iter().enumerate() {
             let listen = Listen {
                 callers: free_address(),
@@ -179,7 +169,7 @@
                 peers: free_address(),
                 metrics: free_address(),
             };
-            let mut store = store;
+            let mut store = store.address;
             if behind_proxies {
                 let proxy = Proxy::start(store)?;
                 store = proxy.address;
@@ -207,12 +197,8 @@
 
     /// Writes a manifest as the operator.
     pub fn write_manifest(&self, text: &str) -> io::Result<()> {
-        let status = post(self.store, "/operator/config", text)?;
-        if status == 200 {
-            Ok(())
-        } else {
-            Err(io::Error::other("the store refused"))
-        }
+        self.store.write("op", "config", text);
+        Ok(())
     }
 
     /// Waits until all nodes are ready.
@@ -229,9 +215,6 @@
         for node in &self.nodes {
             node.end();
         }
-        if let Some(store) = self.store_process.lock().unwrap().take() {
-            end(store);
-        }
         let _removed = std::fs::remove_dir_all(&self.dir);
     }
 }
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -124,6 +124,19 @@
         }
     }
 
+    /// Reads a body of text. `None` if it doesn't arrive whole.
+    pub fn text(&mut self, length: usize) -> Option<String> {
+        while self.ahead.len() < length {
+            let mut part = [0; 8192];
+            match self.stream.read(&mut part) {
+                Ok(count @ 1..) => self.ahead.extend_from_slice(&part[..count]),
+                _ => return None,
+            }
+        }
+        let body: Vec<u8> = self.ahead.drain(..length).collect();
+        String::from_utf8(body).ok()
+    }
+
     /// Reads a body of `length` bytes at `bytes_per_s` (as fast as possible if `None`). Returns the
     /// bytes that arrived.
     pub fn body(&mut self, length: usize, bytes_per_s: Option<usize>) -> usize {
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -8,10 +8,12 @@
 mod departure;
 mod fleet;
 mod http;
+mod json;
 mod late;
 mod proxy;
 mod record;
 mod stop;
+mod store;
 mod uploads;
 
 use std::process::exit;
