--- a/review/standins-3/src/client.rs
+++ b/review/standins-3/src/client.rs
@@ -87,6 +87,8 @@
 pub struct Client {
     pub wire: Wire,
     budget: Duration,
+    /// Key of the client's tenant, if there are tenants.
+    key: Option<&'static str>,
 }
 
 impl Client {
@@ -97,9 +99,16 @@
         Ok(Self {
             wire: Wire::open(stream),
             budget,
+            key: None,
         })
     }
 
+    /// Sends its requests with the key of a tenant.
+    pub fn with_key(mut self, key: &'static str) -> Self {
+        self.key = Some(key);
+        self
+    }
+
     /// Sends a request and reads its answer, at `bytes_per_s` if that is set.
     pub fn get(&mut self, path: &str, bytes_per_s: Option<usize>) -> Outcome {
         let id = next_id();
@@ -117,9 +126,14 @@
     pub fn post(&mut self, path: &str, bytes: usize) -> Outcome {
         let id = next_id();
         let sent = Instant::now();
+        let key = self
+            .key
+            .map(|key| format!("Authorization: Bearer {key}\r\n"));
         let head = format!(
-            "POST {path} HTTP/1.1\r\nHost: lido.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\nContent-Length: {bytes}\r\n\r\n",
-            self.budget.as_millis()
+            "POST {path} HTTP/1.1\r\nHost: lido.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\n\
+             {}Content-Length: {bytes}\r\n\r\n",
+            self.budget.as_millis(),
+            key.unwrap_or_default()
         );
         let mut outcome = Outcome::sent(id, sent);
         // A node may refuse a body before it has read it, so its answer is read in any case.
--- a/review/standins-3/src/uploads.rs
+++ b/review/standins-3/src/uploads.rs
@@ -26,12 +26,17 @@
 /// How long uploads are sent, unless a process is killed before.
 const LENGTH: Duration = Duration::from_secs(15);
 
+/// Keys of the tenant that uploads and of the other one.
+const UPLOADING: &str = "7k2hotels5wq9";
+const OTHER: &str = "3m8shore1zx4";
+
 const MANIFEST: &str = r#"{"version":"r1","routes":[
  {"name":"uploads","host":"lido.example","prefix":"/uploads/","kind":"unsafe","timeout_ms":6000,
   "target_latency_ms":1500,"priority":1,"service":"documents","max_attempts":2},
  {"name":"charges","host":"lido.example","prefix":"/charges/","kind":"unsafe","timeout_ms":6000,
   "target_latency_ms":1500,"priority":0,"service":"documents","max_attempts":2}],
  "services":[{"name":"documents"},{"name":"desk"}],
+ "tenants":[{"name":"hotels","api_keys":["7k2hotels5wq9"]},{"name":"shore","api_keys":["3m8shore1zx4"]}],
  "limits":{"header_bytes":16384,"body_bytes":67108864,"header_ms":3000,"idle_ms":15000}}"#;
 
 /// Returns whether the rule held.
@@ -68,7 +73,13 @@
     for node in &fleet.nodes {
         wait_for(Duration::from_secs(10), || {
             let client = Client::open(node.listen.callers, BUDGET);
-            client.is_ok_and(|mut client| client.post("/uploads/small", 300).status == Some(200))
+            client.is_ok_and(|client| {
+                client
+                    .with_key(UPLOADING)
+                    .post("/uploads/small", 300)
+                    .status
+                    == Some(200)
+            })
         })?;
     }
     // Set when a process is killed or the time is over.
@@ -89,7 +100,7 @@
     let mut others = Vec::new();
     for node in &fleet.nodes {
         for _ in 0..OTHERS {
-            let client = Client::open(node.listen.callers, BUDGET)?;
+            let client = Client::open(node.listen.callers, BUDGET)?.with_key(OTHER);
             others.push((
                 node.name.clone(),
                 send_on(client, "/charges/x", 300, Duration::ZERO, &done),
@@ -104,7 +115,7 @@
     let mut uploads = Vec::new();
     for node in &fleet.nodes {
         for _ in 0..count {
-            let client = Client::open(node.listen.callers, BUDGET)?;
+            let client = Client::open(node.listen.callers, BUDGET)?.with_key(UPLOADING);
             uploads.push(send_on(client, "/uploads/x", BYTES, period, &done));
         }
     }
