HTTP: state the time left once the connection is open

Cause: the time left was written into the request before its connection was opened. Where that takes a while (a full accept queue, a slow machine: up to a second), the server was told more time than was left, went on working after the node had given up, and its answer was lost. Change: `SendOptions::time_left` names the header, and the pool states it when the connection is there.

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -3,13 +3,13 @@
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 
 use async_trait::async_trait;
 use derive_more::{Display, Error};
 use filbertwheel_core::{Answer, Call, Clock, Header, RefusalKind, Text, copy_value};
 use filbertwheel_http::{
-    Limits, Pool, Request, Response, SendError, StallPolicy, forwarded_headers, names,
+    Limits, Pool, Request, Response, SendError, SendOptions, StallPolicy, TimeLeft,
+    forwarded_headers, names,
 };
 
 /// Value of the outcome header if the backend server did not run the request.
@@ -83,15 +83,13 @@
 #[derive(Debug)]
 pub struct HttpBackendClient {
     pool: Pool,
-    clock: Arc<dyn Clock>,
 }
 
 impl HttpBackendClient {
     /// Creates a client for the backend server at `address`.
     pub fn open(address: SocketAddr, limits: Limits, clock: Arc<dyn Clock>) -> Self {
         Self {
-            pool: Pool::open(address, limits, Arc::clone(&clock)),
-            clock,
+            pool: Pool::open(address, limits, clock),
         }
     }
 }
@@ -99,19 +97,26 @@
 #[async_trait]
 impl BackendClient for HttpBackendClient {
     async fn run(&self, call: &Call, token: Text) -> Result<BackendReply, BackendError> {
-        let request = encode(call, token, self.clock.now());
+        let request = encode(call, token);
         let on_stall = if call.idempotent {
             StallPolicy::Abort
         } else {
             StallPolicy::Wait
         };
-        let sent = self.pool.exchange_with(request, call.deadline, on_stall);
-        let response = sent.await;
+        let options = SendOptions {
+            on_stall,
+            time_left: Some(TimeLeft {
+                header: names::DEADLINE,
+                until: call.deadline,
+            }),
+            ..SendOptions::until(call.deadline)
+        };
+        let response = self.pool.send(&request, &options).await;
         decode(response.map_err(backend_error)?)
     }
 }
 
-fn encode(call: &Call, token: Text, now: Instant) -> Request {
+fn encode(call: &Call, token: Text) -> Request {
     let mut headers = call.headers.clone();
     let mut add = |name, value| {
         headers.push(Header {
@@ -120,10 +125,6 @@
         })
     };
     add(names::TOKEN, token);
-    add(
-        names::DEADLINE,
-        call.time_left(now).as_millis().to_string().into(),
-    );
     if let Some(organisation) = &call.organisation {
         add(names::ORGANISATION, organisation.clone());
     }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -17,7 +17,7 @@
     Framing, closes_connection, framing, is_connection_header, parse_response, push_header,
 };
 use crate::idle::IdleConnections;
-use crate::options::{SendError, SendOptions, StallPolicy};
+use crate::options::{SendError, SendOptions, StallPolicy, TimeLeft};
 use crate::{Limits, MessageError, Request, Response, configure_socket};
 
 /// Number of progress intervals without a byte after which a connection counts as stalled.
@@ -127,8 +127,9 @@
         request: &Request,
         options: &SendOptions,
     ) -> Result<Response, SendError> {
-        let encoded = self.encode(request)?;
         let (mut connection, used) = self.checkout(options).await?;
+        // Opening a connection takes a part of the time that the server has.
+        let encoded = self.encode(request, options.time_left)?;
         let exchange = Exchange {
             bodiless: request.method.as_bytes() == b"HEAD",
             echo: options.echo.as_ref(),
@@ -183,7 +184,7 @@
         probe.is_ok()
     }
 
-    fn encode(&self, request: &Request) -> Result<Encoded, SendError> {
+    fn encode(&self, request: &Request, time_left: Option<TimeLeft>) -> Result<Encoded, SendError> {
         let mut bytes = Vec::with_capacity(512 + Encoded::copied_len(&request.body));
         let is_graphic =
             |text: &Text| !text.is_empty() && text.as_bytes().iter().all(u8::is_ascii_graphic);
@@ -201,6 +202,10 @@
         if request.header("host").is_none() {
             push(b"host", self.address.to_string().as_bytes())?;
         }
+        if let Some(TimeLeft { header, until }) = time_left {
+            let left = until.saturating_duration_since(self.clock.now());
+            push(header.as_bytes(), left.as_millis().to_string().as_bytes())?;
+        }
         for header in &request.headers {
             if !is_connection_header(header.name.as_bytes()) {
                 push(header.name.as_bytes(), header.value.as_bytes())?;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -27,7 +27,7 @@
 pub use connection::Connection;
 pub use limits::Limits;
 pub use message::{MessageError, Request, Response};
-pub use options::{SendError, SendOptions, StallPolicy};
+pub use options::{SendError, SendOptions, StallPolicy, TimeLeft};
 pub use parse::{RequestMetadata, forwarded_headers};
 pub use server::{Handler, Listener, LocalFuture, ServerEvent};
 pub use shutdown::{ShutdownSignal, ShutdownTrigger};
--- a/crates/http/src/options.rs
+++ b/crates/http/src/options.rs
@@ -29,6 +29,17 @@
     /// belongs to another request and is discarded. One without the header is taken for the
     /// response only on a new connection: on a reused one it may belong to an earlier request.
     pub echo: Option<(&'static str, Text)>,
+    /// Header that tells the server how much time it has, if any.
+    pub time_left: Option<TimeLeft>,
+}
+
+/// A header that states the time left in milliseconds when the request is sent.
+#[copy_value]
+pub struct TimeLeft {
+    /// Name of the header.
+    pub header: &'static str,
+    /// When the server has to end its work.
+    pub until: Instant,
 }
 
 impl SendOptions {
@@ -39,6 +50,7 @@
             on_stall: StallPolicy::Wait,
             idle: Duration::MAX,
             echo: None,
+            time_left: None,
         }
     }
 }
