Nodes wait for the answer of a server that ends at its deadline

Cause: one moment stood for two ends. The time at which the backend server was to end its work was also the one at which the node beside it stopped listening, and the node of the caller waited 30 ms longer, which covers a link but not a server.

Ruled out: the choice of what is taken late (`StopWindow::takes`), and the end of requests shortly before the connections close (`end_requests`): they ended at 5.48 s, with "the deadline passed after the request was sent"; that end comes at 5.52 s and says "stopped".

Change: each hop waits longer than the one behind it, by named times (`core/src/answer_time.rs`): the node beside the server 100 ms past the deadline (`ANSWER_TIME`), another node 150 ms (`VERDICT_TIME`). At a stop the deadline that is handed on lies that much and 60 ms before the connections close, in place of 100 ms. What the server is told is unchanged in calm. The random test of stops now also asks that the answer arrives before the node gives one.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -26,7 +26,7 @@
     pub idempotent: bool,
     /// Whether it is part of a running request. Refusing it would waste the work already done.
     pub nested: bool,
-    /// Time after which the response is of no use.
+    /// When the backend server ends its work on the request.
     pub deadline: Instant,
     /// Latency objective: a response within this time keeps its full value.
     pub objective: Duration,
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -102,7 +102,7 @@
     /// Order among calls of the same criticality, set by the node that received the request. Calls
     /// with higher ranks are shed first.
     pub rank: u32,
-    /// Time after which the response is of no use.
+    /// When the backend server ends its work on the call.
     pub deadline: Instant,
     /// Retries left for this call and its nested calls.
     pub retries: u32,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Covers ids, clocks, calls and their outcomes, the configuration document, fleet members,
 //! settings and logging. The only I/O here is reading settings files and writing logs.
 
+mod answer_time;
 mod attempt;
 mod call;
 mod clock;
@@ -22,6 +23,7 @@
 mod signature;
 mod text;
 
+pub use answer_time::{ANSWER_TIME, VERDICT_TIME, answer_deadline, verdict_deadline};
 pub use attempt::Attempt;
 pub use call::{
     Answer, Call, Criticality, CutOff, Deduplication, Failure, Header, Method, Refusal,
--- a/crates/engine/src/shutdown.rs
+++ b/crates/engine/src/shutdown.rs
@@ -12,8 +12,6 @@
 /// How long a stopping node keeps accepting all requests, so that callers notice in time that it is
 /// not ready. It is shortened to half the grace period if that is less.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
-/// Time before the connections close in which requests that still run are answered.
-const LAST_ANSWER_TIME: Duration = Duration::from_millis(60);
 /// Percentage of the grace period after which a stopping node closes its connections. The rest of
 /// the period is for the return of its portions and the last messages.
 const GRACE_PERCENT: u32 = 93;
@@ -32,8 +30,7 @@
     clock: Arc<dyn Clock>,
     window: StopWindow,
 ) {
-    let left = window.left(clock.now());
-    clock.sleep(left.saturating_sub(LAST_ANSWER_TIME)).await;
+    clock.sleep(window.left_to_run(clock.now())).await;
     ending.trigger();
 }
 
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -11,6 +11,7 @@
 use bytes::BytesMut;
 use filbertwheel_core::{
     Attempt, Clock, Fence, FleetSecret, InstanceNotice, OrganisationId, RulesStamp, Verdict, VmId,
+    verdict_deadline,
 };
 use filbertwheel_http::{configure_socket, reset_on_close};
 use filbertwheel_policy::{
@@ -32,8 +33,6 @@
 const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(1_000);
 /// Time without incoming bytes after which a link that awaits a reply is lost.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Time beyond a call's deadline during which its verdict may still arrive.
-const VERDICT_GRACE: Duration = Duration::from_millis(30);
 /// Timeout of a token claim. The lease holder counts a claimed token as unspent for a little longer.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -157,8 +156,8 @@
         };
         let verdict = async { receiver.recv().await.unwrap_or(Err(ForwardError::Lost)) };
         let timeout = async {
-            let left = attempt.time_left(now) + VERDICT_GRACE;
-            self.0.clock.sleep(left).await;
+            let end = verdict_deadline(attempt.deadline);
+            self.0.clock.sleep(end.saturating_duration_since(now)).await;
             Err(ForwardError::Late)
         };
         let verdict = verdict.or(timeout).await;
--- a/crates/policy/src/stop.rs
+++ b/crates/policy/src/stop.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use filbertwheel_core::copy_value;
+use filbertwheel_core::{VERDICT_TIME, copy_value};
 
-/// Time before the connections close in which answers reach the callers.
-const ANSWER_TIME: Duration = Duration::from_millis(100);
+/// Time before the connections close in which requests that still run are answered.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(60);
 
 /// Times of the stop of a node.
 #[copy_value]
@@ -61,7 +61,15 @@
         self.closes.saturating_duration_since(now)
     }
 
+    /// Returns the time until requests that still run are answered as unknown.
+    pub fn left_to_run(&self, now: Instant) -> Duration {
+        self.left(now).saturating_sub(LAST_ANSWER_TIME)
+    }
+
+    /// Returns when a backend server has to end its work at the latest, so that its answer arrives before
+    /// the request is answered as unknown, also by way of another node.
     fn last_end(&self) -> Instant {
-        self.closes.checked_sub(ANSWER_TIME).unwrap_or(self.closes)
+        let way = VERDICT_TIME + LAST_ANSWER_TIME;
+        self.closes.checked_sub(way).unwrap_or(self.closes)
     }
 }
--- a/crates/policy/tests/stop.rs
+++ b/crates/policy/tests/stop.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use filbertwheel_core::verdict_deadline;
 use filbertwheel_policy::{LongestTimes, StopWindow};
 use proptest::prelude::*;
 
@@ -81,7 +82,8 @@
 proptest! {
     // Guards against a request that a stopping node has passed on and that still runs when the
     // connections close: it is checked when it arrives and again before it is passed on, and a backend
-    // server ends its work at the deadline that it is handed.
+    // server ends its work at the deadline that it is handed. Its answer has to arrive before the node
+    // answers in its place.
     #[test]
     fn what_is_passed_on_ends_before_the_connections_close(
         requests in prop::collection::vec(sent(), 1..40),
@@ -110,6 +112,8 @@
             }
             let ends = (begins + Duration::from_millis(sent.runs_ms)).min(deadline);
             prop_assert!(ends < window.closes);
+            let answered = verdict_deadline(ends);
+            prop_assert!(answered <= began + window.left_to_run(began));
             times.record(&route, ends - arrives, ends);
         }
     }
