Own interface: wait for the answer of a server that ends at its deadline

Cause: `HttpBackendClient::run` and `PeerClient::forward` waited until the deadline itself. Test: backend `the_answer_of_a_server_that_ends_at_its_deadline_is_received`: `Err(Late)` before, 504 now (x86_64).

--- a/crates/backend/src/client.rs
+++ b/crates/backend/src/client.rs
@@ -6,7 +6,9 @@
 
 use async_trait::async_trait;
 use derive_more::{Display, Error};
-use filbertwheel_core::{Answer, Call, Clock, Header, RefusalKind, Text, copy_value};
+use filbertwheel_core::{
+    Answer, Call, Clock, Header, RefusalKind, Text, answer_deadline, copy_value,
+};
 use filbertwheel_http::{
     Limits, Pool, Request, Response, SendError, SendOptions, StallPolicy, TimeLeft,
     forwarded_headers, names,
@@ -109,7 +111,7 @@
                 header: names::DEADLINE,
                 until: call.deadline,
             }),
-            ..SendOptions::until(call.deadline)
+            ..SendOptions::until(answer_deadline(call.deadline))
         };
         let response = self.pool.send(&request, &options).await;
         decode(response.map_err(backend_error)?)
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -9,7 +9,7 @@
 use async_trait::async_trait;
 use derive_more::{Display, Error};
 use filbertwheel_core::{
-    Call, Claim, Clock, Heartbeat, HeartbeatReply, Tokens, Verdict, copy_value,
+    Call, Claim, Clock, Heartbeat, HeartbeatReply, Tokens, Verdict, copy_value, verdict_deadline,
 };
 use filbertwheel_http::{Limits, Pool, Request, SendError};
 use filbertwheel_rpc::{RequestAuth, RpcClient, RpcError};
@@ -115,7 +115,7 @@
         let request = Request::post(CALL_PATH, frame);
         let reply = self
             .rpc
-            .send_signed(&self.pool(to), request, call.deadline)
+            .send_signed(&self.pool(to), request, verdict_deadline(call.deadline))
             .await;
         let reply = reply.map_err(|error| match error {
             SendError::NotSent | SendError::Unencodable => ForwardError::NotSent,
