Traffic threads close their links when they end

What callers saw: nothing; in one process with others (as in tests) the links of a node that had stopped stayed open until the other end gave them up after 6 s, since the executor of its thread kept itself alive with its detached tasks. Change: a thread keeps the tasks of the links that it has opened, and cancels them when it ends.

--- a/crates/engine/src/traffic.rs
+++ b/crates/engine/src/traffic.rs
@@ -1,5 +1,6 @@
 //! Traffic threads. Each serves connections of all listeners and a part of the links.
 
+use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -8,7 +9,7 @@
 use async_channel::Receiver;
 use filbertwheel_http::{Handler, Listener};
 use filbertwheel_peer::{LinkDriver, LinkEndpoint};
-use smol::LocalExecutor;
+use smol::{LocalExecutor, Task};
 
 /// A listener with the handler of its requests.
 #[derive(Debug, Clone)]
@@ -65,18 +66,38 @@
     });
     let listeners: Vec<_> = listeners.collect();
     let links = executor.spawn(tasks.links.run(Rc::clone(&executor)));
-    let drivers = tasks.drivers;
-    let dialling = Rc::clone(&executor);
-    let dialler = executor.spawn(async move {
-        while let Ok(driver) = drivers.recv().await {
-            dialling.spawn(driver.run()).detach();
-        }
-    });
+    let dialled: DialledLinks = Rc::default();
+    let dialler = executor.spawn(dial(
+        tasks.drivers,
+        Rc::clone(&dialled),
+        Rc::clone(&executor),
+    ));
     filbertwheel_runtime::block_on(executor.run(async {
         for bound in listeners {
             bound.await;
         }
         links.await;
-        drop(dialler);
+        dialler.cancel().await;
+        // The other nodes see the end of this process by the end of its links.
+        for link in dialled.take() {
+            link.cancel().await;
+        }
     }));
 }
+
+/// Tasks of the links that a thread has opened.
+type DialledLinks = Rc<RefCell<Vec<Task<()>>>>;
+
+/// Runs the new links until it is cancelled.
+async fn dial(
+    drivers: Receiver<LinkDriver>,
+    dialled: DialledLinks,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    while let Ok(driver) = drivers.recv().await {
+        let link = executor.spawn(driver.run());
+        let mut dialled = dialled.borrow_mut();
+        dialled.retain(|link| !link.is_finished());
+        dialled.push(link);
+    }
+}
