Reports are relied on once departures are known, not once another node has run for longer

Cause: a node that couldn't read its row relied on reports after a second if a connected node had started earlier. That a node has run for longer says nothing of what it remembers: after a kill of all nodes each one knows nothing, and the one that started some milliseconds earlier neither.

Ruled out: the row (the store held it, and the other nodes could read it); the order of reports by start and sequence, which needs a memory of either.

Change: what another node knows is asked, and it says what it is (`policy/src/recovery.rs`). A node without its row asks one connected node after another (`Frame::DeparturesRequest`). That one reads the row for it. If the store serves neither, it answers from memory, and only if it was linked to the process before until that one ended, that process had its backend server in use, and no more than 3 s lie between its end and the start of the asking one. For that, reports carry a departure before it is acknowledged. Without any of this the backend server stays out of use for 30 s, after which one that had left has exited. Each answer is logged with what it holds, and the node logs where its knowledge comes from. Why it holds: an acknowledgement follows the row, so whoever has read the row since knows all departures.

Weighed: waiting for the store alone (a third of the nodes would be out of use for as long as it turns them away; a node that restarts while the store is away for minutes, too); a time after which reports are relied on in place of the question (late reports come seconds late); asking the backend server's health path (it may say 200 while it leaves).

Upgrade: nodes of earlier versions close the link on the new frames; replace a fleet as a whole.

--- a/crates/engine/src/control/departures.rs
+++ b/crates/engine/src/control/departures.rs
@@ -1,14 +1,14 @@
 //! Keeps the departures of the local backend server in the store, so that they outlive this process.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use filbertwheel_core::{VmId, message};
 use filbertwheel_platform::{Store, StoreError, StoreRow, StoreWrite};
 use filbertwheel_policy::{Departure, DepartureRow, DepartureWrite};
 use futures_lite::FutureExt as _;
 
-use super::{Control, Shared};
+use super::Shared;
 use crate::departures::Departures;
 use crate::epochs::StoreEpoch;
 
@@ -19,8 +19,6 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// Interval at which the epoch of the store is checked.
 const EPOCH_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after the start of a node in which its row is read before anything else is relied on.
-const RECOVERY_TIME: Duration = Duration::from_secs(1);
 
 /// Row of a VM.
 #[message]
@@ -58,7 +56,6 @@
             tracing::warn!(
                 "control: The departures of the backend server can't be stored: {error}."
             );
-            keeper.control.borrow().check_recovery(clock.now());
             clock.sleep(backoff).await;
             backoff = (backoff * 2).min(MAX_BACKOFF);
             continue;
@@ -75,9 +72,11 @@
         self.departures
             .observe_epoch(self.epoch.latest().unwrap_or_default());
         if self.departures.needs_read() {
-            let row = self.read().await?;
+            let row = read_row(self.store.as_ref(), &self.vm).await?;
             self.departures.apply_row(row);
-            self.control.borrow().parts.engine.runner.trust_reports();
+            if self.departures.is_recovered() {
+                self.control.borrow().trust_reports("store");
+            }
         }
         match self.departures.due_write() {
             Some(write) => self.write(&write).await,
@@ -85,16 +84,6 @@
         }
     }
 
-    async fn read(&self) -> Result<DepartureRow, StoreError> {
-        let response = self.store.read(DEPARTURES_TABLE, &self.vm).await?;
-        let row = response.value;
-        Ok(DepartureRow {
-            departures: row.as_ref().map(decode).unwrap_or_default(),
-            revision: row.map_or(0, |row| row.revision),
-            epoch: response.epoch,
-        })
-    }
-
     async fn write(&self, write: &DepartureWrite) -> Result<(), StoreError> {
         let row = VmRow {
             departures: write.departures.clone(),
@@ -126,21 +115,15 @@
     }
 }
 
-impl Control {
-    /// Relies on the status reports of the backend server although its row can't be read, if another
-    /// node that was there before this one has had time to tell what it knows.
-    fn check_recovery(&self, now: Instant) {
-        let waited = now.saturating_duration_since(self.started) >= RECOVERY_TIME;
-        let own = self.local_member.incarnation;
-        let mut peers = self.peers.values();
-        let is_told = peers.any(|peer| {
-            let start = peer.member.incarnation;
-            peer.link.is_up() && start > 0 && start < own
-        });
-        if waited && is_told {
-            self.parts.engine.runner.trust_reports();
-        }
-    }
+/// Reads the row of a VM.
+pub(super) async fn read_row(store: &dyn Store, vm: &VmId) -> Result<DepartureRow, StoreError> {
+    let response = store.read(DEPARTURES_TABLE, vm).await?;
+    let row = response.value;
+    Ok(DepartureRow {
+        departures: row.as_ref().map(decode).unwrap_or_default(),
+        revision: row.map_or(0, |row| row.revision),
+        epoch: response.epoch,
+    })
 }
 
 /// Returns the write that removes the row of a VM.
--- a/crates/engine/src/control/messages.rs
+++ b/crates/engine/src/control/messages.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use filbertwheel_core::{Status, VmId};
-use filbertwheel_peer::LinkEvent;
+use filbertwheel_peer::{LinkEvent, NodeProcess};
 
 use super::{Control, Message, Shared};
 
@@ -30,19 +30,25 @@
 
     fn handle_link_event(&mut self, event: LinkEvent) {
         match event {
-            LinkEvent::Report(report) => self.apply_report(*report),
+            LinkEvent::Report(report, notice) => self.apply_report(*report, notice),
             LinkEvent::Connected(member) => {
                 // Even if the store can't be read, the nodes that already know this one connect to
                 // it.
                 self.members_known = true;
+                let process = NodeProcess::of(&member);
+                let serving = member.status == Status::Serving;
                 let vm = member.vm.clone();
                 self.upsert_peer(member);
+                self.record_link(&process, serving);
                 self.publish();
                 self.send_known_crash_reports(&vm);
             }
             LinkEvent::Disconnected(vm) => {
                 tracing::info!(vm = %vm, "control: The link to a node was lost.")
             }
+            LinkEvent::Ended(process) => self.record_end(&process),
+            LinkEvent::DeparturesRequest(process, reply) => self.queue_question(process, reply),
+            LinkEvent::Departures(vm, known) => self.learn_departures(&vm, known),
             LinkEvent::Rules(document) => self.receive_rules(document),
             LinkEvent::PortionRequest(request, reply) => {
                 let (now, limits) = (self.parts.clock.now(), Arc::clone(&self.limits));
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -6,18 +6,20 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use filbertwheel_core::{
-    Clock, DomainId, Epoch, Fence, FleetSecret, Member, RulesStamp, ServiceId, Status, VmId,
+    Clock, DomainId, Epoch, Fence, FleetSecret, InstanceNotice, Member, RulesStamp, ServiceId,
+    Status, VmId,
 };
-use filbertwheel_peer::{Link, LinkDriver, LinkHandler, NodeReport};
+use filbertwheel_peer::{Link, LinkDriver, LinkHandler, NodeProcess, NodeReport};
 use filbertwheel_policy::{
-    Aggregation, Distance, Evacuations, PortionLedger, RateLimits, RulesLineage, StopWindow,
-    WatchDuty,
+    Aggregation, DepartureRecovery, Distance, Evacuations, PortionLedger, ProcessMemory,
+    RateLimits, RulesLineage, StopWindow, WatchDuty,
 };
 
 use super::Shared;
 use super::plan::Plan;
+use super::recovery::DepartureQuestion;
 use crate::engine::Engine;
 use crate::epochs::StoreEpoch;
 use crate::runner::BackendState;
@@ -26,6 +28,8 @@
 
 /// Time after the start of a node in which its links to the listed nodes come up.
 const LINK_START_TIME: Duration = Duration::from_millis(1_500);
+/// Maximum number of questions about departures that wait for an answer.
+const MAX_QUESTIONS: usize = 4_096;
 
 /// Parts that the control state is built from.
 #[derive(Debug)]
@@ -77,6 +81,10 @@
     pub(super) joined: bool,
     /// When this node started.
     pub(super) started: Instant,
+    /// When the departures of before are known.
+    pub(super) recovery: DepartureRecovery,
+    /// Questions of other nodes about departures.
+    pub(super) questions: (Sender<DepartureQuestion>, Receiver<DepartureQuestion>),
     pub(super) watch_duty: WatchDuty,
     /// Whether this node follows the store, as it tells the others.
     pub(super) watching: bool,
@@ -114,6 +122,8 @@
     pub last_heard: Instant,
     /// What the node has stated in its last report.
     pub last_report: Option<LastReport>,
+    /// The processes that have run at the VM.
+    pub processes: ProcessMemory,
 }
 
 /// What a node has stated in a report.
@@ -156,6 +166,8 @@
         was_listed: None,
         joined: false,
         started,
+        recovery: DepartureRecovery::open(started),
+        questions: async_channel::bounded(MAX_QUESTIONS),
         watch_duty,
         watching: false,
         evacuations: Evacuations::default(),
@@ -262,6 +274,7 @@
             last_heard: self.parts.clock.now(),
             last_report: None,
             member: member.clone(),
+            processes: ProcessMemory::default(),
         };
         self.peers.insert(member.vm, peer);
     }
@@ -275,9 +288,11 @@
     }
 
     /// Applies the report of another node.
-    pub(super) fn apply_report(&mut self, report: NodeReport) {
+    pub(super) fn apply_report(&mut self, report: NodeReport, notice: Option<InstanceNotice>) {
         let now = self.parts.clock.now();
-        let vm = report.member.vm.clone();
+        let process = NodeProcess::of(&report.member);
+        let serving = report.member.status == Status::Serving;
+        let vm = process.vm;
         let last_report = LastReport {
             at: now,
             rules: report.rules,
@@ -301,6 +316,10 @@
         };
         peer.last_heard = now;
         peer.last_report = Some(last_report);
+        peer.processes.record_report(process.incarnation, serving);
+        if let Some(notice) = notice {
+            peer.link.record_notice(notice);
+        }
         peer.link.set_load(report.load);
     }
 
@@ -369,8 +388,11 @@
             rules: self.parts.snapshots.load().document.stamp,
             holder_fence: self.lease.as_ref().map(|lease| lease.fence),
         };
+        // Others tell the next process here of a departure. Each response tells them the rest.
+        let notice = self.parts.engine.runner.notice();
+        let notice = notice.filter(|notice| notice.leaving);
         for peer in self.peers.values() {
-            peer.link.send_report(&report);
+            peer.link.send_report(&report, notice.clone());
         }
     }
 }
--- a/crates/engine/src/departures.rs
+++ b/crates/engine/src/departures.rs
@@ -76,7 +76,12 @@
         self.lock().log.needs_read()
     }
 
-    /// Applies the row as it was read.
+    /// Returns whether the row was read since the start of the process, by this node or for it.
+    pub fn is_recovered(&self) -> bool {
+        self.lock().log.is_recovered()
+    }
+
+    /// Applies the row as it was read, unless that was before a restore.
     pub fn apply_row(&self, row: DepartureRow) {
         let mut state = self.lock();
         state.log.apply_row(row);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -256,7 +256,7 @@
 
     fn handle_event(&self, event: LinkEvent) {
         let deferrable = match &event {
-            LinkEvent::Report(report) => self.is_unchanged(report),
+            LinkEvent::Report(report, _) => self.is_unchanged(report),
             LinkEvent::PortionRequest(..) | LinkEvent::PortionGrant(..) | LinkEvent::Sums(_) => {
                 true
             }
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -16,8 +16,9 @@
 use smol::LocalExecutor;
 
 use crate::control::{
-    ControlParts, Shared, exchange_sums, handle_messages, hold_lease, join_members,
-    keep_departures, keep_members, open_control, run_ticks, store_profiles, watch_rules,
+    ControlParts, Shared, answer_questions, exchange_sums, handle_messages, hold_lease,
+    join_members, keep_departures, keep_members, open_control, recover_departures, run_ticks,
+    store_profiles, watch_rules,
 };
 use crate::counted_store::CountedStore;
 use crate::departures::Departures;
@@ -149,6 +150,8 @@
             executor.spawn(join_members(control())),
             executor.spawn(keep_members(control())),
             executor.spawn(keep_departures(control())),
+            executor.spawn(recover_departures(control())),
+            executor.spawn(answer_questions(control())),
             executor.spawn(store_profiles(control())),
             executor.spawn(run_ticks(control())),
             executor.spawn(exchange_sums(control())),
--- a/crates/engine/src/runner/reports.rs
+++ b/crates/engine/src/runner/reports.rs
@@ -93,6 +93,11 @@
         self.end_departed_life();
     }
 
+    /// Returns whether the status reports are relied on.
+    pub fn trusts_reports(&self) -> bool {
+        self.lock().trusts_reports
+    }
+
     /// Relies on the status reports from now on, since departures of before this process are known.
     pub fn trust_reports(&self) {
         self.end_departed_life();
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,7 +16,7 @@
 pub use client::{CallForwarder, ControlClient, ForwardError, PeerClient};
 pub use link::{
     CallState, FrameError, Link, LinkDriver, LinkEndpoint, LinkEvent, LinkHandler, Links,
-    NodeReport, ReplyHandle, RulesDocument,
+    NodeProcess, NodeReport, ReplyHandle, RulesDocument,
 };
 pub use server::{CallHandler, ControlError, ControlHandler, PeerEndpoint};
 pub use wire::LoadReport;
--- a/crates/peer/src/link/accept.rs
+++ b/crates/peer/src/link/accept.rs
@@ -22,7 +22,7 @@
 use super::is_valid_signature;
 use super::memory::{CallMemory, HeldMemory};
 use super::outbox::Outbox;
-use super::{LinkEvent, LinkHandler, ReplyHandle};
+use super::{Filled, LinkEvent, LinkHandler, NodeProcess, ReplyHandle};
 
 /// Time without incoming bytes, or without a complete hello, after which a link is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
@@ -128,6 +128,8 @@
     let write = async {
         if let Err(error) = outbox.write_to(writer).await {
             tracing::debug!("peer: Cannot write to a link: {error}.");
+            // What has arrived before is read to its end.
+            std::future::pending().await
         }
     };
     link.read(&mut stream).or(write).await;
@@ -173,13 +175,21 @@
                 Some(_) => IDLE_TIMEOUT,
                 None => IDLE_TIMEOUT.saturating_sub(clock.now().saturating_duration_since(began)),
             };
-            let more = fill_buffer(stream, &mut buffer);
+            let filled = fill_buffer(stream, &mut buffer);
             let idle = async {
                 clock.sleep(timeout).await;
-                false
+                Filled::Failed
             };
-            if !more.or(idle).await {
-                return;
+            match filled.or(idle).await {
+                Filled::More => {}
+                Filled::Failed => return,
+                Filled::Closed => {
+                    if let Some(process) = sender {
+                        let handler = &self.endpoint.handler;
+                        handler.handle_event(LinkEvent::Ended(process));
+                    }
+                    return;
+                }
             }
         }
     }
@@ -223,7 +233,7 @@
         &self,
         frame: Frame,
         notice: Option<InstanceNotice>,
-        sender: &mut Option<VmId>,
+        sender: &mut Option<NodeProcess>,
         held: Option<HeldMemory>,
     ) -> bool {
         let handler = &self.endpoint.handler;
@@ -233,7 +243,7 @@
                 tracing::warn!("peer: Closed a link without a valid signature.");
                 return false;
             }
-            *sender = Some(member.vm.clone());
+            *sender = Some(NodeProcess::of(&member));
             if let Some(notice) = notice {
                 handler.learn_notice(notice);
             }
@@ -243,10 +253,11 @@
                 rules: handler.rules_stamp(),
             });
         }
-        let Some(vm) = sender else {
+        let Some(process) = sender else {
             tracing::warn!("peer: Closed a link whose first frame is not a hello.");
             return false;
         };
+        let vm = &process.vm;
         match frame {
             Frame::Call(id, head, body) => {
                 let now = self.endpoint.clock.now();
@@ -262,7 +273,7 @@
             }
             Frame::Report(report) => {
                 let rules = report.rules;
-                handler.handle_event(LinkEvent::Report(report));
+                handler.handle_event(LinkEvent::Report(report, notice));
                 self.request_rules(rules);
                 self.push_with_notice(&Frame::ReportAck {
                     load: handler.load(),
@@ -310,6 +321,11 @@
                 handler.handle_event(LinkEvent::PortionRequest(request, reply));
                 true
             }
+            Frame::DeparturesRequest => {
+                let reply = ReplyHandle(Arc::clone(&self.outbox));
+                handler.handle_event(LinkEvent::DeparturesRequest(process.clone(), reply));
+                true
+            }
             Frame::Claim(id, organisation, count) => {
                 let (granted, after) = handler.claim_tokens(&organisation, count);
                 self.push(&Frame::Tokens(id, granted, after))
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -15,15 +15,15 @@
 };
 use filbertwheel_http::{configure_socket, reset_on_close};
 use filbertwheel_policy::{
-    BackendLoad, BackendView, CrashReport, Distance, EvacuationReport, PeerLoad, PortionRequest,
-    SentCall, SumMessage,
+    BackendLoad, BackendView, CrashReport, Departure, Distance, EvacuationReport, PeerLoad,
+    PortionRequest, SentCall, SumMessage,
 };
 use filbertwheel_runtime::TcpStream;
 use futures_lite::FutureExt as _;
 
 use super::frame::{CallHead, CorrelationId, Frame, MAX_FRAME_BYTES, NodeReport};
 use super::outbox::{Offset, Outbox};
-use super::{LinkEvent, LinkHandler, fill_buffer, sign_vm};
+use super::{Filled, LinkEvent, LinkHandler, fill_buffer, sign_vm};
 use crate::ForwardError;
 
 /// Timeout for opening a connection.
@@ -187,14 +187,35 @@
         tokens
     }
 
-    /// Sends this node's report.
-    pub fn send_report(&self, report: &NodeReport) {
-        if self.push(&Frame::Report(Box::new(report.clone()))) {
+    /// Sends this node's report, with what its backend server has stated about itself.
+    pub fn send_report(&self, report: &NodeReport, notice: Option<InstanceNotice>) {
+        let frame = Frame::Report(Box::new(report.clone()));
+        if self.0.outbox.push_with(&frame, notice).is_some() {
             let now = self.0.clock.now();
             self.0.state().awaiting_since.get_or_insert(now);
         }
     }
 
+    /// Records what the other node's backend server has stated about itself.
+    pub fn record_notice(&self, notice: InstanceNotice) {
+        self.0.record_notice(notice);
+    }
+
+    /// Returns the departure of the other node's backend server, if it is known to be leaving.
+    pub fn known_departure(&self) -> Option<Departure> {
+        let state = self.0.state();
+        let (notice, _) = state.notice.as_ref()?;
+        notice.leaving.then(|| Departure {
+            instance: notice.instance.clone(),
+            until_ms: notice.started_ms,
+        })
+    }
+
+    /// Asks what the other node knows of departures at this VM.
+    pub fn request_departures(&self) {
+        self.push(&Frame::DeparturesRequest);
+    }
+
     /// Announces new rules in force at this node.
     pub fn announce_rules(&self, stamp: RulesStamp) {
         self.push(&Frame::RulesAnnounced(stamp));
@@ -277,6 +298,18 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Keeps what the other node's backend server has stated. It comes on two connections, so that an
+    /// earlier statement of a life may arrive after the one that it is leaving.
+    fn record_notice(&self, mut notice: InstanceNotice) {
+        let mut state = self.state();
+        if let Some((known, _)) = &state.notice
+            && (&known.instance, known.started_ms) == (&notice.instance, notice.started_ms)
+        {
+            notice.leaving |= known.leaving;
+        }
+        state.notice = Some((notice, self.clock.now()));
+    }
+
     /// Returns what the other node's backend server has stated about itself, with its present age.
     fn known_notice(&self) -> Option<InstanceNotice> {
         let (notice, received) = self.state().notice.clone()?;
@@ -419,7 +452,7 @@
                     }
                 }
             }
-            if !fill_buffer(stream, &mut buffer).await {
+            if fill_buffer(stream, &mut buffer).await != Filled::More {
                 return;
             }
             self.link.0.state().awaiting_since = None;
@@ -429,7 +462,7 @@
     fn handle_frame(&self, frame: Frame, notice: Option<InstanceNotice>) {
         let inner = &self.link.0;
         if let Some(notice) = notice {
-            inner.state().notice = Some((notice, inner.clock.now()));
+            inner.record_notice(notice);
         }
         match frame {
             Frame::Welcome { member, rules } => {
@@ -468,6 +501,10 @@
             }
             Frame::Rules(rules) => self.handler.handle_event(LinkEvent::Rules(rules)),
             Frame::PortionGrant(fence, grant) => self.grant(fence, grant),
+            Frame::Departures(known) => {
+                let event = LinkEvent::Departures(inner.vm.clone(), known);
+                self.handler.handle_event(event);
+            }
             Frame::Tokens(id, count, after) => {
                 if let Some(PendingReply::Claim(sender)) = inner.pending().remove(&id) {
                     let _closed = sender.try_send((count, after));
--- a/crates/peer/src/link/frame.rs
+++ b/crates/peer/src/link/frame.rs
@@ -14,7 +14,8 @@
     UnknownReason, Verdict, message, value,
 };
 use filbertwheel_policy::{
-    BackendLoad, CrashReport, EvacuationReport, PortionGrant, PortionRequest, SumMessage,
+    BackendLoad, CrashReport, EvacuationReport, KnownDepartures, PortionGrant, PortionRequest,
+    SumMessage,
 };
 
 use crate::answer::received_answer;
@@ -84,6 +85,10 @@
     /// The sender is stopping: after `noticed` its callers know it, after `closes` it closes their
     /// connections. Its calls on this link end before that, or are refused.
     Stopping { noticed: Duration, closes: Duration },
+    /// Requests what the receiver knows of departures at the VM of the sender.
+    DeparturesRequest,
+    /// Reply to `DeparturesRequest`.
+    Departures(KnownDepartures),
 }
 
 /// The rules in force at a node.
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -16,16 +16,18 @@
 pub use dial::{Link, LinkDriver, Links};
 pub use frame::{FrameError, NodeReport, RulesDocument};
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use filbertwheel_core::{
-    Attempt, Fence, FleetSecret, InstanceNotice, Member, OrganisationId, RulesStamp, Text, Verdict,
-    VmId,
+    Attempt, Fence, FleetSecret, Incarnation, InstanceNotice, Member, OrganisationId, RulesStamp,
+    Text, Verdict, VmId, copy_value, value,
 };
 use filbertwheel_http::LocalFuture;
 use filbertwheel_policy::{
-    BackendLoad, CrashReport, EvacuationReport, PortionGrant, PortionRequest, SumMessage,
+    BackendLoad, CrashReport, EvacuationReport, KnownDepartures, PortionGrant, PortionRequest,
+    SumMessage,
 };
 use filbertwheel_runtime::TcpStream;
 use futures_lite::AsyncReadExt as _;
@@ -71,12 +73,18 @@
 /// Event of a link other than a call.
 #[derive(Debug)]
 pub enum LinkEvent {
-    /// A report of another node.
-    Report(Box<NodeReport>),
+    /// A report of another node, and what its backend server has stated about itself.
+    Report(Box<NodeReport>, Option<InstanceNotice>),
     /// A link to or from another node was established.
     Connected(Member),
     /// The link to another node was lost.
     Disconnected(VmId),
+    /// A process has ended or closed its link, and what it had sent has arrived.
+    Ended(NodeProcess),
+    /// A node that has just started asks what this one knows of departures at its VM.
+    DeparturesRequest(NodeProcess, ReplyHandle),
+    /// What another node knows of departures at this VM.
+    Departures(VmId, KnownDepartures),
     /// The rules in force at another node.
     Rules(RulesDocument),
     /// A request for portions to this node as the lease holder.
@@ -94,6 +102,25 @@
     Evacuations(EvacuationReport),
 }
 
+/// One run of a node on a VM.
+#[value]
+pub struct NodeProcess {
+    /// The VM.
+    pub vm: VmId,
+    /// Number of the run.
+    pub incarnation: Incarnation,
+}
+
+impl NodeProcess {
+    /// Returns the process that a member entry is of.
+    pub fn of(member: &Member) -> Self {
+        Self {
+            vm: member.vm.clone(),
+            incarnation: member.incarnation,
+        }
+    }
+}
+
 /// Sends the reply to a request on the link that received it.
 #[derive(Debug, Clone)]
 pub struct ReplyHandle(std::sync::Arc<outbox::Outbox>);
@@ -104,6 +131,12 @@
         // If the link is down by now, the reply is dropped.
         let _down = self.0.push(&frame::Frame::PortionGrant(fence, grant));
     }
+
+    /// Sends what this node knows of departures at the other VM.
+    pub fn send_departures(&self, known: KnownDepartures) {
+        // If the link is down by now, the reply is dropped.
+        let _down = self.0.push(&frame::Frame::Departures(known));
+    }
 }
 
 /// Signs the id of a VM with the fleet's secret.
@@ -124,18 +157,32 @@
 /// Maximum number of bytes per read from a link.
 const READ_SIZE: usize = 16 * 1024;
 
-/// Reads more bytes into a buffer. Returns `false` at the end of the stream or on an error.
-async fn fill_buffer(stream: &mut TcpStream, buffer: &mut BytesMut) -> bool {
+/// What a read from a link has found.
+#[copy_value]
+enum Filled {
+    /// More bytes.
+    More,
+    /// The other process has closed the connection, or its system has done so when it ended.
+    Closed,
+    /// Nothing shows whether the other process still runs.
+    Failed,
+}
+
+/// Reads more bytes into a buffer.
+async fn fill_buffer(stream: &mut TcpStream, buffer: &mut BytesMut) -> Filled {
     let filled = buffer.len();
     buffer.resize(filled + READ_SIZE, 0);
     let read = stream.read(&mut buffer[filled..]).await;
-    let count = match read {
-        Ok(count) => count,
+    buffer.truncate(filled + read.as_ref().copied().unwrap_or_default());
+    match read {
+        Ok(0) => Filled::Closed,
+        Ok(_) => Filled::More,
         Err(error) => {
             tracing::debug!("peer: Cannot read from a link: {error}.");
-            0
+            match error.kind() {
+                ErrorKind::ConnectionReset | ErrorKind::BrokenPipe => Filled::Closed,
+                _ => Filled::Failed,
+            }
         }
-    };
-    buffer.truncate(filled + count);
-    count > 0
+    }
 }
--- a/crates/policy/src/departures.rs
+++ b/crates/policy/src/departures.rs
@@ -24,7 +24,7 @@
 }
 
 /// What the row in the store says, and where it was read.
-#[value]
+#[message]
 #[derive(Default)]
 pub struct DepartureRow {
     /// Departures in the row, oldest first.
@@ -117,8 +117,11 @@
         self.insert(departure, false);
     }
 
-    /// Applies the row as it was read.
+    /// Applies the row as it was read. A reading of before a restore is ignored.
     pub fn apply_row(&mut self, row: DepartureRow) {
+        if row.epoch < self.epoch {
+            return;
+        }
         // The oldest are forgotten first, so those of the row come before those of this process.
         let own = std::mem::take(&mut self.entries);
         for departure in row.departures {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 mod queue;
 mod quota;
 mod rank;
+mod recovery;
 mod rendezvous;
 mod retry;
 mod root;
@@ -99,6 +100,7 @@
     Portions, RateLimits, StoredGrants,
 };
 pub use rank::shed_rank;
+pub use recovery::{DepartureRecovery, KnownDepartures, ProcessMemory};
 pub use retry::{RETRIES_PER_CALL, RetryThrottle, RetryThrottles, retry_after};
 pub use root::{Root, RootError};
 pub use roster::Roster;
