--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -8,31 +8,22 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
-use bytes::BytesMut;
 use filbertwheel_core::{
     Attempt, Clock, Fence, FleetSecret, InstanceNotice, OrganisationId, RulesStamp, Verdict, VmId,
     verdict_deadline,
 };
-use filbertwheel_http::{configure_socket, reset_on_close};
 use filbertwheel_policy::{
     BackendLoad, BackendView, CrashReport, Departure, Distance, EvacuationReport, PeerLoad,
     PortionRequest, SentCall, SumMessage,
 };
-use filbertwheel_runtime::TcpStream;
 use futures_lite::FutureExt as _;
 
-use super::frame::{CallHead, CorrelationId, Frame, MAX_FRAME_BYTES, NodeReport};
+use super::LinkHandler;
+use super::driver::LinkDriver;
+use super::frame::{CallHead, CorrelationId, Frame, NodeReport};
 use super::outbox::{Offset, Outbox};
-use super::{Filled, LinkEvent, LinkHandler, fill_buffer, sign_vm};
 use crate::ForwardError;
 
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// First delay before a lost link is opened again; it doubles up to `MAX_RECONNECT_DELAY`.
-const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(100);
-const MAX_RECONNECT_DELAY: Duration = Duration::from_millis(1_000);
-/// Time without incoming bytes after which a link that awaits a reply is lost.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Timeout of a token claim. The lease holder counts a claimed token as unspent for a little longer.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -41,47 +32,39 @@
 
 /// Link to another node, reopened whenever it is lost. Cheap to clone.
 #[derive(Debug, Clone)]
-pub struct Link(Arc<Inner>);
+pub struct Link(pub(super) Arc<Inner>);
 
 #[derive(Debug)]
-struct Inner {
-    vm: VmId,
-    address: SocketAddr,
-    clock: Arc<dyn Clock>,
-    outbox: Outbox,
+pub(super) struct Inner {
+    pub(super) vm: VmId,
+    pub(super) address: SocketAddr,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) outbox: Outbox,
     pending: Mutex<HashMap<CorrelationId, PendingReply>>,
     next_id: AtomicU64,
-    up: AtomicBool,
-    closed: AtomicBool,
+    pub(super) up: AtomicBool,
+    pub(super) closed: AtomicBool,
     in_flight: AtomicU32,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
-struct State {
+pub(super) struct State {
     load: PeerLoad,
     last_failure: Option<Instant>,
     /// What the other node's backend server has stated about itself, and when this node learned it.
     /// It outlasts the connection: after a restart the other node learns it from here.
     notice: Option<(InstanceNotice, Instant)>,
     /// Time of the first hello or report since the last incoming bytes.
-    awaiting_since: Option<Instant>,
+    pub(super) awaiting_since: Option<Instant>,
 }
 
 #[derive(Debug)]
-enum PendingReply {
+pub(super) enum PendingReply {
     Call(Offset, Sender<Result<Verdict, ForwardError>>),
     Claim(Sender<(u32, u32)>),
 }
 
-/// Task that opens a link, reads from it and reopens it when it is lost.
-#[derive(Debug)]
-pub struct LinkDriver {
-    link: Link,
-    handler: Arc<dyn LinkHandler>,
-    secret: FleetSecret,
-}
-
 impl Link {
     /// Creates a link to a node and the driver that keeps it open.
     pub fn open(
@@ -103,11 +86,7 @@
             in_flight: AtomicU32::new(0),
             state: Mutex::default(),
         }));
-        let driver = LinkDriver {
-            link: link.clone(),
-            handler,
-            secret,
-        };
+        let driver = LinkDriver::open(link.clone(), handler, secret);
         (link, driver)
     }
 
@@ -285,22 +264,22 @@
         Ok(())
     }
 
-    fn pending(&self) -> MutexGuard<'_, HashMap<CorrelationId, PendingReply>> {
+    pub(super) fn pending(&self) -> MutexGuard<'_, HashMap<CorrelationId, PendingReply>> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn record_load(&self, load: BackendLoad) {
+    pub(super) fn record_load(&self, load: BackendLoad) {
         let now = self.clock.now();
         self.state().load.record(load, now);
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Keeps what the other node's backend server has stated. It comes on two connections, so that an
     /// earlier statement of a life may arrive after the one that it is leaving.
-    fn record_notice(&self, mut notice: InstanceNotice) {
+    pub(super) fn record_notice(&self, mut notice: InstanceNotice) {
         let mut state = self.state();
         if let Some((known, _)) = &state.notice
             && (&known.instance, known.started_ms) == (&notice.instance, notice.started_ms)
@@ -311,7 +290,7 @@
     }
 
     /// Returns what the other node's backend server has stated about itself, with its present age.
-    fn known_notice(&self) -> Option<InstanceNotice> {
+    pub(super) fn known_notice(&self) -> Option<InstanceNotice> {
         let (notice, received) = self.state().notice.clone()?;
         let elapsed = self.clock.now().saturating_duration_since(received);
         let age = notice.age.saturating_add(elapsed);
@@ -319,7 +298,7 @@
     }
 
     /// Completes the pending calls of a lost link with an error and closes the outbox.
-    fn fail_pending(&self) {
+    pub(super) fn fail_pending(&self) {
         self.up.store(false, Ordering::Relaxed);
         let mut pending = self.pending();
         // A call that begins from now on must not be registered any more: nobody would complete it.
@@ -361,170 +340,3 @@
         }
     }
 }
-
-impl LinkDriver {
-    /// Opens the link, and reopens it with backoff, until it is closed for good.
-    pub async fn run(self) {
-        let inner = Arc::clone(&self.link.0);
-        let mut delay = MIN_RECONNECT_DELAY;
-        while !inner.closed.load(Ordering::Relaxed) {
-            if let Some(stream) = self.connect().await {
-                let began = inner.clock.now();
-                let was_up = self.serve(stream).await;
-                inner.fail_pending();
-                if was_up {
-                    self.handler
-                        .handle_event(LinkEvent::Disconnected(inner.vm.clone()));
-                }
-                if inner.clock.now().saturating_duration_since(began) > MAX_RECONNECT_DELAY {
-                    delay = MIN_RECONNECT_DELAY;
-                }
-            }
-            inner.clock.sleep(delay).await;
-            delay = (delay * 2).min(MAX_RECONNECT_DELAY);
-        }
-    }
-
-    async fn connect(&self) -> Option<TcpStream> {
-        let inner = &self.link.0;
-        let opened = async { TcpStream::connect(inner.address).await.ok() };
-        let timeout = async {
-            inner.clock.sleep(CONNECT_TIMEOUT).await;
-            None
-        };
-        let stream = opened.or(timeout).await?;
-        configure_socket(&stream);
-        Some(stream)
-    }
-
-    /// Serves one connection until it is lost. Returns whether the other node answered the hello.
-    async fn serve(&self, mut stream: TcpStream) -> bool {
-        let inner = &self.link.0;
-        inner.outbox.reset();
-        let local_member = self.handler.local_member();
-        let signature = sign_vm(&self.secret, &local_member.vm, inner.clock.wall());
-        let hello = Frame::Hello {
-            member: local_member,
-            signature,
-        };
-        inner.outbox.push_with(&hello, inner.known_notice());
-        inner.state().awaiting_since = Some(inner.clock.now());
-        let writer = stream.clone();
-        let write = async {
-            if let Err(error) = inner.outbox.write_to(writer).await {
-                tracing::debug!("peer: Cannot write to a link: {error}.");
-            }
-        };
-        self.read(&mut stream)
-            .or(write)
-            .or(self.wait_for_overdue_reply())
-            .await;
-        reset_on_close(&stream);
-        inner.up.load(Ordering::Relaxed)
-    }
-
-    /// Completes once a reply has been overdue for longer than `REPLY_TIMEOUT`.
-    async fn wait_for_overdue_reply(&self) {
-        let inner = &self.link.0;
-        loop {
-            inner.clock.sleep(REPLY_TIMEOUT / 4).await;
-            let now = inner.clock.now();
-            let awaiting_since = inner.state().awaiting_since;
-            if awaiting_since.is_some_and(|at| now.saturating_duration_since(at) > REPLY_TIMEOUT) {
-                return;
-            }
-        }
-    }
-
-    async fn read(&self, stream: &mut TcpStream) {
-        let mut buffer = BytesMut::new();
-        loop {
-            loop {
-                match Frame::decode(&mut buffer, MAX_FRAME_BYTES) {
-                    Ok(Some((frame, notice))) => self.handle_frame(frame, notice),
-                    Ok(None) => break,
-                    Err(error) => {
-                        tracing::warn!(
-                            "peer: Closed the link to {} after an invalid frame: {error}.",
-                            self.link.0.vm
-                        );
-                        return;
-                    }
-                }
-            }
-            if fill_buffer(stream, &mut buffer).await != Filled::More {
-                return;
-            }
-            self.link.0.state().awaiting_since = None;
-        }
-    }
-
-    fn handle_frame(&self, frame: Frame, notice: Option<InstanceNotice>) {
-        let inner = &self.link.0;
-        if let Some(notice) = notice {
-            inner.record_notice(notice);
-        }
-        match frame {
-            Frame::Welcome { member, rules } => {
-                if member.vm != inner.vm {
-                    tracing::warn!(
-                        "peer: {} answered at the address of {}.",
-                        member.vm,
-                        inner.vm
-                    );
-                }
-                inner.up.store(true, Ordering::Relaxed);
-                self.handler.handle_event(LinkEvent::Connected(member));
-                self.request_rules(rules);
-            }
-            Frame::Verdict(id, head, load, body) => {
-                inner.record_load(load);
-                if let Some(PendingReply::Call(_, sender)) = inner.pending().remove(&id) {
-                    // A closed channel means that the caller has stopped waiting.
-                    let _closed = sender.try_send(Ok(head.into_verdict(body)));
-                }
-            }
-            Frame::ReportAck { load, rules } => {
-                inner.record_load(load);
-                self.request_rules(rules);
-            }
-            Frame::RulesRequest => {
-                if let Some(rules) = self.handler.rules() {
-                    // A node that takes callers by these rules has to know the evacuations.
-                    let evacuations = self.handler.evacuations();
-                    inner.outbox.push(&Frame::Evacuations(evacuations));
-                    inner.outbox.push(&Frame::Rules(rules));
-                }
-            }
-            Frame::Evacuations(report) => {
-                self.handler.handle_event(LinkEvent::Evacuations(report));
-            }
-            Frame::Rules(rules) => self.handler.handle_event(LinkEvent::Rules(rules)),
-            Frame::PortionGrant(fence, grant) => self.grant(fence, grant),
-            Frame::Departures(known) => {
-                let event = LinkEvent::Departures(inner.vm.clone(), known);
-                self.handler.handle_event(event);
-            }
-            Frame::Tokens(id, count, after) => {
-                if let Some(PendingReply::Claim(sender)) = inner.pending().remove(&id) {
-                    let _closed = sender.try_send((count, after));
-                }
-            }
-            other => tracing::warn!(
-                "peer: Ignored an unexpected frame from {}: {other:?}.",
-                inner.vm
-            ),
-        }
-    }
-
-    fn request_rules(&self, stamp: RulesStamp) {
-        if self.handler.wants_rules(stamp) {
-            self.link.0.outbox.push(&Frame::RulesRequest);
-        }
-    }
-
-    fn grant(&self, fence: Fence, grant: filbertwheel_policy::PortionGrant) {
-        self.handler
-            .handle_event(LinkEvent::PortionGrant(fence, grant));
-    }
-}
--- a/crates/peer/src/link/mod.rs
+++ b/crates/peer/src/link/mod.rs
@@ -7,13 +7,15 @@
 mod accept;
 mod calls;
 mod dial;
+mod driver;
 mod frame;
 mod memory;
 mod outbox;
 
 pub use accept::LinkEndpoint;
 pub use calls::CallState;
-pub use dial::{Link, LinkDriver, Links};
+pub use dial::{Link, Links};
+pub use driver::LinkDriver;
 pub use frame::{FrameError, NodeReport, RulesDocument};
 
 use std::io::ErrorKind;
