Links: an earlier life's statement doesn't replace a later one's; no read for others without the own row

Reports and their replies come on two connections, so a report that an earlier life is leaving may arrive after the statement of the next one and replace it. And a node that can't read its own row read those of others in vain: with all nodes restarted and the store away, a call to the store for each question. Change: statements of an earlier start are ignored; such a node answers from memory at once.

--- a/crates/engine/src/control/recovery.rs
+++ b/crates/engine/src/control/recovery.rs
@@ -68,6 +68,10 @@
 async fn read_for(control: &Shared, vm: &VmId) -> Option<DepartureRow> {
     let (store, clock) = {
         let parts = &control.borrow().parts;
+        // As long as this node can't read its own row, it can't read others.
+        if parts.engine.departures.needs_read() {
+            return None;
+        }
         let store = Arc::clone(&parts.dependencies.store);
         (store, Arc::clone(&parts.clock))
     };
--- a/crates/peer/src/link/dial.rs
+++ b/crates/peer/src/link/dial.rs
@@ -277,14 +277,17 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Keeps what the other node's backend server has stated. It comes on two connections, so that an
-    /// earlier statement of a life may arrive after the one that it is leaving.
+    /// Keeps what the other node's backend server has stated. Statements come on two connections, so they may
+    /// arrive in another order: a later life stays known, and a life that is leaving stays so.
     pub(super) fn record_notice(&self, mut notice: InstanceNotice) {
         let mut state = self.state();
-        if let Some((known, _)) = &state.notice
-            && (&known.instance, known.started_ms) == (&notice.instance, notice.started_ms)
-        {
-            notice.leaving |= known.leaving;
+        if let Some((known, _)) = &state.notice {
+            if notice.started_ms < known.started_ms {
+                return;
+            }
+            if (&known.instance, known.started_ms) == (&notice.instance, notice.started_ms) {
+                notice.leaving |= known.leaving;
+            }
         }
         state.notice = Some((notice, self.clock.now()));
     }
