Control: one name for a request for departures, and a type for where they are known from

Read as a newcomer: the same thing was a question and a request, and the source was a bare text. Nothing that a node does has changed.

--- a/crates/engine/src/control/departures.rs
+++ b/crates/engine/src/control/departures.rs
@@ -9,6 +9,7 @@
 use futures_lite::FutureExt as _;
 
 use super::Shared;
+use super::recovery::RecoverySource;
 use crate::departures::Departures;
 use crate::epochs::StoreEpoch;
 
@@ -75,7 +76,7 @@
             let row = read_row(self.store.as_ref(), &self.vm).await?;
             self.departures.apply_row(row);
             if self.departures.is_recovered() {
-                self.control.borrow().trust_reports("store");
+                self.control.borrow().trust_reports(&RecoverySource::Store);
             }
         }
         match self.departures.due_write() {
--- a/crates/engine/src/control/messages.rs
+++ b/crates/engine/src/control/messages.rs
@@ -47,7 +47,9 @@
                 tracing::info!(vm = %vm, "control: The link to a node was lost.")
             }
             LinkEvent::Ended(process) => self.record_end(&process),
-            LinkEvent::DeparturesRequest(process, reply) => self.queue_question(process, reply),
+            LinkEvent::DeparturesRequest(process, reply) => {
+                self.queue_departures_request(process, reply)
+            }
             LinkEvent::Departures(vm, known) => self.learn_departures(&vm, known),
             LinkEvent::Rules(document) => self.receive_rules(document),
             LinkEvent::PortionRequest(request, reply) => {
--- a/crates/engine/src/control/mod.rs
+++ b/crates/engine/src/control/mod.rs
@@ -23,7 +23,7 @@
 pub(crate) use messages::handle_messages;
 pub(crate) use plan::usable_slots;
 pub(crate) use profiles::store_profiles;
-pub(crate) use recovery::{answer_questions, recover_departures};
+pub(crate) use recovery::{answer_departure_requests, recover_departures};
 pub(crate) use rules::watch_rules;
 pub(crate) use state::{Control, ControlParts, open_control};
 pub(crate) use sums::exchange_sums;
--- a/crates/engine/src/control/recovery.rs
+++ b/crates/engine/src/control/recovery.rs
@@ -1,9 +1,10 @@
 //! Learns the departures of before the start of a node from other nodes if the store doesn't serve it, and
-//! answers the same question of others.
+//! answers the requests of others.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::Display;
 use filbertwheel_core::VmId;
 use filbertwheel_peer::{NodeProcess, ReplyHandle};
 use filbertwheel_policy::{DepartureRow, KnownDepartures};
@@ -14,18 +15,32 @@
 
 /// Time after the start of a node in which it reads its row itself.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
-/// Longest time between two questions to other nodes.
+/// Longest time between two requests to other nodes.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Time within which a node reads the row of another one, or says what it remembers.
 const READ_TIME: Duration = Duration::from_millis(300);
 
-/// A question of a node about the departures at its VM.
+/// A request of a node for the departures at its VM.
 #[derive(Debug)]
-pub(super) struct DepartureQuestion {
+pub(super) struct DeparturesRequest {
     process: NodeProcess,
     reply: ReplyHandle,
 }
 
+/// Where the departures of before the start are known from.
+#[derive(Debug, Display)]
+pub(super) enum RecoverySource<'a> {
+    /// The row of this VM, read by this node.
+    #[display("store")]
+    Store,
+    /// Another node.
+    #[display("{_0}")]
+    Node(&'a VmId),
+    /// Nowhere; it is so long ago that none matters.
+    #[display("time")]
+    Time,
+}
+
 /// Asks one node after another for the departures at this VM until they are known.
 pub(crate) async fn recover_departures(control: Shared) {
     let clock = Arc::clone(&control.borrow().parts.clock);
@@ -39,28 +54,28 @@
             return;
         }
         if control.recovery.is_over(clock.now()) {
-            control.trust_reports("time");
+            control.trust_reports(&RecoverySource::Time);
             return;
         }
         asked = control.ask_next(asked);
     }
 }
 
-/// Answers the questions of nodes that have just started.
-pub(crate) async fn answer_questions(control: Shared) {
-    let questions = control.borrow().questions.1.clone();
+/// Answers the requests of nodes that have just started.
+pub(crate) async fn answer_departure_requests(control: Shared) {
+    let requests = control.borrow().departures_requests.1.clone();
     // The sender is kept with the receiver, so the channel never closes.
-    while let Ok(question) = questions.recv().await {
-        let known = match read_for(&control, &question.process.vm).await {
+    while let Ok(request) = requests.recv().await {
+        let known = match read_for(&control, &request.process.vm).await {
             Some(row) => KnownDepartures::Stored(row),
-            None => control.borrow().remembered(&question.process),
+            None => control.borrow().remembered(&request.process),
         };
         tracing::info!(
-            vm = %question.process.vm,
+            vm = %request.process.vm,
             known = ?known,
             "control: A node was told of the departures at its VM."
         );
-        question.reply.send_departures(known);
+        request.reply.send_departures(known);
     }
 }
 
@@ -85,11 +100,11 @@
 
 impl Control {
     /// Relies on the status reports of the backend server from now on.
-    pub(super) fn trust_reports(&self, source: &str) {
+    pub(super) fn trust_reports(&self, source: &RecoverySource<'_>) {
         let runner = &self.parts.engine.runner;
         if !runner.trusts_reports() {
             tracing::info!(
-                source,
+                source = %source,
                 "control: The departures of before the start are known."
             );
         }
@@ -105,11 +120,11 @@
         Some(vm.clone())
     }
 
-    /// Keeps the question of another node until it is answered.
-    pub(super) fn queue_question(&self, process: NodeProcess, reply: ReplyHandle) {
-        let question = DepartureQuestion { process, reply };
-        if self.questions.0.try_send(question).is_err() {
-            tracing::warn!("control: Too many nodes ask for departures; one gets no answer.");
+    /// Keeps the request of another node until it is answered.
+    pub(super) fn queue_departures_request(&self, process: NodeProcess, reply: ReplyHandle) {
+        let request = DeparturesRequest { process, reply };
+        if self.departures_requests.0.try_send(request).is_err() {
+            tracing::warn!("control: Too many nodes request departures; one gets no reply.");
         }
     }
 
@@ -152,6 +167,7 @@
         match known {
             KnownDepartures::Stored(row) => {
                 departures.apply_row(row);
+                // A row from before a restore is ignored.
                 is_complete = departures.is_recovered();
             }
             KnownDepartures::Told {
@@ -162,7 +178,7 @@
             }
         }
         if is_complete {
-            self.trust_reports(&vm.to_string());
+            self.trust_reports(&RecoverySource::Node(vm));
         }
     }
 }
--- a/crates/engine/src/control/state.rs
+++ b/crates/engine/src/control/state.rs
@@ -19,7 +19,7 @@
 
 use super::Shared;
 use super::plan::Plan;
-use super::recovery::DepartureQuestion;
+use super::recovery::DeparturesRequest;
 use crate::engine::Engine;
 use crate::epochs::StoreEpoch;
 use crate::runner::BackendState;
@@ -28,8 +28,8 @@
 
 /// Time after the start of a node in which its links to the listed nodes come up.
 const LINK_START_TIME: Duration = Duration::from_millis(1_500);
-/// Maximum number of questions about departures that wait for an answer.
-const MAX_QUESTIONS: usize = 4_096;
+/// Maximum number of requests for departures that wait for a reply.
+const MAX_DEPARTURES_REQUESTS: usize = 4_096;
 
 /// Parts that the control state is built from.
 #[derive(Debug)]
@@ -83,8 +83,8 @@
     pub(super) started: Instant,
     /// When the departures of before are known.
     pub(super) recovery: DepartureRecovery,
-    /// Questions of other nodes about departures.
-    pub(super) questions: (Sender<DepartureQuestion>, Receiver<DepartureQuestion>),
+    /// Requests of other nodes for departures.
+    pub(super) departures_requests: (Sender<DeparturesRequest>, Receiver<DeparturesRequest>),
     pub(super) watch_duty: WatchDuty,
     /// Whether this node follows the store, as it tells the others.
     pub(super) watching: bool,
@@ -167,7 +167,7 @@
         joined: false,
         started,
         recovery: DepartureRecovery::open(started),
-        questions: async_channel::bounded(MAX_QUESTIONS),
+        departures_requests: async_channel::bounded(MAX_DEPARTURES_REQUESTS),
         watch_duty,
         watching: false,
         evacuations: Evacuations::default(),
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -16,7 +16,7 @@
 use smol::LocalExecutor;
 
 use crate::control::{
-    ControlParts, Shared, answer_questions, exchange_sums, handle_messages, hold_lease,
+    ControlParts, Shared, answer_departure_requests, exchange_sums, handle_messages, hold_lease,
     join_members, keep_departures, keep_members, open_control, recover_departures, run_ticks,
     store_profiles, watch_rules,
 };
@@ -151,7 +151,7 @@
             executor.spawn(keep_members(control())),
             executor.spawn(keep_departures(control())),
             executor.spawn(recover_departures(control())),
-            executor.spawn(answer_questions(control())),
+            executor.spawn(answer_departure_requests(control())),
             executor.spawn(store_profiles(control())),
             executor.spawn(run_ticks(control())),
             executor.spawn(exchange_sums(control())),
