Policy: a test of a new link with a process that is leaving

The random test of recovery passed with the line taken out that starts a process anew at each link (2,000 cases, twice): it rarely reaches that order. The direct test fails without the line (`Some(0ns)` for `None`) and passes with it. No code changed.

--- a/crates/policy/tests/recovery.rs
+++ b/crates/policy/tests/recovery.rs
@@ -236,3 +236,15 @@
     let ended = memory.since_end(3, started + second);
     assert_eq!(ended, None, "the process before knew nothing itself");
 }
+
+// Guards against a node that vouches for a process whose departure it may have missed while their link was
+// down.
+#[test]
+fn a_new_link_with_a_leaving_process_is_no_proof() {
+    let started = Instant::now();
+    let mut memory = ProcessMemory::default();
+    memory.record_link(1, true);
+    memory.record_link(1, false);
+    memory.record_end(1, started);
+    assert_eq!(memory.since_end(2, started), None);
+}
